Lay out the packages and settle the shared interfaces

Cause: work on voters, distribution, calls and operators needs shared types, messages, settings and one transport before it can go on side by side.

Change: types, coded errors, numbered events, parameter checks, releases (notes, checks, digests, net deltas), messages, the transport interface with a gRPC and an in-memory form, settings, lint and test commands.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are not part of the test suite."""
--- /dev/null
+++ b/snipelead/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool behind ``snipelead bench``."""
--- /dev/null
+++ b/snipelead/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Service of callers over HTTP/1.1."""
--- /dev/null
+++ b/snipelead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/snipelead/controls/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution from controls to nodes and between controls."""
--- /dev/null
+++ b/snipelead/controls/exceptions.py
@@ -0,0 +1,23 @@
+"""Errors of controls."""
+
+from snipelead.exceptions import SnipeleadError
+
+__all__ = ['NoControlError', 'NoQuorumError', 'OutcomeUnknownError']
+
+
+class NoQuorumError(SnipeleadError):
+    """No majority of voters could be reached; nothing took effect."""
+
+    code = 'SL2001'
+
+
+class OutcomeUnknownError(SnipeleadError):
+    """The answer was lost; the operation may or may not have taken effect."""
+
+    code = 'SL2002'
+
+
+class NoControlError(SnipeleadError):
+    """No control answered; nothing was sent that could take effect."""
+
+    code = 'SL2003'
--- /dev/null
+++ b/snipelead/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons that put the packages together."""
--- /dev/null
+++ b/snipelead/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in targets for tests, benchmarks and the quick start."""
--- /dev/null
+++ b/snipelead/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""State of a node and its conversation with other nodes."""
--- /dev/null
+++ b/snipelead/nodes/directory.py
@@ -0,0 +1,88 @@
+"""A node's view of the targets of the services that it calls."""
+
+import trio
+
+from snipelead.types import TargetState
+
+__all__ = ['TargetDirectory', 'is_newer']
+
+
+def is_newer(entry, known):
+    """Tell whether a target entry supersedes another (or none)."""
+    if known is None:
+        return True
+    return (entry.incarnation, entry.sequence) > (
+        known.incarnation,
+        known.sequence,
+    )
+
+
+class TargetDirectory:
+    """Targets by service, as told by controls and by other nodes.
+
+    Attributes
+    ----------
+    epoch, version : str, int
+        Directory state last received, sent back with each poll.
+    subscriptions : set of ServiceName
+        Services whose targets are wanted.
+    """
+
+    def __init__(self):
+        self.epoch = ''
+        self.version = 0
+        self.subscriptions = set()
+        self._entries = {}
+        self._by_service = {}
+        self._subscribed = trio.Event()
+        self._changed = trio.Event()
+
+    def subscribe(self, service):
+        """Ask for the targets of a service; returns True when new."""
+        if service in self.subscriptions:
+            return False
+        self.subscriptions.add(service)
+        self._subscribed.set()
+        self._subscribed = trio.Event()
+        return True
+
+    async def wait_subscribed(self):
+        """Wait until a service is subscribed to."""
+        await self._subscribed.wait()
+
+    async def wait_changed(self):
+        """Wait until targets change."""
+        await self._changed.wait()
+
+    def targets(self, service):
+        """Return the entries of a service, without those gone."""
+        return self._by_service.get(service, ())
+
+    def apply(self, update):
+        """Take in a :class:`~snipelead.messages.DirectoryUpdate`."""
+        if update.whole:
+            self._drop_missing({entry.target_id for entry in update.entries})
+        for entry in update.entries:
+            self.merge(entry)
+        self.epoch = update.epoch
+        self.version = update.version
+
+    def merge(self, entry):
+        """Take in one entry if it is newer than the one known."""
+        if not is_newer(entry, self._entries.get(entry.target_id)):
+            return
+        self._entries[entry.target_id] = entry
+        self._rebuild()
+
+    def _drop_missing(self, kept):
+        self._entries = {k: v for k, v in self._entries.items() if k in kept}
+        self._rebuild()
+
+    def _rebuild(self):
+        by_service = {}
+        for entry in self._entries.values():
+            if entry.state is not TargetState.GONE:
+                by_service.setdefault(entry.service, []).append(entry)
+        self._by_service = {k: tuple(v) for k, v in by_service.items()}
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/snipelead/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Interface for operators: HTTP server and client."""
--- /dev/null
+++ b/snipelead/releases/changes.py
@@ -0,0 +1,87 @@
+"""Application of a release note to the current release."""
+
+from snipelead.releases.checks import check_release
+from snipelead.releases.document import Release
+from snipelead.releases.document import Route
+from snipelead.releases.document import Service
+from snipelead.releases.document import Setting
+from snipelead.releases.exceptions import InvalidNoteError
+from snipelead.releases.exceptions import NumberNotAboveCurrentError
+
+__all__ = ['apply_note']
+
+
+def _split(change):
+    named = [
+        (kind, value)
+        for kind in ('service', 'route', 'setting')
+        if (value := getattr(change, kind)) is not None
+    ]
+    if len(named) != 1:
+        raise InvalidNoteError(
+            'a change must name exactly one service, route or setting,'
+            f' got {len(named)}'
+        )
+    return named[0]
+
+
+def _apply_change(tables, change):
+    kind, value = _split(change)
+    table = tables[kind]
+    match change.action, value:
+        case 'withdraw', str() as name:
+            if table.pop(name, None) is None:
+                raise InvalidNoteError(f'{kind} {name!r} is not held')
+        case 'add' | 'change', Service() | Route() | Setting():
+            if (change.action == 'add') == (value.name in table):
+                state = 'already' if change.action == 'add' else 'not'
+                raise InvalidNoteError(
+                    f'{kind} {value.name!r} is {state} held'
+                )
+            table[value.name] = value
+        case _:
+            raise InvalidNoteError(
+                f'{change.action} of a {kind} takes'
+                f' {"a name" if change.action == "withdraw" else "a value"},'
+                f' got {value!r}'
+            )
+
+
+def apply_note(current, note):
+    """Build the release that a note leads to.
+
+    Parameters
+    ----------
+    current : Release
+        Release in force.
+    note : ReleaseNote
+        Note to apply; all changes or none.
+
+    Returns
+    -------
+    Release
+        A whole, checked release.
+
+    Raises
+    ------
+    NumberNotAboveCurrentError, InvalidNoteError, DanglingReferenceError
+        If the note is refused.
+    """
+    if note.release <= current.number:
+        raise NumberNotAboveCurrentError(
+            f'release {note.release} is not above the current release'
+            f' {current.number}',
+            current=current.number,
+        )
+    tables = {
+        'service': dict(current.services),
+        'route': dict(current.routes),
+        'setting': dict(current.settings),
+    }
+    for change in note.changes:
+        _apply_change(tables, change)
+    release = Release(
+        note.release, tables['service'], tables['route'], tables['setting']
+    )
+    check_release(release)
+    return release
--- /dev/null
+++ b/snipelead/releases/document.py
@@ -0,0 +1,134 @@
+"""The release document that every node holds whole."""
+
+from functools import cached_property
+
+import msgspec
+from msgspec import Struct
+import xxhash
+
+from snipelead.types import Digest
+from snipelead.types import ReleaseNumber
+from snipelead.types import RequestClass
+from snipelead.types import RouteName
+from snipelead.types import ServiceName
+from snipelead.types import SettingName
+from snipelead.types import TenantName
+
+__all__ = ['EMPTY_RELEASE', 'Held', 'Release', 'Route', 'Service', 'Setting']
+
+DEFAULT_DEADLINE_MS = 2_000
+
+
+class Service(
+    Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
+    """A service that targets can belong to.
+
+    Parameters
+    ----------
+    name : ServiceName
+        Unique name.
+    slots : int
+        Requests that one target runs at a time, unless the target announces
+        another number.
+    connections : int
+        Connections that one target accepts.
+    """
+
+    name: ServiceName
+    slots: int = 20
+    connections: int = 130
+
+
+class Route(
+    Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
+    """Rule that sends matching requests to a service.
+
+    Parameters
+    ----------
+    name : RouteName
+        Unique name.
+    service : ServiceName
+        Service held by the same release.
+    path_prefix : str
+        The longest matching prefix wins.
+    host : str or None
+        Host that must match, or None for any.
+    methods : tuple of str
+        Methods that match; empty for all.
+    request_class : RequestClass
+        Service class of the requests.
+    repeatable : bool
+        Whether a request may be sent to a target more than once.
+    tenant : TenantName or None
+        Tenant of the requests that do not name one.
+    deadline_ms : int
+        Deadline of requests that do not carry one, in milliseconds.
+    settings : tuple of SettingName
+        Settings held by the same release that the route depends on.
+    """
+
+    name: RouteName
+    service: ServiceName
+    path_prefix: str = '/'
+    host: str | None = None
+    methods: tuple[str, ...] = ()
+    request_class: RequestClass = RequestClass.INTERACTIVE
+    repeatable: bool = False
+    tenant: TenantName | None = None
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    settings: tuple[SettingName, ...] = ()
+
+
+class Setting(
+    Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
+    """A named value that routes can depend on."""
+
+    name: SettingName
+    value: str | int | float | bool
+
+
+class Held(Struct, frozen=True):
+    """Identity of a release: its number and the digest of its contents."""
+
+    number: ReleaseNumber
+    digest: Digest
+
+
+class Release(Struct, frozen=True, dict=True):
+    """A whole release, immutable; nodes swap one for another.
+
+    Parameters
+    ----------
+    number : ReleaseNumber
+        Number given by the operator; only ever grows.
+    services, routes, settings : dict
+        Contents by name.
+    """
+
+    number: ReleaseNumber
+    services: dict[ServiceName, Service] = {}
+    routes: dict[RouteName, Route] = {}
+    settings: dict[SettingName, Setting] = {}
+
+    @cached_property
+    def digest(self):
+        """Digest of the number and contents, independent of their order."""
+        parts = (self.number, self.services, self.routes, self.settings)
+        # Maps are sorted so that equal contents have equal digests.
+        packed = msgspec.msgpack.encode(
+            tuple(
+                sorted(p.items()) if isinstance(p, dict) else p for p in parts
+            )
+        )
+        return Digest(xxhash.xxh3_128_hexdigest(packed))
+
+    @property
+    def held(self):
+        """Identity of this release."""
+        return Held(self.number, self.digest)
+
+
+EMPTY_RELEASE = Release(ReleaseNumber(0))
--- /dev/null
+++ b/snipelead/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls: choice of target, limits, retries, ejection."""
--- /dev/null
+++ b/snipelead/settings/schema.py
@@ -0,0 +1,231 @@
+"""Schema of the settings of each process."""
+
+from msgspec import field
+from msgspec import Struct
+
+from snipelead.logs import LogFormat
+from snipelead.types import Address
+from snipelead.types import ControlId
+from snipelead.types import ControlRole
+from snipelead.types import NodeId
+from snipelead.types import Preference
+from snipelead.types import RegionName
+from snipelead.types import ServiceName
+from snipelead.types import TargetId
+from snipelead.types import ZoneName
+
+__all__ = [
+    'ControlSettings',
+    'ControlTimings',
+    'LogSettings',
+    'NodeLimits',
+    'NodeSettings',
+    'NodeTimings',
+    'Peer',
+    'Settings',
+    'TargetSettings',
+]
+
+
+class _Strict(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Base that refuses unknown keys."""
+
+
+class LogSettings(_Strict):
+    """How a process writes its log."""
+
+    format: LogFormat = LogFormat.JSON
+    level: str = 'info'
+
+
+class Peer(_Strict):
+    """A control process as others reach it.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        Its id.
+    zone : ZoneName
+        Its availability zone.
+    address : Address
+        Where it answers calls of controls and nodes.
+    operator_address : Address or None
+        Where it answers operators.
+    role : ControlRole
+        Whether it votes.
+    """
+
+    control_id: ControlId
+    zone: ZoneName
+    address: Address
+    operator_address: Address | None = None
+    role: ControlRole = ControlRole.VOTER
+
+
+class ControlTimings(_Strict):
+    """Timings of a control; all in milliseconds.
+
+    Parameters
+    ----------
+    heartbeat_ms : int
+        Time between heartbeats of the leader.
+    election_min_ms, election_max_ms : int
+        Range of the randomised election timeout.
+    node_lease_ms : int
+        A node not heard of for this long is no longer live.
+    target_lease_ms : int
+        A target whose node is not heard of for this long gets no new work.
+    batch_window_ms : int
+        How long a release waits for others before nodes are told; only
+        with the preference for bytes.
+    """
+
+    heartbeat_ms: int = 100
+    election_min_ms: int = 500
+    election_max_ms: int = 1_000
+    node_lease_ms: int = 15_000
+    target_lease_ms: int = 12_000
+    batch_window_ms: int = 500
+
+
+class ControlSettings(_Strict, tag_field='kind', tag='control'):
+    """Settings of a control process."""
+
+    control_id: ControlId
+    zone: ZoneName
+    address: Address
+    operator_address: Address
+    data_dir: str
+    peers: tuple[Peer, ...]
+    region: RegionName = RegionName('local')
+    role: ControlRole = ControlRole.VOTER
+    preference: Preference = Preference.CONVERGENCE
+    max_snapshots: int = 8
+    snapshot_entries: int = 1_000
+    timings: ControlTimings = field(default_factory=ControlTimings)
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+class NodeTimings(_Strict):
+    """Timings of a node; all in milliseconds.
+
+    Parameters
+    ----------
+    hold_ms : int
+        How long a control may hold a long poll without news.
+    miss_ms : int
+        How much later than that an answer may come before the connection
+        is replaced.
+    grace_ms : int
+        Time that work in flight gets to finish when the node stops.
+    announce_lease_ms : int
+        A target that does not renew for this long is gone.
+    """
+
+    hold_ms: int = 5_000
+    miss_ms: int = 1_000
+    grace_ms: int = 10_000
+    announce_lease_ms: int = 3_000
+
+
+class NodeLimits(_Strict):
+    """Limits of a node.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Largest request body.
+    head_bytes : int
+        Largest request head.
+    queue_per_slot : float
+        Requests that may wait for each slot of the own target.
+    queue_wait_ms : int
+        Longest wait for a slot.
+    caller_connections : int
+        Connections accepted from callers.
+    retry_ratio : float
+        Retries allowed for each first attempt of a route.
+    """
+
+    body_bytes: int = 8 * 1024 * 1024
+    head_bytes: int = 64 * 1024
+    queue_per_slot: float = 1.0
+    queue_wait_ms: int = 200
+    caller_connections: int = 2_000
+    retry_ratio: float = 0.1
+
+
+class NodeSettings(_Strict, tag_field='kind', tag='node'):
+    """Settings of a node.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        Unique id.
+    zone : ZoneName
+        Availability zone.
+    caller_address : Address
+        Where callers connect.
+    address : Address
+        Where other nodes forward requests to.
+    admin_address : Address
+        Where the own target announces itself, and of metrics.
+    controls : tuple of Peer
+        All controls; those of the own zone are tried first.
+    """
+
+    node_id: NodeId
+    zone: ZoneName
+    caller_address: Address
+    address: Address
+    admin_address: Address
+    controls: tuple[Peer, ...]
+    region: RegionName = RegionName('local')
+    timings: NodeTimings = field(default_factory=NodeTimings)
+    limits: NodeLimits = field(default_factory=NodeLimits)
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+class TargetSettings(_Strict, tag_field='kind', tag='target'):
+    """Settings of a stand-in target (emulator).
+
+    Parameters
+    ----------
+    target_id : TargetId
+        Unique id.
+    service : ServiceName
+        Service that it announces.
+    address : Address
+        Where it serves its node, over loopback.
+    node_admin_address : Address
+        Admin address of the node beside it.
+    slots, connections : int
+        Limits that it announces and keeps.
+    service_time_ms : float
+        Mean time that a request takes.
+    cold_start_ms : int
+        Time after start during which requests are slower.
+    sheds : bool
+        Whether requests above the slots are refused with 503.
+    health : {'honest', 'always-up', 'always-down'}
+        What the health endpoint claims.
+    run_log : str or None
+        File that gets a line for each request that ran.
+    """
+
+    target_id: TargetId
+    service: ServiceName
+    address: Address
+    node_admin_address: Address
+    slots: int = 20
+    connections: int = 130
+    service_time_ms: float = 2.0
+    cold_start_ms: int = 0
+    sheds: bool = True
+    health: str = 'honest'
+    run_log: str | None = None
+    seed: int = 1
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+Settings = ControlSettings | NodeSettings | TargetSettings
--- /dev/null
+++ b/snipelead/targets/__init__.py
@@ -0,0 +1,1 @@
+"""A node's conversation with the target beside it."""
--- /dev/null
+++ b/snipelead/testing/network.py
@@ -0,0 +1,147 @@
+"""In-memory transport whose links can be cut, frozen, slowed and doubled."""
+
+import random
+
+import trio
+
+from snipelead.rpc.base import Channel
+from snipelead.rpc.base import dispatch
+from snipelead.rpc.base import Transport
+from snipelead.rpc.exceptions import RpcUnreachableError
+
+__all__ = ['MemoryNetwork', 'MemoryTransport']
+
+
+class MemoryNetwork:
+    """Network shared by all :class:`MemoryTransport` of a test.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of delays, losses and duplicates.
+    min_delay_s, max_delay_s : float
+        One-way delay of each message in seconds; unequal delays reorder.
+    loss : float
+        Probability that a message is lost without notice.
+    duplication : float
+        Probability that a request is delivered twice.
+    """
+
+    def __init__(
+        self,
+        seed=0,
+        min_delay_s=0.001,
+        max_delay_s=0.001,
+        loss=0.0,
+        duplication=0.0,
+    ):
+        self.random = random.Random(seed)
+        self.min_delay_s = min_delay_s
+        self.max_delay_s = max_delay_s
+        self.loss = loss
+        self.duplication = duplication
+        self.servers = {}
+        self.silent = set()
+
+    def transport(self, address):
+        """Return the transport of the process at an address."""
+        return MemoryTransport(self, address)
+
+    def cut(self, one, other):
+        """Silently drop all messages between two addresses."""
+        self.silent |= {(one, other), (other, one)}
+
+    def isolate(self, address, others):
+        """Cut an address off from the others."""
+        for other in others:
+            self.cut(address, other)
+
+    def heal(self):
+        """Remove all cuts."""
+        self.silent.clear()
+
+    async def carry(self, source, destination):
+        """Deliver one message: delay it, or wait forever if it is lost."""
+        delay_s = self.random.uniform(self.min_delay_s, self.max_delay_s)
+        lost = self.random.random() < self.loss
+        await trio.sleep(delay_s)
+        if lost or (source, destination) in self.silent:
+            await trio.sleep_forever()
+
+
+class MemoryChannel(Channel):
+    """Channel of the in-memory network."""
+
+    def __init__(self, network, source, address, stats):
+        super().__init__(address, stats)
+        self.network = network
+        self.source = source
+
+    async def exchange(self, method, payload):
+        """Carry a request and its answer across the network."""
+        await self.network.carry(self.source, self.address)
+        server = self.network.servers.get(self.address)
+        if server is None:
+            raise RpcUnreachableError(f'nothing listens on {self.address}')
+        if self.network.random.random() < self.network.duplication:
+            server.deliver(method, payload)
+        answer = await server.run(method, payload)
+        await self.network.carry(self.address, self.source)
+        return answer
+
+
+class _MemoryServer:
+    """Runs handlers in the nursery of the serving process."""
+
+    def __init__(self, handlers, nursery):
+        self.handlers = handlers
+        self.nursery = nursery
+
+    def deliver(self, method, payload):
+        """Run a request whose answer nobody waits for."""
+        self.nursery.start_soon(dispatch, self.handlers, method, payload)
+
+    async def run(self, method, payload):
+        """Run a request; cancelled with the caller or with the server."""
+        answers = []
+
+        async def run_handler():
+            with scope:
+                answers.append(await dispatch(self.handlers, method, payload))
+            done.set()
+
+        scope = trio.CancelScope()
+        done = trio.Event()
+        self.nursery.start_soon(run_handler)
+        try:
+            await done.wait()
+        finally:
+            scope.cancel()
+        if not answers:
+            raise RpcUnreachableError('the server stopped')
+        return answers[0]
+
+
+class MemoryTransport(Transport):
+    """Transport of one process on a :class:`MemoryNetwork`."""
+
+    def __init__(self, network, address):
+        super().__init__()
+        self.network = network
+        self.address = address
+
+    def connect(self, address):
+        """Return a channel to an address."""
+        return MemoryChannel(self.network, self.address, address, self.stats)
+
+    async def serve(
+        self, address, handlers, *, task_status=trio.TASK_STATUS_IGNORED
+    ):
+        """Serve handlers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.network.servers[address] = _MemoryServer(handlers, nursery)
+            try:
+                task_status.started(address)
+                await trio.sleep_forever()
+            finally:
+                self.network.servers.pop(address, None)
--- /dev/null
+++ b/snipelead/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all packages."""
--- /dev/null
+++ b/snipelead/utils/validation.py
@@ -0,0 +1,157 @@
+"""Checks of parameters and settings, in one place.
+
+A constraint is a type, an :class:`Interval`, an :class:`Options`, ``None``
+(the value may be None) or a callable returning True for allowed values.
+"""
+
+from dataclasses import dataclass
+import ipaddress
+from math import inf
+
+from snipelead.exceptions import InvalidParameterError
+
+__all__ = [
+    'Interval',
+    'Options',
+    'check_address',
+    'check_interval',
+    'check_name',
+    'check_parameters',
+]
+
+MAX_NAME_CHARS = 120
+_NAME_PUNCTUATION = frozenset('-_.:/')
+
+
+@dataclass(frozen=True)
+class Interval:
+    """Closed interval of numbers of the given type."""
+
+    kind: type
+    low: float = -inf
+    high: float = inf
+
+    def allows(self, value):
+        """Tell whether the value lies in the interval."""
+        if isinstance(value, bool):
+            return False
+        kinds = (int, float) if self.kind is float else (int,)
+        return isinstance(value, kinds) and self.low <= value <= self.high
+
+    def __str__(self):
+        return f'{self.kind.__name__} in [{self.low}, {self.high}]'
+
+
+@dataclass(frozen=True)
+class Options:
+    """Fixed set of allowed values."""
+
+    values: tuple
+
+    def allows(self, value):
+        """Tell whether the value is one of the options."""
+        return value in self.values
+
+    def __str__(self):
+        return 'one of ' + ', '.join(repr(v) for v in self.values)
+
+
+def _allows(constraint, value):
+    match constraint:
+        case None:
+            return value is None
+        case Interval() | Options():
+            return constraint.allows(value)
+        case type():
+            return isinstance(value, constraint)
+        case _:
+            return constraint(value)
+
+
+def _describe(constraint):
+    match constraint:
+        case type() | None:
+            return getattr(constraint, '__name__', 'None')
+        case Interval() | Options():
+            return str(constraint)
+        case _:
+            return getattr(constraint, '__doc__', None) or repr(constraint)
+
+
+def check_parameters(owner, values, constraints):
+    """Check named values against declared constraints.
+
+    Parameters
+    ----------
+    owner : str
+        Name shown in the error, usually that of a class.
+    values : dict of str to object
+        Values by parameter name.
+    constraints : dict of str to list
+        Allowed alternatives by parameter name.
+
+    Raises
+    ------
+    InvalidParameterError
+        Naming the parameter, the value got and the values allowed.
+    """
+    for name, alternatives in constraints.items():
+        value = values[name]
+        if any(_allows(c, value) for c in alternatives):
+            continue
+        allowed = ' or '.join(_describe(c) for c in alternatives)
+        raise InvalidParameterError(
+            f'{owner}: parameter {name!r} must be {allowed}, got {value!r}',
+            parameter=name,
+            got=repr(value),
+            allowed=allowed,
+        )
+
+
+def check_interval(owner, name, value, interval):
+    """Check one number against an interval and return it."""
+    check_parameters(owner, {name: value}, {name: [interval]})
+    return value
+
+
+def check_address(owner, name, value):
+    """Check that a value is ``IP:port`` and return it.
+
+    Raises
+    ------
+    InvalidParameterError
+        If the host is not an IP number or the port is out of range.
+    """
+    host, _, port = str(value).rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        valid = port.isdigit() and 0 <= int(port) <= 65535
+    except ValueError:
+        valid = False
+    if not valid:
+        raise InvalidParameterError(
+            f'{owner}: {name!r} must be IP:port with a port from 0 to 65535,'
+            f' got {value!r}',
+            parameter=name,
+            got=repr(value),
+            allowed='IP:port',
+        )
+    return value
+
+
+def check_name(owner, name, value):
+    """Check an identifier used in releases and settings and return it."""
+    valid = (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARS
+        and all(c.isalnum() or c in _NAME_PUNCTUATION for c in value)
+    )
+    if not valid:
+        raise InvalidParameterError(
+            f'{owner}: {name!r} must be 1 to {MAX_NAME_CHARS} letters, digits'
+            f' or any of -_.:/, got {value!r}',
+            parameter=name,
+            got=repr(value),
+            allowed=f'1 to {MAX_NAME_CHARS} letters, digits or -_.:/',
+        )
+    return value
--- /dev/null
+++ b/snipelead/voters/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log kept by the voting controls."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocol, checked exhaustively within bounds."""
