Describe the consensus of the voters

Cause: the model and the code of the release log need one description. Result: a description only; nothing measured.

--- /dev/null
+++ b/snipelead/voters/events.py
@@ -0,0 +1,79 @@
+"""Log events of voters."""
+
+from snipelead.logs import Event
+
+__all__ = [
+    'BECAME_LEADER',
+    'CLUSTER_FOUNDED',
+    'JOIN_REQUESTED',
+    'MEMBERSHIP_CHANGED',
+    'QUORUM_LOST',
+    'SNAPSHOT_INSTALLED',
+    'SNAPSHOT_SAVED',
+    'STEPPED_DOWN',
+    'TORN_TAIL_CUT',
+    'VOTER_FAILED',
+    'VOTER_OPENED',
+    'WAITING_FOR_VOTERS',
+]
+
+VOTER_OPENED = Event(
+    1001, 'voter_opened', 'info', 'The data folder was read and locked.'
+)
+TORN_TAIL_CUT = Event(
+    1002,
+    'torn_tail_cut',
+    'warning',
+    'The last write before a crash was incomplete and was cut off; it had'
+    ' not been acknowledged.',
+)
+BECAME_LEADER = Event(
+    1003, 'became_leader', 'info', 'This voter leads from now on.'
+)
+STEPPED_DOWN = Event(
+    1004, 'stepped_down', 'info', 'This voter no longer leads.'
+)
+SNAPSHOT_SAVED = Event(
+    1005, 'snapshot_saved', 'info', 'The log was compacted.'
+)
+SNAPSHOT_INSTALLED = Event(
+    1006,
+    'snapshot_installed',
+    'info',
+    'The state was taken over whole from the leader.',
+)
+MEMBERSHIP_CHANGED = Event(
+    1007, 'membership_changed', 'info', 'A new configuration is in the log.'
+)
+CLUSTER_FOUNDED = Event(
+    1008,
+    'cluster_founded',
+    'warning',
+    'All voters were empty and a new cluster was founded; expected at the'
+    ' first start only.',
+)
+JOIN_REQUESTED = Event(
+    1009,
+    'join_requested',
+    'warning',
+    'The data folder was empty while others hold a log; joining as a new'
+    ' member.',
+)
+WAITING_FOR_VOTERS = Event(
+    1010,
+    'waiting_for_voters',
+    'warning',
+    'The data folder is empty and not all voters answer; start them all.',
+)
+QUORUM_LOST = Event(
+    1011,
+    'quorum_lost',
+    'error',
+    'A majority of the voters lost their disks; see docs/operations.',
+)
+VOTER_FAILED = Event(
+    1012,
+    'voter_failed',
+    'error',
+    'The voter stops: a write failed or an invariant is broken.',
+)
