--- /dev/null
+++ b/snipelead/testing/cluster.py
@@ -0,0 +1,231 @@
+"""Voters on an in-memory network, killed and restarted at will."""
+
+from contextlib import asynccontextmanager
+
+import trio
+
+from snipelead.exceptions import SnipeleadError
+from snipelead.releases.note import load_note
+from snipelead.settings.schema import ControlSettings
+from snipelead.settings.schema import Peer
+from snipelead.testing.disk import MemoryDisk
+from snipelead.testing.disk import MemoryFiles
+from snipelead.testing.network import MemoryNetwork
+from snipelead.voters.voter import Voter
+
+__all__ = ['Cluster', 'make_note', 'open_cluster']
+
+EPOCH_MS = 1_700_000_000_000
+
+
+def make_note(number, note_id=None, service=None):
+    """Return a note that adds one service.
+
+    Parameters
+    ----------
+    number : int
+        Release number.
+    note_id : str or None
+        Id of the note; None for one made from the number.
+    service : str or None
+        Service to add; None for a name made from the number.
+    """
+    note_id = note_id or f'note-{number}'
+    service = service or f'service-{number}'
+    return load_note(
+        f'release: {number}\nnote: {note_id}\nchanges:\n'
+        f'  - {{action: add, service: {{name: {service}}}}}\n'
+    )
+
+
+def read_clock_ms():
+    """Return the time of the trio clock in milliseconds."""
+    return EPOCH_MS + int(trio.current_time() * 1_000)
+
+
+class Cluster:
+    """Processes of voters, one for each letter of ``names``.
+
+    Parameters
+    ----------
+    names : str
+        Control ids, one letter each.
+    network : MemoryNetwork
+        Links between them.
+    nursery : trio.Nursery
+        Runs the processes.
+    seed : int
+        Seed of disks and election timeouts.
+    snapshot_entries : int
+        Entries between snapshots.
+
+    Attributes
+    ----------
+    voters : dict of str to Voter
+        Running processes.
+    disks : dict of str to MemoryDisk
+        Their disks.
+    failures : dict of str to SnipeleadError
+        Coded errors that ended processes.
+    """
+
+    def __init__(self, names, network, nursery, seed=0, snapshot_entries=50):
+        self.names = names
+        self.network = network
+        self.nursery = nursery
+        self.seed = seed
+        self.snapshot_entries = snapshot_entries
+        self.disks = {name: MemoryDisk(f'{seed}-{name}') for name in names}
+        self.voters = {}
+        self.scopes = {}
+        self.failures = {}
+        self.starts = 0
+
+    def make_settings(self, name):
+        """Return the settings of a control."""
+        peers = tuple(
+            Peer(control_id=n, zone=n, address=self.address(n))
+            for n in self.names
+        )
+        return ControlSettings(
+            control_id=name,
+            zone=name,
+            address=self.address(name),
+            operator_address='127.0.0.1:0',
+            data_dir=name,
+            peers=peers,
+            snapshot_entries=self.snapshot_entries,
+        )
+
+    def address(self, name):
+        """Return the address of a control."""
+        return f'address-{name}'
+
+    async def start(self, name):
+        """Start a process and wait until it has read its disk."""
+        self.starts += 1
+        self.failures.pop(name, None)
+        await self.nursery.start(self._run, name)
+
+    async def start_all(self):
+        """Start all processes."""
+        for name in self.names:
+            await self.start(name)
+
+    async def _run(self, name, *, task_status):
+        transport = self.network.transport(self.address(name))
+        voter = Voter(
+            self.make_settings(name),
+            transport,
+            MemoryFiles(self.disks[name]),
+            read_clock_ms,
+            hash((self.seed, ord(name), self.starts)),
+        )
+        opened = trio.Event()
+        try:
+            async with trio.open_nursery() as nursery:
+                self.scopes[name] = nursery.cancel_scope
+                self.voters[name] = voter
+                await nursery.start(voter.run)
+                nursery.start_soon(
+                    transport.serve, self.address(name), voter.handlers()
+                )
+                opened.set()
+                task_status.started()
+        except* SnipeleadError as group:
+            if voter is self.voters.get(name):
+                self.failures[name] = group.exceptions[0]
+        finally:
+            if voter is self.voters.get(name):
+                del self.voters[name]
+            if not opened.is_set():
+                task_status.started()
+
+    async def kill(self, name):
+        """End a process at once, as SIGKILL does."""
+        self.disks[name].crash()
+        voter = self.voters.pop(name, None)
+        if voter is not None:
+            self.scopes[name].cancel()
+            await trio.sleep(0.01)
+
+    async def lose_disk(self, name):
+        """End a process and lose its disk."""
+        await self.kill(name)
+        self.disks[name].erase()
+
+    def cut_off(self, name):
+        """Cut a process off from all others."""
+        others = [self.address(n) for n in self.names if n != name]
+        self.network.isolate(self.address(name), others)
+
+    @property
+    def leader(self):
+        """Name of the leader of the highest term, or None."""
+        leading = [
+            (v.replica.term, name)
+            for name, v in self.voters.items()
+            if v.replica.leadership is not None
+        ]
+        return max(leading)[1] if leading else None
+
+    @property
+    def followers(self):
+        """Names of the running processes that do not lead."""
+        return [n for n in self.names if n in self.voters and n != self.leader]
+
+    async def wait_until(self, condition, timeout_s=60):
+        """Wait for a condition, at most for some seconds."""
+        with trio.fail_after(timeout_s):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async def wait_leader(self, besides=None):
+        """Wait until there is a leader and return its name."""
+        await self.wait_until(
+            lambda: self.leader is not None and self.leader != besides
+        )
+        return self.leader
+
+    async def wait_release(self, number):
+        """Wait until all running processes have applied a release."""
+        await self.wait_until(
+            lambda: all(
+                v.current.number >= number for v in self.voters.values()
+            )
+        )
+
+    def is_whole(self):
+        """Whether all processes are voters of the same configuration."""
+        configurations = {
+            v.replica.state.configuration for v in self.voters.values()
+        }
+        members = {v.replica.member for v in self.voters.values()}
+        return (
+            len(self.voters) == len(self.names)
+            and len(configurations) == 1
+            and set(configurations.pop().voters) == members
+        )
+
+    async def wait_whole(self):
+        """Wait until all processes are voters of one configuration."""
+        await self.wait_until(self.is_whole)
+
+
+@asynccontextmanager
+async def open_cluster(names='abc', seed=0, start=True, **options):
+    """Run voters until the block ends.
+
+    Yields
+    ------
+    Cluster
+    """
+    network = MemoryNetwork(seed)
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(names, network, nursery, seed, **options)
+        if start:
+            await cluster.start_all()
+        yield cluster
+        for disk in cluster.disks.values():
+            disk.crash()
+        nursery.cancel_scope.cancel()
--- a/snipelead/voters/exceptions.py
+++ b/snipelead/voters/exceptions.py
@@ -13,6 +13,8 @@
     'NoteReusedError',
     'QuorumLostError',
     'StorageWriteError',
+    'VoterBusyError',
+    'VoterNotRunningError',
     'WrongClusterError',
     'WrongFolderError',
 ]
@@ -82,3 +84,15 @@
     """The data folder belongs to another control."""
 
     code = 'SL1011'
+
+
+class VoterBusyError(SnipeleadError):
+    """The leader has too many commands to write; it appended nothing."""
+
+    code = 'SL1012'
+
+
+class VoterNotRunningError(SnipeleadError):
+    """The voter has not started yet or has stopped; it changed nothing."""
+
+    code = 'SL1013'
--- /dev/null
+++ b/snipelead/voters/joining.py
@@ -0,0 +1,174 @@
+"""Start of a voter whose data folder is empty: found or join."""
+
+import secrets
+
+import trio
+
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
+from snipelead.logs import log_event
+from snipelead.types import ControlRole
+from snipelead.voters.events import CLUSTER_FOUNDED
+from snipelead.voters.events import JOIN_REQUESTED
+from snipelead.voters.events import QUORUM_LOST
+from snipelead.voters.events import WAITING_FOR_VOTERS
+from snipelead.voters.messages import Configuration
+from snipelead.voters.messages import JoinRequest
+from snipelead.voters.messages import ProbeReply
+from snipelead.voters.messages import ProbeRequest
+from snipelead.voters.replica import FIRST_INDEX
+from snipelead.voters.state import State
+from snipelead.voters.storage import Identity
+from snipelead.voters.storage import SavedState
+from snipelead.voters.storage import Vote
+
+__all__ = ['Joining']
+
+CLUSTER_BYTES = 8
+ROUNDS_BEFORE_WARNING = 5
+
+
+class Joining:
+    """Finds a place for a member that no configuration names.
+
+    Parameters
+    ----------
+    replica : Replica
+        This member.
+    peers : PeerChannels
+        Channels to the other voters.
+    proposals : Proposals
+        Told when a majority is lost.
+    """
+
+    def __init__(self, replica, peers, proposals):
+        self.replica = replica
+        self.peers = peers
+        self.proposals = proposals
+
+    def is_placed(self):
+        """Whether the log of this member holds a configuration."""
+        return self.replica.configuration is not None
+
+    async def run(self):
+        """Probe the other voters until this member has a place."""
+        replica = self.replica
+        pause_s = replica.settings.timings.election_min_ms / 1_000
+        rounds = 0
+        while not self.is_placed():
+            replies = await self.probe_all()
+            if not self.is_placed():
+                await self.decide(replies)
+            rounds += 1
+            if rounds == ROUNDS_BEFORE_WARNING and not self.is_placed():
+                log_event(WAITING_FOR_VOTERS, answered=sorted(replies))
+            if not self.is_placed():
+                await trio.sleep(pause_s)
+        self.proposals.quorum_lost = False
+
+    async def probe_all(self):
+        """Return the answers of the voters, own included, by control id."""
+        replies = {self.replica.member.control_id: self.make_probe_reply()}
+        timeout_s = self.replica.settings.timings.election_min_ms / 1_000
+
+        async def probe(control_id):
+            try:
+                replies[control_id] = await self.peers.call(
+                    control_id, ProbeRequest(), timeout_s
+                )
+            except SnipeleadError:
+                return
+
+        async with trio.open_nursery() as nursery:
+            for control_id in self.peers.control_ids:
+                nursery.start_soon(probe, control_id)
+        return replies
+
+    async def decide(self, replies):
+        """Found a cluster, ask to join one, or wait."""
+        replica = self.replica
+        placed = [r for r in replies.values() if r.configuration is not None]
+        if not placed:
+            if self.may_found(replies):
+                await self.found(replies)
+            return
+        newest = max(placed, key=lambda r: r.term)
+        if replica.member in newest.configuration.members:
+            return
+        self.note_quorum(replies, newest.configuration)
+        await self.ask_to_join(placed)
+
+    def may_found(self, replies):
+        """Whether all voters are empty and this one is to found."""
+        voters = {
+            peer.control_id
+            for peer in self.replica.settings.peers
+            if peer.role is ControlRole.VOTER
+        }
+        own = self.replica.member.control_id
+        return voters == set(replies) and own == min(voters)
+
+    async def found(self, replies):
+        """Write the first configuration of a new cluster."""
+        replica = self.replica
+        members = tuple(sorted(r.member for r in replies.values()))
+        term = max(r.term for r in replies.values()) + 1
+        state = State(Configuration(members))
+        saved = SavedState(FIRST_INDEX, term, state.encode())
+        cluster = secrets.token_hex(CLUSTER_BYTES)
+        async with replica.exclusive():
+            if self.is_placed() or replica.term >= term:
+                return
+            await replica.save_vote(Vote(term))
+            await replica.storage.save_identity(
+                Identity(replica.member, cluster)
+            )
+            await replica.install(saved)
+            replica.deadline = trio.current_time()
+        if not self.is_placed():
+            raise InvariantError('a founder must have a configuration')
+        log_event(CLUSTER_FOUNDED, voters=[str(m) for m in members])
+
+    def note_quorum(self, replies, configuration):
+        """Notice that too few members are left for any majority."""
+        present = {reply.member for reply in replies.values()}
+        answered = {m for m in configuration.voters if m.control_id in replies}
+        lost = len(answered - present)
+        possible = len(configuration.voters) - lost
+        quorum_lost = possible < configuration.majority
+        if quorum_lost and not self.proposals.quorum_lost:
+            log_event(
+                QUORUM_LOST,
+                lost=sorted(str(m) for m in answered - present),
+            )
+        self.proposals.quorum_lost = quorum_lost
+
+    async def ask_to_join(self, placed):
+        """Ask each placed voter; the leader among them takes it in."""
+        replica = self.replica
+        request = JoinRequest(replica.member)
+        timeout_s = replica.settings.timings.election_min_ms / 1_000
+        for reply in placed:
+            try:
+                await self.peers.call(
+                    reply.member.control_id, request, timeout_s
+                )
+            except SnipeleadError:
+                continue
+            log_event(JOIN_REQUESTED, member=str(replica.member))
+            return
+
+    def make_probe_reply(self):
+        """Return what this member's data folder holds."""
+        replica = self.replica
+        return ProbeReply(
+            replica.member,
+            replica.term,
+            replica.cluster,
+            replica.configuration,
+        )
+
+    async def on_probe(self, request):
+        """Answer another voter's probe."""
+        self.replica.check_running()
+        return self.make_probe_reply()
--- /dev/null
+++ b/snipelead/voters/leadership.py
@@ -0,0 +1,107 @@
+"""What a leader keeps for one term."""
+
+from math import inf
+
+from msgspec import Struct
+
+from snipelead.types import LogIndex
+from snipelead.types import Term
+from snipelead.voters.messages import Member
+
+__all__ = ['Leadership', 'Progress']
+
+
+class Progress(Struct):
+    """What the leader knows of another member.
+
+    Parameters
+    ----------
+    next_index : LogIndex
+        Next entry to send.
+    match_index : LogIndex
+        Last entry known to be synced there.
+    sent_commit : LogIndex
+        Commit index that was acknowledged.
+    acked_round : int
+        Newest round that an answer confirmed.
+    answered_at : float
+        Time of the last answer, in seconds of the trio clock.
+    """
+
+    next_index: LogIndex
+    match_index: LogIndex = LogIndex(0)
+    sent_commit: LogIndex = LogIndex(0)
+    acked_round: int = 0
+    answered_at: float = -inf
+
+
+class Leadership:
+    """One term as leader.
+
+    Parameters
+    ----------
+    term : Term
+        The term.
+    member : Member
+        The leader itself.
+    next_index : LogIndex
+        Index after the last entry when the term began.
+    now : float
+        Time when it began, in seconds of the trio clock.
+
+    Attributes
+    ----------
+    first_index : LogIndex
+        Entry that the leader appended first.
+    synced_index : LogIndex
+        Last entry on the leader's own disk.
+    round : int
+        Newest round of the read barrier.
+    joins : dict of ControlId to Member
+        Members that asked to be taken in.
+    """
+
+    def __init__(self, term, member, next_index, now):
+        self.term = Term(term)
+        self.member = member
+        self.first_index = next_index
+        self.synced_index = LogIndex(next_index - 1)
+        self.started_at = now
+        self.round = 0
+        self.progress: dict[Member, Progress] = {}
+        self.joins: dict[str, Member] = {}
+
+    def progress_of(self, member):
+        """Return the progress of a member, made when first asked for."""
+        if member not in self.progress:
+            # A member gets as long to answer as if it had just done so.
+            self.progress[member] = Progress(
+                self.first_index, answered_at=self.started_at
+            )
+        return self.progress[member]
+
+    def majority_index(self, configuration):
+        """Return the newest index that a majority of the voters synced."""
+        return self._majority(
+            configuration, self.synced_index, lambda p: p.match_index
+        )
+
+    def majority_round(self, configuration):
+        """Return the newest round that a majority confirmed."""
+        return self._majority(
+            configuration, self.round, lambda p: p.acked_round
+        )
+
+    def majority_answered_at(self, configuration):
+        """Return since when a majority has answered, in seconds."""
+        return self._majority(configuration, inf, lambda p: p.answered_at)
+
+    def _majority(self, configuration, own, value_of):
+        values = sorted(
+            (
+                own if m == self.member else value_of(self.progress_of(m))
+                for m in configuration.voters
+            ),
+            reverse=True,
+        )
+        return values[configuration.majority - 1]
--- /dev/null
+++ b/snipelead/voters/messages.py
@@ -0,0 +1,301 @@
+"""Messages among voters, and entries of the replicated log."""
+
+import msgspec
+from msgspec import Struct
+
+from snipelead.messages import ClaimRequest
+from snipelead.messages import register_reply
+from snipelead.messages import SettleRequest
+from snipelead.messages import SubmitReply
+from snipelead.releases.document import Held
+from snipelead.releases.note import ReleaseNote
+from snipelead.types import ControlId
+from snipelead.types import LogIndex
+from snipelead.types import NoteId
+from snipelead.types import Term
+
+__all__ = [
+    'AppendReply',
+    'AppendRequest',
+    'BarrierReply',
+    'BarrierRequest',
+    'CertifyReply',
+    'CertifyRequest',
+    'Claim',
+    'Command',
+    'Configuration',
+    'Entry',
+    'InstallReply',
+    'InstallRequest',
+    'JoinReply',
+    'JoinRequest',
+    'Member',
+    'OutcomesReply',
+    'OutcomesRequest',
+    'ProbeReply',
+    'ProbeRequest',
+    'ProposeReply',
+    'ProposeRequest',
+    'Settle',
+    'Submit',
+    'VoteReply',
+    'VoteRequest',
+    'decode_command',
+    'encode_command',
+]
+
+
+class Member(Struct, frozen=True, array_like=True, order=True):
+    """Identity of a voter's data folder.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        The control, which outlives its disk.
+    epoch : str
+        Drawn at random when the data folder was empty; a control that
+        lost its disk is another member.
+    """
+
+    control_id: ControlId
+    epoch: str
+
+    def __str__(self):
+        return f'{self.control_id}#{self.epoch}'
+
+
+class Configuration(Struct, frozen=True, array_like=True):
+    """Members of the cluster.
+
+    Parameters
+    ----------
+    voters : tuple of Member
+        Members that vote and are counted.
+    learners : tuple of Member
+        Members that receive entries only.
+    """
+
+    voters: tuple[Member, ...] = ()
+    learners: tuple[Member, ...] = ()
+
+    @property
+    def majority(self):
+        """Number of voters that decides."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def members(self):
+        """Voters and learners."""
+        return self.voters + self.learners
+
+    def find_voter(self, control_id):
+        """Return the voting member of a control, or None."""
+        found = (m for m in self.voters if m.control_id == control_id)
+        return next(found, None)
+
+    def find_newest(self, control_id):
+        """Return the learner of a control, else its voter, else None."""
+        found = (m for m in self.learners if m.control_id == control_id)
+        return next(found, None) or self.find_voter(control_id)
+
+
+class Submit(Struct, frozen=True, tag=1, array_like=True):
+    """Command that decides the outcome of a release note."""
+
+    note: ReleaseNote
+
+
+class Claim(Struct, frozen=True, tag=2, array_like=True):
+    """Command that claims a request."""
+
+    request: ClaimRequest
+
+
+class Settle(Struct, frozen=True, tag=3, array_like=True):
+    """Command that records the end of a claimed request."""
+
+    request: SettleRequest
+
+
+Command = Submit | Claim | Settle
+
+encode_command = msgspec.msgpack.Encoder().encode
+decode_command = msgspec.msgpack.Decoder(Command).decode
+
+
+class Entry(Struct, frozen=True, omit_defaults=True, array_like=True):
+    """Entry of the log.
+
+    Parameters
+    ----------
+    index : LogIndex
+        Position, from 1.
+    term : Term
+        Term of the leader that appended it.
+    time_ms : int
+        The leader's time when it appended it, since the epoch.
+    command : bytes
+        Encoded :data:`Command`; empty for an entry without effect.
+    configuration : Configuration or None
+        Set when the entry changes the membership.
+    """
+
+    index: LogIndex
+    term: Term
+    time_ms: int
+    command: bytes = b''
+    configuration: Configuration | None = None
+
+
+class VoteRequest(Struct, frozen=True, array_like=True):
+    """Asks for a vote, or with ``trial`` whether it would be given."""
+
+    cluster: str
+    to: Member
+    term: Term
+    candidate: Member
+    last_index: LogIndex
+    last_term: Term
+    trial: bool
+
+
+class VoteReply(Struct, frozen=True, array_like=True):
+    """Answer to a request for a vote.
+
+    ``replaced`` tells the candidate that a committed configuration holds
+    another member of its control instead of it.
+    """
+
+    term: Term
+    member: Member
+    granted: bool
+    replaced: bool = False
+
+
+class AppendRequest(Struct, frozen=True, array_like=True):
+    """Entries from the leader; without entries a heartbeat.
+
+    ``round`` is the newest round of the leader's read barrier that the
+    answer confirms.
+    """
+
+    cluster: str
+    to: Member
+    term: Term
+    leader: Member
+    previous_index: LogIndex
+    previous_term: Term
+    entries: tuple[Entry, ...]
+    commit_index: LogIndex
+    round: int
+
+
+class AppendReply(Struct, frozen=True, array_like=True):
+    """Answer to entries.
+
+    ``match_index`` is the last index of the request that is now synced when
+    ``success``, else the index from which the leader should try next.
+    """
+
+    term: Term
+    member: Member
+    success: bool
+    match_index: LogIndex
+
+
+class InstallRequest(Struct, frozen=True, array_like=True):
+    """Whole state for a member that lacks compacted entries."""
+
+    cluster: str
+    to: Member
+    term: Term
+    leader: Member
+    last_index: LogIndex
+    last_term: Term
+    state: bytes
+    round: int
+
+
+class InstallReply(Struct, frozen=True, array_like=True):
+    """Answer to a whole state."""
+
+    term: Term
+    member: Member
+    match_index: LogIndex
+
+
+class ProbeRequest(Struct, frozen=True):
+    """Asks a voter what its data folder holds."""
+
+
+class ProbeReply(Struct, frozen=True, omit_defaults=True):
+    """What a data folder holds; no configuration means an empty log."""
+
+    member: Member
+    term: Term
+    cluster: str = ''
+    configuration: Configuration | None = None
+
+
+class JoinRequest(Struct, frozen=True):
+    """Asks the leader to take a new member in."""
+
+    member: Member
+
+
+class JoinReply(Struct, frozen=True):
+    """The leader will take the member in."""
+
+
+class ProposeRequest(Struct, frozen=True, array_like=True):
+    """A command for the leader, which must not pass it on."""
+
+    command: bytes
+
+
+class ProposeReply(Struct, frozen=True, array_like=True):
+    """Encoded reply of the state machine."""
+
+    result: bytes
+
+
+class BarrierRequest(Struct, frozen=True):
+    """Asks the leader for an index that proves a follower current."""
+
+
+class BarrierReply(Struct, frozen=True):
+    """All that was accepted before the request is at or below ``index``."""
+
+    index: LogIndex
+
+
+class CertifyRequest(Struct, frozen=True):
+    """Asks a voter for the newest release, proved by a majority."""
+
+
+class CertifyReply(Struct, frozen=True):
+    """Newest release; without ``certified`` merely the one it holds."""
+
+    certified: bool
+    held: Held
+
+
+class OutcomesRequest(Struct, frozen=True):
+    """Asks a voter for the outcomes of recent notes."""
+
+
+class OutcomesReply(Struct, frozen=True):
+    """Outcomes of recent notes, as applied at that voter."""
+
+    outcomes: dict[NoteId, SubmitReply]
+
+
+register_reply(VoteRequest, VoteReply)
+register_reply(AppendRequest, AppendReply)
+register_reply(InstallRequest, InstallReply)
+register_reply(ProbeRequest, ProbeReply)
+register_reply(JoinRequest, JoinReply)
+register_reply(ProposeRequest, ProposeReply)
+register_reply(BarrierRequest, BarrierReply)
+register_reply(CertifyRequest, CertifyReply)
+register_reply(OutcomesRequest, OutcomesReply)
--- /dev/null
+++ b/snipelead/voters/proposals.py
@@ -0,0 +1,271 @@
+"""Proposals: group commit at the leader, forwarding elsewhere."""
+
+import msgspec
+import trio
+
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.exceptions import SnipeleadError
+from snipelead.messages import ClaimReply
+from snipelead.messages import SettleReply
+from snipelead.messages import SubmitReply
+from snipelead.voters.exceptions import ClaimsFullError
+from snipelead.voters.exceptions import MemberReplacedError
+from snipelead.voters.exceptions import NotLeaderError
+from snipelead.voters.exceptions import QuorumLostError
+from snipelead.voters.exceptions import StorageWriteError
+from snipelead.voters.exceptions import VoterBusyError
+from snipelead.voters.exceptions import VoterNotRunningError
+from snipelead.voters.messages import Claim
+from snipelead.voters.messages import encode_command
+from snipelead.voters.messages import ProposeReply
+from snipelead.voters.messages import ProposeRequest
+from snipelead.voters.messages import Settle
+from snipelead.voters.messages import Submit
+from snipelead.voters.signal import Signal
+
+__all__ = ['Proposals']
+
+PROPOSE_TIMEOUT_S = 3.0
+BUSY_RETRY_MS = 200
+MAX_BATCH = 512
+MAX_WAITING = 20_000
+
+_encode = msgspec.msgpack.encode
+
+# A voter raises these before it appends; whatever else comes back, the
+# command may be in a log.
+_NOT_APPENDED = (
+    NotLeaderError,
+    NoQuorumError,
+    VoterNotRunningError,
+    StorageWriteError,
+    MemberReplacedError,
+)
+
+
+class _Pending:
+    """A command that waits for its result."""
+
+    def __init__(self, command):
+        self.command = command
+        self.term = None
+        self.result = None
+        self.done = trio.Event()
+
+    def resolve(self, result):
+        self.result = result
+        self.done.set()
+
+
+def _reply_type(command):
+    match command:
+        case Submit():
+            return SubmitReply
+        case Claim():
+            return ClaimReply
+        case Settle():
+            return SettleReply
+
+
+class Proposals:
+    """Brings commands into the log and returns their results.
+
+    Parameters
+    ----------
+    replica : Replica
+        This member.
+    peers : PeerChannels
+        Channels to the other voters.
+    election : Election
+        Tells whether a majority is in touch.
+
+    Attributes
+    ----------
+    quorum_lost : bool
+        Whether too few members are left for any majority.
+    """
+
+    def __init__(self, replica, peers, election):
+        self.replica = replica
+        self.peers = peers
+        self.election = election
+        self.queue = []
+        self.waiting = {}
+        self.queued = Signal()
+        self.quorum_lost = False
+        replica.on_result = self.resolve
+        replica.on_step_down = self.give_up
+
+    # -- at the leader -------------------------------------------------
+
+    async def run(self):
+        """Append queued commands together, one write for each batch."""
+        while True:
+            if not self.queue:
+                await self.queued.wait()
+                continue
+            async with self.replica.exclusive():
+                await self.append_batch()
+
+    async def append_batch(self):
+        """Append the oldest queued commands."""
+        replica = self.replica
+        batch = self.queue[:MAX_BATCH]
+        del self.queue[:MAX_BATCH]
+        if not batch or replica.leadership is None:
+            return
+        entries = tuple(
+            replica.make_entry(offset, pending.command)
+            for offset, pending in enumerate(batch)
+        )
+        for entry, pending in zip(entries, batch, strict=True):
+            pending.term = entry.term
+            self.waiting[entry.index] = pending
+        await replica.append_as_leader(entries)
+
+    def resolve(self, entry, result):
+        """Hand the result of an applied entry to its proposer."""
+        pending = self.waiting.pop(entry.index, None)
+        if pending is None:
+            return
+        if pending.term == entry.term:
+            pending.resolve(result)
+        else:
+            pending.resolve(_unknown())
+
+    def give_up(self):
+        """Tell all proposers that leadership has ended."""
+        queue, self.queue = self.queue, []
+        for pending in queue:
+            pending.resolve(NotLeaderError('leadership ended; not appended'))
+        waiting, self.waiting = self.waiting, {}
+        for pending in waiting.values():
+            pending.resolve(_unknown())
+
+    async def propose_here(self, command):
+        """Append a command as leader and wait until it is applied.
+
+        Parameters
+        ----------
+        command : bytes
+            Encoded command.
+
+        Returns
+        -------
+        SubmitReply, ClaimReply or SettleReply
+
+        Raises
+        ------
+        NotLeaderError, NoQuorumError, VoterBusyError
+            The command was not appended.
+        OutcomeUnknownError
+            Leadership ended while the command was in the log.
+        """
+        replica = self.replica
+        replica.check_running()
+        if replica.leadership is None:
+            raise NotLeaderError(f'{replica.member} is not the leader')
+        if not self.election.is_in_touch():
+            raise self.no_quorum()
+        if len(self.queue) + len(self.waiting) >= MAX_WAITING:
+            raise VoterBusyError('too many commands wait', BUSY_RETRY_MS)
+        pending = _Pending(command)
+        self.queue.append(pending)
+        self.queued.notify()
+        await pending.done.wait()
+        if isinstance(pending.result, SnipeleadError):
+            raise pending.result
+        return pending.result
+
+    async def on_propose(self, request):
+        """Answer a command that another voter passed on."""
+        result = await self.propose_here(request.command)
+        return ProposeReply(_encode(result))
+
+    # -- anywhere ------------------------------------------------------
+
+    async def propose(self, command):
+        """Have a command applied once, by whichever voter leads.
+
+        Parameters
+        ----------
+        command : Submit, Claim or Settle
+            Idempotent command.
+
+        Returns
+        -------
+        SubmitReply, ClaimReply or SettleReply
+
+        Raises
+        ------
+        NoQuorumError, QuorumLostError
+            The command was never appended.
+        OutcomeUnknownError
+            The command may have been appended.
+        VoterBusyError, ClaimsFullError
+            Nothing took effect.
+        """
+        packed = encode_command(command)
+        deadline = trio.current_time() + PROPOSE_TIMEOUT_S
+        sent = False
+        while True:
+            try:
+                with trio.move_on_at(deadline):
+                    return await self.attempt(command, packed)
+                sent = True
+            except (VoterBusyError, ClaimsFullError):
+                raise
+            except SnipeleadError as error:
+                sent = sent or not isinstance(error, _NOT_APPENDED)
+            if trio.current_time() >= deadline or self.is_hopeless():
+                raise _unknown() if sent else self.no_quorum()
+            await self.wait_change()
+
+    async def attempt(self, command, packed):
+        """Try once with the leader that is known now."""
+        replica = self.replica
+        replica.check_running()
+        if replica.leadership is not None:
+            return await self.propose_here(packed)
+        leader = replica.leader
+        if leader is None:
+            raise NotLeaderError('no leader is known')
+        reply = await self.peers.call(
+            leader.control_id,
+            ProposeRequest(packed),
+            replica.settings.timings.election_max_ms / 1_000,
+        )
+        return msgspec.msgpack.decode(reply.result, type=_reply_type(command))
+
+    async def wait_change(self):
+        """Wait until the leader changes, at most for a heartbeat."""
+        heartbeat_s = self.replica.settings.timings.heartbeat_ms / 1_000
+        with trio.move_on_after(heartbeat_s):
+            await self.replica.changed.wait()
+
+    def is_hopeless(self):
+        """Whether waiting longer for a leader makes no sense."""
+        replica = self.replica
+        if self.quorum_lost:
+            return True
+        if replica.failure is not None:
+            return True
+        limit_s = 2 * replica.settings.timings.election_max_ms / 1_000
+        silent_s = trio.current_time() - replica.led_at
+        return replica.leadership is None and silent_s > limit_s
+
+    def no_quorum(self):
+        """Return the error of a command that was never appended."""
+        retry_ms = self.replica.settings.timings.election_max_ms
+        if self.quorum_lost:
+            return QuorumLostError(
+                'a majority of the voters lost their disks', retry_ms
+            )
+        return NoQuorumError('no majority of voters is in touch', retry_ms)
+
+
+def _unknown():
+    return OutcomeUnknownError(
+        'the answer was lost; the command may have taken effect'
+    )
--- /dev/null
+++ b/snipelead/voters/replication.py
@@ -0,0 +1,241 @@
+"""Replication from the leader, one task for each other voter."""
+
+import trio
+
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
+from snipelead.voters.exceptions import NotLeaderError
+from snipelead.voters.messages import AppendReply
+from snipelead.voters.messages import AppendRequest
+from snipelead.voters.messages import BarrierReply
+from snipelead.voters.messages import InstallReply
+from snipelead.voters.messages import InstallRequest
+from snipelead.voters.storage import SavedState
+
+__all__ = ['Replication']
+
+MAX_ENTRIES = 512
+# A whole state takes longer to send and store than a few entries.
+INSTALL_TIMEOUT_FACTOR = 10
+
+
+class Replication:
+    """Sends entries as leader and takes them as follower.
+
+    Parameters
+    ----------
+    replica : Replica
+        This member.
+    peers : PeerChannels
+        Channels to the other voters, used by replication alone.
+    """
+
+    def __init__(self, replica, peers):
+        self.replica = replica
+        self.peers = peers
+
+    async def run(self):
+        """Run one task for each other voter until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for control_id in self.peers.control_ids:
+                nursery.start_soon(self.run_peer, control_id)
+
+    async def run_peer(self, control_id):
+        """Keep one voter in step while this member leads."""
+        replica = self.replica
+        while True:
+            leadership = replica.leadership
+            if leadership is None:
+                await replica.news.wait()
+                continue
+            member = replica.configuration.find_newest(control_id)
+            if member is None:
+                await replica.news.wait()
+                continue
+            progress = leadership.progress_of(member)
+            try:
+                await self.send(leadership, member, progress)
+            except InvariantError:
+                raise
+            except SnipeleadError:
+                await self.pause()
+                continue
+            if not self.has_news(leadership, progress):
+                await self.pause()
+
+    async def pause(self):
+        """Wait for news, at most until the next heartbeat."""
+        heartbeat_s = self.replica.settings.timings.heartbeat_ms / 1_000
+        with trio.move_on_after(heartbeat_s):
+            await self.replica.news.wait()
+
+    def has_news(self, leadership, progress):
+        """Whether there is something to send before the next heartbeat."""
+        replica = self.replica
+        return replica.leadership is leadership and (
+            progress.next_index <= replica.log.last_index
+            or progress.acked_round < leadership.round
+            or progress.sent_commit < replica.commit_index
+        )
+
+    async def send(self, leadership, member, progress):
+        """Send what a member lacks and take its answer."""
+        replica = self.replica
+        timeout_s = replica.settings.timings.election_min_ms / 1_000
+        if progress.next_index <= replica.log.base_index:
+            request = self.make_install(leadership, member)
+            timeout_s *= INSTALL_TIMEOUT_FACTOR
+        else:
+            request = self.make_append(leadership, member, progress)
+        reply = await self.peers.call(member.control_id, request, timeout_s)
+        if reply.term > replica.term:
+            async with replica.exclusive():
+                if reply.term > replica.term:
+                    await replica.adopt_term(reply.term)
+        if replica.leadership is leadership and reply.member == member:
+            with replica.stopping():
+                self.take(leadership, progress, request, reply)
+
+    def make_append(self, leadership, member, progress):
+        """Return the entries from the member's next index on."""
+        replica = self.replica
+        previous = progress.next_index - 1
+        return AppendRequest(
+            replica.cluster,
+            member,
+            leadership.term,
+            replica.member,
+            previous,
+            replica.log.term_at(previous),
+            replica.log.read(progress.next_index, MAX_ENTRIES),
+            replica.commit_index,
+            leadership.round,
+        )
+
+    def make_install(self, leadership, member):
+        """Return the whole state."""
+        replica = self.replica
+        saved = replica.encode_state()
+        return InstallRequest(
+            replica.cluster,
+            member,
+            leadership.term,
+            replica.member,
+            saved.index,
+            saved.term,
+            saved.state,
+            leadership.round,
+        )
+
+    def take(self, leadership, progress, request, reply):
+        """Note a member's answer and commit what a majority has.
+
+        Raises
+        ------
+        InvariantError
+            If the member claims entries that the leader never had.
+        """
+        replica = self.replica
+        if reply.match_index > replica.log.last_index:
+            raise InvariantError(
+                f'{reply.member} acknowledged entry {reply.match_index}'
+            )
+        progress.answered_at = trio.current_time()
+        progress.acked_round = max(progress.acked_round, request.round)
+        if isinstance(reply, AppendReply) and not reply.success:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(progress.next_index - 1, reply.match_index + 1),
+            )
+        else:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = progress.match_index + 1
+            if isinstance(request, AppendRequest):
+                progress.sent_commit = request.commit_index
+        replica.advance_commit()
+        replica.applied.notify()
+
+    async def on_append(self, request):
+        """Take entries from the leader."""
+        replica = self.replica
+        async with replica.exclusive():
+            if not await self._accept(request):
+                return AppendReply(replica.term, replica.member, False, 0)
+            previous_term = replica.log.term_at(request.previous_index)
+            compacted = request.previous_index < replica.log.base_index
+            if not compacted and previous_term != request.previous_term:
+                hint = self._hint(request.previous_index, previous_term)
+                return AppendReply(replica.term, replica.member, False, hint)
+            await replica.append_as_follower(request.entries)
+            match_index = request.previous_index + len(request.entries)
+            replica.commit_to(min(request.commit_index, match_index))
+            return AppendReply(replica.term, replica.member, True, match_index)
+
+    async def _accept(self, request):
+        """Follow the sender unless its term is over."""
+        replica = self.replica
+        await replica.adopt_cluster(request.cluster, request.to)
+        if request.term < replica.term:
+            return False
+        await replica.follow(request.term, request.leader)
+        return True
+
+    def _hint(self, index, term):
+        """Return the last index that may agree with the leader's log."""
+        replica = self.replica
+        index = min(index - 1, replica.log.last_index)
+        while index > replica.commit_index and (
+            replica.log.term_at(index) == term
+        ):
+            index -= 1
+        return index
+
+    async def on_install(self, request):
+        """Take over a whole state from the leader."""
+        replica = self.replica
+        async with replica.exclusive():
+            if not await self._accept(request):
+                return InstallReply(replica.term, replica.member, 0)
+            await replica.install(
+                SavedState(
+                    request.last_index, request.last_term, request.state
+                )
+            )
+            return InstallReply(
+                replica.term, replica.member, request.last_index
+            )
+
+    async def wait_round(self):
+        """Prove this leader current by a round to a majority.
+
+        Returns
+        -------
+        LogIndex or None
+            All that was accepted before the call is at or below this
+            index; None when leadership ended first.
+        """
+        replica = self.replica
+        leadership = replica.leadership
+        while replica.leadership is leadership and leadership is not None:
+            if replica.commit_index >= leadership.first_index:
+                break
+            await replica.applied.wait()
+        if leadership is None or replica.leadership is not leadership:
+            return None
+        index = replica.commit_index
+        leadership.round += 1
+        needed = leadership.round
+        replica.news.notify()
+        while replica.leadership is leadership:
+            if leadership.majority_round(replica.configuration) >= needed:
+                return index
+            await replica.applied.wait()
+        return None
+
+    async def on_barrier(self, request):
+        """Answer a follower's request for a read barrier."""
+        self.replica.check_running()
+        index = await self.wait_round()
+        if index is None:
+            raise NotLeaderError(f'{self.replica.member} is not the leader')
+        return BarrierReply(index)
--- /dev/null
+++ b/snipelead/voters/state.py
@@ -0,0 +1,199 @@
+"""Deterministic state machine over the replicated log."""
+
+from collections import OrderedDict
+
+import msgspec
+from msgspec import Struct
+import xxhash
+import zstandard
+
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
+from snipelead.messages import SubmitReply
+from snipelead.releases.changes import apply_note
+from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.releases.document import Release
+from snipelead.releases.exceptions import NumberTakenError
+from snipelead.types import NoteId
+from snipelead.types import OutcomeKind
+from snipelead.voters.claims import ClaimRecord
+from snipelead.voters.claims import Claims
+from snipelead.voters.exceptions import NoteReusedError
+from snipelead.voters.history import History
+from snipelead.voters.history import PastRelease
+from snipelead.voters.messages import Claim
+from snipelead.voters.messages import Configuration
+from snipelead.voters.messages import decode_command
+from snipelead.voters.messages import Settle
+from snipelead.voters.messages import Submit
+
+__all__ = ['NoteOutcome', 'State']
+
+MAX_OUTCOMES = 10_000
+COMPRESSION_LEVEL = 1
+
+_encode = msgspec.msgpack.encode
+
+
+class NoteOutcome(Struct, frozen=True, array_like=True):
+    """First outcome of a note.
+
+    Parameters
+    ----------
+    note_id : NoteId
+        The note.
+    contents : str
+        Digest of the note.
+    reply : SubmitReply
+        What each resend is told.
+    """
+
+    note_id: NoteId
+    contents: str
+    reply: SubmitReply
+
+
+class _SavedState(Struct, frozen=True, array_like=True):
+    time_ms: int
+    configuration: Configuration
+    current: Release
+    past: list[PastRelease]
+    outcomes: list[NoteOutcome]
+    claims: list[ClaimRecord]
+
+
+class State:
+    """Releases, outcomes of notes, claims and membership.
+
+    Attributes
+    ----------
+    configuration : Configuration
+        Newest applied configuration.
+    time_ms : int
+        Log time: the greatest leader's time that was applied.
+    history : History
+        Newest and recent releases.
+    notes : OrderedDict of NoteId to NoteOutcome
+        Outcomes, oldest first; at most ``MAX_OUTCOMES``.
+    claims : Claims
+        Claims of requests that may not be repeated.
+    """
+
+    def __init__(self, configuration=None):
+        self.configuration = configuration or Configuration()
+        self.time_ms = 0
+        self.history = History()
+        self.notes = OrderedDict()
+        self.claims = Claims()
+
+    @property
+    def current(self):
+        """Newest accepted release."""
+        return self.history.current
+
+    def apply(self, entry):
+        """Apply a committed entry.
+
+        Returns
+        -------
+        SubmitReply, ClaimReply, SettleReply, SnipeleadError or None
+            Result for the proposer; None for an entry without command.
+
+        Raises
+        ------
+        InvariantError
+            If a release number would not grow or a claim would be granted
+            twice.
+        """
+        self.time_ms = max(self.time_ms, entry.time_ms)
+        if entry.configuration is not None:
+            self.configuration = entry.configuration
+        if not entry.command:
+            return None
+        match decode_command(entry.command):
+            case Submit(note):
+                return self._submit(note)
+            case Claim(request):
+                return self._claim(request)
+            case Settle(request):
+                return self.claims.settle(request, self.time_ms)
+
+    def _claim(self, request):
+        try:
+            return self.claims.claim(request, self.time_ms)
+        except InvariantError:
+            raise
+        except SnipeleadError as error:
+            return error
+
+    def _submit(self, note):
+        contents = xxhash.xxh3_128_hexdigest(_encode(note))
+        known = self.notes.get(note.note)
+        if known is not None:
+            if known.contents == contents:
+                return known.reply
+            return _refuse(
+                NoteReusedError(
+                    f'note {note.note!r} was submitted with other contents',
+                    note=note.note,
+                )
+            )
+        reply = self._decide(note)
+        self.notes[note.note] = NoteOutcome(note.note, contents, reply)
+        if len(self.notes) > MAX_OUTCOMES:
+            self.notes.popitem(last=False)
+        return reply
+
+    def _decide(self, note):
+        winner = self.history.winner_of(note.release)
+        if winner is not None:
+            return _refuse(
+                NumberTakenError(
+                    f'release {note.release} was taken by note {winner!r}',
+                    winner=winner,
+                    current=self.current.number,
+                )
+            )
+        try:
+            release = apply_note(self.current, note)
+        except SnipeleadError as error:
+            return _refuse(error)
+        if release.number <= self.current.number:
+            raise InvariantError(
+                f'release {release.number} would follow {self.current.number}'
+            )
+        self.history.push(release, note.note)
+        return SubmitReply(OutcomeKind.ACCEPTED, release.held)
+
+    def encode(self):
+        """Return the whole state as compressed bytes."""
+        saved = _SavedState(
+            self.time_ms,
+            self.configuration,
+            self.current,
+            self.history.past,
+            list(self.notes.values()),
+            list(self.claims.records.values()),
+        )
+        packer = zstandard.ZstdCompressor(COMPRESSION_LEVEL)
+        return packer.compress(_encode(saved))
+
+    @classmethod
+    def decode(cls, data):
+        """Rebuild a state from :meth:`encode`."""
+        packed = zstandard.ZstdDecompressor().decompress(data)
+        saved = msgspec.msgpack.decode(packed, type=_SavedState)
+        state = cls(saved.configuration)
+        state.time_ms = saved.time_ms
+        # The empty release is shared, so that its digest is known.
+        current = saved.current if saved.current.number else EMPTY_RELEASE
+        state.history = History(current, saved.past)
+        state.notes.update((o.note_id, o) for o in saved.outcomes)
+        state.claims = Claims(saved.claims)
+        return state
+
+
+def _refuse(error):
+    return SubmitReply(
+        OutcomeKind.REFUSED, None, error.code, error.message, error.details
+    )
--- /dev/null
+++ b/snipelead/voters/storage.py
@@ -0,0 +1,262 @@
+"""Durable state of a member in its data folder."""
+
+import secrets
+
+import msgspec
+from msgspec import Struct
+import trio
+
+from snipelead.logs import log_event
+from snipelead.types import LogIndex
+from snipelead.types import Term
+from snipelead.voters.events import TORN_TAIL_CUT
+from snipelead.voters.exceptions import CorruptStorageError
+from snipelead.voters.exceptions import StorageWriteError
+from snipelead.voters.exceptions import WrongFolderError
+from snipelead.voters.frames import pack_frame
+from snipelead.voters.frames import unpack_frame
+from snipelead.voters.frames import unpack_frames
+from snipelead.voters.log import Log
+from snipelead.voters.messages import Entry
+from snipelead.voters.messages import Member
+
+__all__ = ['Identity', 'SavedState', 'Storage', 'Vote']
+
+IDENTITY_NAME = 'identity'
+VOTE_NAME = 'vote'
+SNAPSHOT_PREFIX = 'snapshot-'
+LOG_PREFIX = 'log-'
+EPOCH_BYTES = 8
+
+_encode = msgspec.msgpack.encode
+
+
+class Identity(Struct, frozen=True):
+    """Who the data folder belongs to; the cluster is '' until adopted."""
+
+    member: Member
+    cluster: str = ''
+
+
+class Vote(Struct, frozen=True):
+    """Current term and the member that got the vote in it."""
+
+    term: Term = Term(0)
+    candidate: Member | None = None
+
+
+class SavedState(Struct, frozen=True):
+    """Encoded state after the entry at ``index``."""
+
+    index: LogIndex
+    term: Term
+    state: bytes
+
+
+class _LogStart(Struct, frozen=True):
+    index: LogIndex
+    term: Term
+
+
+class Storage:
+    """Identity, vote, snapshot and log of one member.
+
+    After a failed write nothing is written any more, since it is unknown
+    what reached the disk.
+
+    Parameters
+    ----------
+    files : Files
+        The data folder.
+
+    Attributes
+    ----------
+    identity : Identity
+        Who the folder belongs to.
+    vote : Vote
+        Current term and vote.
+    saved : SavedState or None
+        Newest snapshot.
+    failed : bool
+        Whether a write failed.
+    """
+
+    def __init__(self, files):
+        self.files = files
+        self.identity = None
+        self.vote = Vote()
+        self.saved = None
+        self.failed = False
+        self.generation = 0
+
+    async def open(self, control_id):
+        """Read the folder; an empty one gets a new member id.
+
+        Parameters
+        ----------
+        control_id : ControlId
+            The control that the folder must belong to.
+
+        Returns
+        -------
+        Log
+            The log, its torn tail cut off.
+
+        Raises
+        ------
+        FolderInUseError, CorruptStorageError, WrongFolderError
+            If the folder cannot be used.
+        """
+        names = await self.files.open()
+        if not names:
+            member = Member(control_id, secrets.token_hex(EPOCH_BYTES))
+            await self.save_identity(Identity(member))
+            await self._start_log(Log())
+            return Log()
+        self.identity = await self._load(IDENTITY_NAME, names, Identity)
+        if self.identity.member.control_id != control_id:
+            raise WrongFolderError(
+                'the data folder belongs to'
+                f' {self.identity.member.control_id!r}, not to'
+                f' {control_id!r}'
+            )
+        if VOTE_NAME in names:
+            self.vote = await self._load(VOTE_NAME, names, Vote)
+        return await self._open_log(names)
+
+    async def _load(self, name, names, kind):
+        if name not in names:
+            raise CorruptStorageError(f'{name} is missing', file=name)
+        payload = unpack_frame(await self.files.read(name), name)
+        return msgspec.msgpack.decode(payload, type=kind)
+
+    async def _open_log(self, names):
+        snapshots = [n for n in names if n.startswith(SNAPSHOT_PREFIX)]
+        if snapshots:
+            self.saved = await self._load(snapshots[-1], names, SavedState)
+        logs = [n for n in names if n.startswith(LOG_PREFIX)]
+        if not logs:
+            # Only the very first start can end before the log is made.
+            if self.saved is not None or self.vote.term:
+                raise CorruptStorageError('the log is missing', file='log')
+            await self._start_log(Log())
+            return Log()
+        self.generation = int(logs[-1].removeprefix(LOG_PREFIX))
+        log = await self._read_log(logs[-1])
+        log = self._join(log)
+        if log.last_term > self.vote.term:
+            raise CorruptStorageError(
+                f'the log has term {log.last_term}, which is above the'
+                f' saved term {self.vote.term}',
+                file=VOTE_NAME,
+            )
+        for name in snapshots[:-1] + logs[:-1]:
+            await self.files.remove(name)
+        return log
+
+    async def _read_log(self, name):
+        data = await self.files.read(name)
+        payloads, size = unpack_frames(data, name)
+        if not payloads:
+            raise CorruptStorageError(f'{name} has no start', file=name)
+        if size < len(data):
+            await self._write(self.files.truncate(name, size))
+            log_event(TORN_TAIL_CUT, file=name, cut_bytes=len(data) - size)
+        start = msgspec.msgpack.decode(payloads[0], type=_LogStart)
+        log = Log(start.index, start.term)
+        decode = msgspec.msgpack.Decoder(tuple[Entry, ...]).decode
+        for payload in payloads[1:]:
+            log.append(decode(payload))
+        return log
+
+    def _join(self, log):
+        """Return the log as it follows the snapshot."""
+        saved = self.saved
+        if saved is None:
+            if log.base_index:
+                raise CorruptStorageError('the snapshot is missing')
+            return log
+        if log.term_at(saved.index) == saved.term:
+            return log
+        if log.base_index > saved.index:
+            raise CorruptStorageError('the snapshot is older than the log')
+        # The snapshot came from a leader and the crash was before the
+        # log followed it.
+        return Log(saved.index, saved.term)
+
+    async def close(self):
+        """Release the folder; nothing is written any more."""
+        self.failed = True
+        await self.files.close()
+
+    async def save_identity(self, identity):
+        """Replace the identity."""
+        await self._replace(IDENTITY_NAME, identity)
+        self.identity = identity
+
+    async def save_vote(self, vote):
+        """Replace term and vote."""
+        await self._replace(VOTE_NAME, vote)
+        self.vote = vote
+
+    async def append(self, entries):
+        """Write entries; they replace what they overlap in the log."""
+        await self._write(
+            self.files.append(self._log_name(), pack_frame(_encode(entries)))
+        )
+
+    async def save_state(self, saved, log):
+        """Replace the snapshot, then the log by what is still needed.
+
+        Parameters
+        ----------
+        saved : SavedState
+            The new snapshot.
+        log : Log
+            Entries to keep; must hold or follow the snapshot's entry.
+        """
+        old = self.saved
+        name = self._snapshot_name(saved.index)
+        await self._replace(name, saved)
+        self.saved = saved
+        await self._start_log(log)
+        if old is not None and old.index != saved.index:
+            await self._write(
+                self.files.remove(self._snapshot_name(old.index))
+            )
+
+    async def _start_log(self, log):
+        old = self._log_name()
+        self.generation += 1
+        start = _LogStart(log.base_index, log.base_term)
+        frames = [pack_frame(_encode(start))]
+        if log.entries:
+            frames.append(pack_frame(_encode(log.entries)))
+        await self._write(
+            self.files.replace(self._log_name(), b''.join(frames))
+        )
+        if self.generation > 1:
+            await self._write(self.files.remove(old))
+
+    def _log_name(self):
+        return f'{LOG_PREFIX}{self.generation:012}'
+
+    def _snapshot_name(self, index):
+        return f'{SNAPSHOT_PREFIX}{index:020}'
+
+    async def _replace(self, name, value):
+        await self._write(self.files.replace(name, pack_frame(_encode(value))))
+
+    async def _write(self, writing):
+        if self.failed:
+            writing.close()
+            raise StorageWriteError('an earlier write failed')
+        try:
+            # A write must not end half-way because its caller gave up.
+            with trio.CancelScope(shield=True):
+                await writing
+        except OSError as error:
+            self.failed = True
+            raise StorageWriteError(
+                f'the data folder cannot be written: {error}'
+            ) from error
--- /dev/null
+++ b/snipelead/voters/voter.py
@@ -0,0 +1,256 @@
+"""A control that votes: the replicated log as a source of releases."""
+
+import random
+
+import trio
+
+from snipelead.base import Parametrized
+from snipelead.controls.source import ReleaseSource
+from snipelead.exceptions import SnipeleadError
+from snipelead.messages import ClaimRequest
+from snipelead.messages import SettleRequest
+from snipelead.messages import SubmitRequest
+from snipelead.settings.schema import ControlSettings
+from snipelead.voters.election import Election
+from snipelead.voters.files import DiskFiles
+from snipelead.voters.joining import Joining
+from snipelead.voters.membership import Membership
+from snipelead.voters.messages import AppendRequest
+from snipelead.voters.messages import BarrierRequest
+from snipelead.voters.messages import CertifyReply
+from snipelead.voters.messages import CertifyRequest
+from snipelead.voters.messages import Claim
+from snipelead.voters.messages import InstallRequest
+from snipelead.voters.messages import JoinRequest
+from snipelead.voters.messages import OutcomesReply
+from snipelead.voters.messages import OutcomesRequest
+from snipelead.voters.messages import ProbeRequest
+from snipelead.voters.messages import ProposeRequest
+from snipelead.voters.messages import Settle
+from snipelead.voters.messages import Submit
+from snipelead.voters.messages import VoteRequest
+from snipelead.voters.peers import PeerChannels
+from snipelead.voters.proposals import Proposals
+from snipelead.voters.replica import read_time_ms
+from snipelead.voters.replica import Replica
+from snipelead.voters.replication import Replication
+from snipelead.voters.signal import Signal
+from snipelead.voters.storage import Storage
+
+__all__ = ['Voter']
+
+CERTIFY_TIMEOUT_S = 1.0
+
+
+class Voter(Parametrized, ReleaseSource):
+    """Member of the replicated log.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the control; its data folder belongs to this voter.
+    transport : Transport
+        Reaches the other voters.
+    files : Files or None
+        The data folder; None for the one of the settings.
+    clock : callable
+        Returns the time since the epoch in milliseconds.
+    seed : int or None
+        Seed of the election timeouts; None for a random one.
+
+    Attributes
+    ----------
+    current : Release
+        Newest committed release known to this voter.
+    replica : Replica
+        Term, log and state.
+
+    See Also
+    --------
+    snipelead.controls.source.ReleaseSource : Interface.
+    """
+
+    _parameter_constraints = {
+        'settings': [ControlSettings],
+        'seed': [int, None],
+        'clock': [callable],
+    }
+
+    def __init__(
+        self,
+        settings,
+        transport,
+        files=None,
+        clock=read_time_ms,
+        seed=None,
+    ):
+        self.settings = settings
+        self.transport = transport
+        self.files = files
+        self.clock = clock
+        self.seed = seed
+        self.replica = None
+        self.changed = Signal()
+        self.build()
+
+    def build(self):
+        """Put the parts together; the data folder is not touched."""
+        files = self.files or DiskFiles(self.settings.data_dir)
+        self.storage = Storage(files)
+        self.replica = Replica(
+            self.settings,
+            self.storage,
+            random.Random(self.seed),
+            self.clock,
+        )
+        # Replication has channels of its own, since a reset after a timeout
+        # ends all calls in flight on a channel.
+        self.log_peers = PeerChannels(self.settings, self.transport)
+        self.peers = PeerChannels(self.settings, self.transport)
+        self.election = Election(self.replica, self.peers)
+        self.replication = Replication(self.replica, self.log_peers)
+        self.proposals = Proposals(self.replica, self.peers, self.election)
+        self.membership = Membership(self.replica)
+        self.joining = Joining(self.replica, self.peers, self.proposals)
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Vote, replicate and apply until cancelled.
+
+        Raises
+        ------
+        FolderInUseError, CorruptStorageError, WrongFolderError
+            If the data folder cannot be used.
+        StorageWriteError, InvariantError, MemberReplacedError
+            If the voter had to stop.
+        """
+        self.check_parameters()
+        try:
+            await self.replica.open()
+            async with self.log_peers, self.peers, trio.open_nursery() as n:
+                for part in self.parts():
+                    n.start_soon(self.run_part, part)
+                task_status.started()
+                await self.replica.failed.wait()
+                n.cancel_scope.cancel()
+            raise self.replica.failure
+        finally:
+            await self.replica.close()
+
+    def parts(self):
+        """Return the tasks of a voter."""
+        return (
+            self.joining.run,
+            self.election.run,
+            self.replication.run,
+            self.proposals.run,
+            self.membership.run,
+            self.replica.run_compaction,
+            self.run_changes,
+        )
+
+    async def run_part(self, part):
+        """Run one task; a coded error stops the voter."""
+        try:
+            await part()
+        except SnipeleadError as error:
+            self.replica.fail(error)
+
+    async def run_changes(self):
+        """Tell waiters when the newest release changes."""
+        known = self.current
+        while True:
+            if self.current is known:
+                await self.replica.applied.wait()
+                continue
+            known = self.current
+            self.changed.notify()
+
+    def handlers(self):
+        """Return the remote procedures of a voter."""
+        return {
+            VoteRequest: self.election.on_vote,
+            AppendRequest: self.replication.on_append,
+            InstallRequest: self.replication.on_install,
+            ProbeRequest: self.joining.on_probe,
+            JoinRequest: self.membership.on_join,
+            ProposeRequest: self.proposals.on_propose,
+            BarrierRequest: self.replication.on_barrier,
+            CertifyRequest: self.on_certify,
+            OutcomesRequest: self.on_outcomes,
+            SubmitRequest: self.on_submit,
+            ClaimRequest: self.claim,
+            SettleRequest: self.settle,
+        }
+
+    @property
+    def current(self):
+        """Newest committed release known to this voter."""
+        return self.replica.state.current
+
+    def find(self, digest):
+        """Return a recent release by digest, or None."""
+        return self.replica.state.history.find(digest)
+
+    async def wait_changed(self):
+        """Wait until ``current`` changes."""
+        await self.changed.wait()
+
+    async def certify(self):
+        """Prove by a majority that ``current`` is the newest release.
+
+        Returns
+        -------
+        bool
+            False when that cannot be proved now.
+        """
+        with trio.move_on_after(CERTIFY_TIMEOUT_S):
+            try:
+                return await self.pass_barrier()
+            except SnipeleadError:
+                return False
+        return False
+
+    async def pass_barrier(self):
+        """Wait until all that was accepted before the call is applied."""
+        replica = self.replica
+        replica.check_running()
+        if replica.leadership is not None:
+            return await self.replication.wait_round() is not None
+        if replica.leader is None:
+            return False
+        reply = await self.peers.call(
+            replica.leader.control_id, BarrierRequest(), CERTIFY_TIMEOUT_S
+        )
+        while replica.commit_index < reply.index:
+            await replica.applied.wait()
+        return True
+
+    async def submit(self, note):
+        """Submit a release note; returns its durable outcome."""
+        return await self.proposals.propose(Submit(note))
+
+    async def claim(self, request):
+        """Make a durable claim."""
+        return await self.proposals.propose(Claim(request))
+
+    async def settle(self, request):
+        """Record the end of a claimed request durably."""
+        return await self.proposals.propose(Settle(request))
+
+    async def outcomes(self):
+        """Return the durable outcome of each recent note."""
+        notes = self.replica.state.notes
+        return {o.note_id: o.reply for o in notes.values()}
+
+    async def on_submit(self, request):
+        """Answer a submitted note."""
+        return await self.submit(request.note)
+
+    async def on_certify(self, request):
+        """Answer with the newest release."""
+        certified = await self.certify()
+        return CertifyReply(certified, self.current.held)
+
+    async def on_outcomes(self, request):
+        """Answer with the outcomes of recent notes."""
+        return OutcomesReply(await self.outcomes())
