--- a/snipelead/testing/cluster.py
+++ b/snipelead/testing/cluster.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.releases.note import load_note
 from snipelead.settings.schema import ControlSettings
@@ -67,6 +68,8 @@
         Their disks.
     failures : dict of str to SnipeleadError
         Coded errors that ended processes.
+    on_start : callable or None
+        Called with each voter before it runs.
     """
 
     def __init__(self, names, network, nursery, seed=0, snapshot_entries=50):
@@ -80,6 +83,7 @@
         self.scopes = {}
         self.failures = {}
         self.starts = 0
+        self.on_start = None
 
     def make_settings(self, name):
         """Return the settings of a control."""
@@ -121,6 +125,8 @@
             read_clock_ms,
             hash((self.seed, ord(name), self.starts)),
         )
+        if self.on_start is not None:
+            self.on_start(voter)
         opened = trio.Event()
         try:
             async with trio.open_nursery() as nursery:
@@ -133,14 +139,20 @@
                 opened.set()
                 task_status.started()
         except* SnipeleadError as group:
-            if voter is self.voters.get(name):
-                self.failures[name] = group.exceptions[0]
+            self._note_failure(name, voter, group)
         finally:
             if voter is self.voters.get(name):
                 del self.voters[name]
             if not opened.is_set():
                 task_status.started()
 
+    def _note_failure(self, name, voter, group):
+        broken, _ = group.split(InvariantError)
+        if broken is not None:
+            raise broken
+        if voter is self.voters.get(name):
+            self.failures[name] = group.exceptions[0]
+
     async def kill(self, name):
         """End a process at once, as SIGKILL does."""
         self.disks[name].crash()
--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -42,6 +42,7 @@
         self.duplication = duplication
         self.servers = {}
         self.silent = set()
+        self.frozen = {}
 
     def transport(self, address):
         """Return the transport of the process at an address."""
@@ -56,15 +57,34 @@
         for other in others:
             self.cut(address, other)
 
+    def freeze(self, address):
+        """Hold all messages from and to an address until it is thawed."""
+        self.frozen.setdefault(address, trio.Event())
+
+    def thaw(self, address):
+        """Deliver the messages that a freeze held."""
+        frozen = self.frozen.pop(address, None)
+        if frozen is not None:
+            frozen.set()
+
     def heal(self):
-        """Remove all cuts."""
+        """Remove all cuts and freezes."""
         self.silent.clear()
+        for address in list(self.frozen):
+            self.thaw(address)
+
+    async def wait_thawed(self, *addresses):
+        """Wait until none of the addresses is frozen."""
+        for address in addresses:
+            while address in self.frozen:
+                await self.frozen[address].wait()
 
     async def carry(self, source, destination):
         """Deliver one message: delay it, or wait forever if it is lost."""
         delay_s = self.random.uniform(self.min_delay_s, self.max_delay_s)
         lost = self.random.random() < self.loss
         await trio.sleep(delay_s)
+        await self.wait_thawed(source, destination)
         if lost or (source, destination) in self.silent:
             await trio.sleep_forever()
 
