--- a/snipelead/testing/cluster.py
+++ b/snipelead/testing/cluster.py
@@ -210,7 +210,7 @@
     def is_whole(self):
         """Whether all processes are voters of the same configuration."""
         configurations = {
-            v.replica.state.configuration for v in self.voters.values()
+            v.replica.journal.state.configuration for v in self.voters.values()
         }
         members = {v.replica.member for v in self.voters.values()}
         return (
--- a/snipelead/testing/ledger.py
+++ b/snipelead/testing/ledger.py
@@ -39,13 +39,13 @@
 
     def watch(self, voter):
         """Compare each entry that a voter applies with the others'."""
-        pass_on = voter.replica.on_result
+        pass_on = voter.replica.journal.on_result
 
         def note_result(entry, result):
             self.note_entry(entry)
             pass_on(entry, result)
 
-        voter.replica.on_result = note_result
+        voter.replica.journal.on_result = note_result
 
     def note_entry(self, entry):
         """Record an applied entry."""
@@ -107,7 +107,7 @@
             If something accepted is lost, a refused note took effect or
             the voters differ.
         """
-        states = [v.replica.state for v in voters]
+        states = [v.replica.journal.state for v in voters]
         if len({state.current.held for state in states}) != 1:
             raise InvariantError('voters hold different releases')
         submitted = self._submitted()
--- a/snipelead/voters/election.py
+++ b/snipelead/voters/election.py
@@ -42,19 +42,24 @@
                     await self.campaign()
 
     def check_quorum(self):
-        """Step down when a majority has not answered for too long."""
+        """Step down when a majority or the own disk is silent too long."""
         replica = self.replica
-        if not self.is_in_touch():
+        writing_s = trio.current_time() - replica.leadership.writing_since
+        if not self.is_in_touch() or writing_s > self.limit_s:
             replica.step_down()
 
+    @property
+    def limit_s(self):
+        """Longest silence that a leader tolerates, in seconds."""
+        return self.replica.settings.timings.election_max_ms / 1_000
+
     def is_in_touch(self):
         """Whether a majority answered within the election timeout."""
         replica = self.replica
         answered_at = replica.leadership.majority_answered_at(
-            replica.configuration
+            replica.journal.configuration
         )
-        limit_s = replica.settings.timings.election_max_ms / 1_000
-        return trio.current_time() - answered_at <= limit_s
+        return trio.current_time() - answered_at <= self.limit_s
 
     async def campaign(self):
         """Try to become leader."""
@@ -85,7 +90,7 @@
             Whether a majority grants the vote.
         """
         replica = self.replica
-        configuration = replica.configuration
+        configuration = replica.journal.configuration
         granted = {replica.member}
         if configuration.majority == 1:
             return True
@@ -110,8 +115,8 @@
             member,
             term,
             replica.member,
-            replica.log.last_index,
-            replica.log.last_term,
+            replica.journal.log.last_index,
+            replica.journal.log.last_term,
             trial,
         )
         try:
@@ -171,7 +176,7 @@
         return self._reply(request, granted)
 
     def _is_new_enough(self, request):
-        log = self.replica.log
+        log = self.replica.journal.log
         theirs = (request.last_term, request.last_index)
         return theirs >= (log.last_term, log.last_index)
 
@@ -187,11 +192,11 @@
     def _is_replaced(self, request):
         replica = self.replica
         candidate = request.candidate
-        committed = replica.state.configuration
+        committed = replica.journal.state.configuration
         # A candidate with newer entries may know a newer configuration.
         return (
             request.cluster == replica.cluster
-            and request.last_index <= replica.commit_index
+            and request.last_index <= replica.journal.commit_index
             and candidate not in committed.members
             and committed.find_newest(candidate.control_id) is not None
         )
--- a/snipelead/voters/joining.py
+++ b/snipelead/voters/joining.py
@@ -12,11 +12,11 @@
 from snipelead.voters.events import JOIN_REQUESTED
 from snipelead.voters.events import QUORUM_LOST
 from snipelead.voters.events import WAITING_FOR_VOTERS
+from snipelead.voters.journal import FIRST_INDEX
 from snipelead.voters.messages import Configuration
 from snipelead.voters.messages import JoinRequest
 from snipelead.voters.messages import ProbeReply
 from snipelead.voters.messages import ProbeRequest
-from snipelead.voters.replica import FIRST_INDEX
 from snipelead.voters.state import State
 from snipelead.voters.storage import Identity
 from snipelead.voters.storage import SavedState
@@ -47,24 +47,38 @@
         self.proposals = proposals
 
     def is_placed(self):
-        """Whether the log of this member holds a configuration."""
-        return self.replica.configuration is not None
+        """Whether the log of this member gives it a place."""
+        configuration = self.replica.journal.configuration
+        return configuration is not None and self.replica.member in (
+            configuration.members
+        )
 
     async def run(self):
-        """Probe the other voters until this member has a place."""
-        replica = self.replica
-        pause_s = replica.settings.timings.election_min_ms / 1_000
+        """Probe the other voters while this member has no place.
+
+        A place can be lost again when the entry that gave it was not
+        committed.
+        """
+        timings = self.replica.settings.timings
+        pause_s = timings.election_min_ms / 1_000
         rounds = 0
-        while not self.is_placed():
-            replies = await self.probe_all()
-            if not self.is_placed():
-                await self.decide(replies)
-            rounds += 1
-            if rounds == ROUNDS_BEFORE_WARNING and not self.is_placed():
-                log_event(WAITING_FOR_VOTERS, answered=sorted(replies))
-            if not self.is_placed():
-                await trio.sleep(pause_s)
-        self.proposals.quorum_lost = False
+        while True:
+            if self.is_placed():
+                rounds = 0
+                self.proposals.quorum_lost = False
+            else:
+                rounds += 1
+                await self.find_place(rounds)
+            await trio.sleep(pause_s)
+
+    async def find_place(self, rounds):
+        """Probe once and act on what the others hold."""
+        replies = await self.probe_all()
+        if self.is_placed():
+            return
+        if rounds == ROUNDS_BEFORE_WARNING:
+            log_event(WAITING_FOR_VOTERS, answered=sorted(replies))
+        await self.decide(replies)
 
     async def probe_all(self):
         """Return the answers of the voters, own included, by control id."""
@@ -117,15 +131,18 @@
         saved = SavedState(FIRST_INDEX, term, state.encode())
         cluster = secrets.token_hex(CLUSTER_BYTES)
         async with replica.exclusive():
-            if self.is_placed() or replica.term >= term:
+            if (
+                replica.journal.configuration is not None
+                or replica.term >= term
+            ):
                 return
             await replica.save_vote(Vote(term))
             await replica.storage.save_identity(
                 Identity(replica.member, cluster)
             )
-            await replica.install(saved)
+            await replica.journal.install(saved)
             replica.deadline = trio.current_time()
-        if not self.is_placed():
+        if replica.journal.configuration is None:
             raise InvariantError('a founder must have a configuration')
         log_event(CLUSTER_FOUNDED, voters=[str(m) for m in members])
 
@@ -165,7 +182,7 @@
             replica.member,
             replica.term,
             replica.cluster,
-            replica.configuration,
+            replica.journal.configuration,
         )
 
     async def on_probe(self, request):
--- /dev/null
+++ b/snipelead/voters/journal.py
@@ -0,0 +1,172 @@
+"""Log, applied state and configurations of one member."""
+
+from snipelead.exceptions import InvariantError
+from snipelead.logs import log_event
+from snipelead.types import LogIndex
+from snipelead.voters.events import MEMBERSHIP_CHANGED
+from snipelead.voters.events import SNAPSHOT_INSTALLED
+from snipelead.voters.events import SNAPSHOT_SAVED
+from snipelead.voters.log import Log
+from snipelead.voters.signal import Signal
+from snipelead.voters.state import State
+from snipelead.voters.storage import SavedState
+
+__all__ = ['FIRST_INDEX', 'Journal']
+
+FIRST_INDEX = LogIndex(1)
+
+
+class Journal:
+    """What a member has in its log and what it made of it.
+
+    Parameters
+    ----------
+    storage : Storage
+        Durable form of the log.
+    snapshot_entries : int
+        Applied entries after which the log is compacted; as many are kept
+        for members that lag a little.
+
+    Attributes
+    ----------
+    log : Log
+        Entries held in memory.
+    state : State
+        State after the last committed entry.
+    commit_index : LogIndex
+        Last entry known to be committed; all up to it are applied.
+    configurations : list of tuple of (LogIndex, Configuration)
+        Configurations in the log, oldest first; the last one counts.
+    applied : Signal
+        ``commit_index`` grew.
+    on_result : callable
+        Called with each applied entry and its result.
+    """
+
+    def __init__(self, storage, snapshot_entries):
+        self.storage = storage
+        self.snapshot_entries = snapshot_entries
+        self.log = Log()
+        self.state = State()
+        self.commit_index = LogIndex(0)
+        self.configurations = []
+        self.applied = Signal()
+        self.on_result = None
+
+    async def open(self, control_id):
+        """Read the durable state."""
+        self.log = await self.storage.open(control_id)
+        saved = self.storage.saved
+        if saved is not None:
+            self._take_state(saved)
+        self.note_configurations(self.log.entries)
+
+    def _take_state(self, saved):
+        self.state = State.decode(saved.state)
+        self.commit_index = saved.index
+        self.configurations = [(saved.index, self.state.configuration)]
+
+    @property
+    def configuration(self):
+        """Newest configuration in the log, or None."""
+        return self.configurations[-1][1] if self.configurations else None
+
+    async def append_as_follower(self, entries):
+        """Append the leader's entries where they differ from the log.
+
+        Raises
+        ------
+        InvariantError
+            If a committed entry would change.
+        """
+        new = self._skip_known(entries)
+        if not new:
+            return
+        if new[0].index <= self.commit_index:
+            raise InvariantError(
+                f'committed entry {new[0].index} would be replaced'
+            )
+        await self.storage.append(new)
+        first = new[0].index
+        while self.configurations and self.configurations[-1][0] >= first:
+            self.configurations.pop()
+        self.log.append(new)
+        self.note_configurations(new)
+
+    def _skip_known(self, entries):
+        for number, entry in enumerate(entries):
+            if entry.index <= self.log.base_index:
+                continue
+            if self.log.term_at(entry.index) != entry.term:
+                return entries[number:]
+        return ()
+
+    def note_configurations(self, entries):
+        """Note the configurations that entries bring."""
+        for entry in entries:
+            known = self.configurations
+            if entry.configuration is None:
+                continue
+            if known and known[-1][0] >= entry.index:
+                continue
+            known.append((entry.index, entry.configuration))
+            log_event(
+                MEMBERSHIP_CHANGED,
+                index=entry.index,
+                voters=[str(m) for m in entry.configuration.voters],
+                learners=[str(m) for m in entry.configuration.learners],
+            )
+
+    def commit_to(self, index):
+        """Apply entries up to an index.
+
+        Raises
+        ------
+        InvariantError
+            If the index is not in the log.
+        """
+        if index <= self.commit_index:
+            return
+        if index > self.log.last_index:
+            raise InvariantError(f'entry {index} is not in the log')
+        while self.commit_index < index:
+            entry = self.log.get(self.commit_index + 1)
+            result = self.state.apply(entry)
+            self.commit_index = entry.index
+            if self.on_result is not None:
+                self.on_result(entry, result)
+        self.applied.notify()
+
+    def encode_state(self):
+        """Return the state after the last committed entry."""
+        index = self.commit_index
+        return SavedState(index, self.log.term_at(index), self.state.encode())
+
+    async def install(self, saved):
+        """Take over a whole state from the leader.
+
+        Entries after it that may have been acknowledged are kept.
+        """
+        if saved.index <= self.commit_index:
+            return
+        if self.log.term_at(saved.index) == saved.term:
+            self.commit_to(saved.index)
+            return
+        log = Log(saved.index, saved.term)
+        await self.storage.save_state(saved, log)
+        self.log = log
+        self._take_state(saved)
+        log_event(SNAPSHOT_INSTALLED, index=saved.index)
+        self.applied.notify()
+
+    async def compact(self):
+        """Save a snapshot and forget most of the entries before it."""
+        saved = self.encode_state()
+        keep = self.snapshot_entries
+        self.log.compact(min(saved.index, self.log.last_index - keep))
+        await self.storage.save_state(saved, self.log)
+        applied = [c for c in self.configurations if c[0] <= saved.index]
+        self.configurations = (
+            applied[-1:] + self.configurations[len(applied) :]
+        )
+        log_event(SNAPSHOT_SAVED, index=saved.index, bytes=len(saved.state))
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -55,6 +55,8 @@
         Entry that the leader appended first.
     synced_index : LogIndex
         Last entry on the leader's own disk.
+    writing_since : float
+        When the write under way began, in seconds; infinite when idle.
     round : int
         Newest round of the read barrier.
     joins : dict of ControlId to Member
@@ -67,6 +69,7 @@
         self.first_index = next_index
         self.synced_index = LogIndex(next_index - 1)
         self.started_at = now
+        self.writing_since = inf
         self.round = 0
         self.progress: dict[Member, Progress] = {}
         self.joins: dict[str, Member] = {}
--- a/snipelead/voters/membership.py
+++ b/snipelead/voters/membership.py
@@ -73,18 +73,18 @@
                 async with replica.exclusive():
                     await self.append_change()
             with trio.move_on_after(heartbeat_s):
-                await replica.applied.wait()
+                await replica.journal.applied.wait()
 
     def next_change(self):
         """Return the configuration to append now, or None."""
         replica = self.replica
         leadership = replica.leadership
         if leadership is None or (
-            replica.commit_index < leadership.first_index
+            replica.journal.commit_index < leadership.first_index
         ):
             return None
-        index, configuration = replica.configurations[-1]
-        if index > replica.commit_index:
+        index, configuration = replica.journal.configurations[-1]
+        if index > replica.journal.commit_index:
             return None
         return plan_change(
             configuration, leadership.joins.values(), self.is_caught_up
@@ -94,7 +94,7 @@
         """Whether a learner has all that is committed."""
         replica = self.replica
         progress = replica.leadership.progress_of(learner)
-        return progress.match_index >= replica.commit_index
+        return progress.match_index >= replica.journal.commit_index
 
     async def append_change(self):
         """Append the next configuration."""
@@ -115,7 +115,7 @@
         member = request.member
         if member.control_id in self._known_controls():
             leadership.joins[member.control_id] = member
-            replica.applied.notify()
+            replica.journal.applied.notify()
         return JoinReply()
 
     def _known_controls(self):
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -94,7 +94,7 @@
         self.waiting = {}
         self.queued = Signal()
         self.quorum_lost = False
-        replica.on_result = self.resolve
+        replica.journal.on_result = self.resolve
         replica.on_step_down = self.give_up
 
     # -- at the leader -------------------------------------------------
--- a/snipelead/voters/replica.py
+++ b/snipelead/voters/replica.py
@@ -7,6 +7,7 @@
 
 from contextlib import asynccontextmanager
 from enum import Enum
+from math import inf
 import time
 
 import trio
@@ -15,9 +16,6 @@
 from snipelead.logs import log_event
 from snipelead.types import LogIndex
 from snipelead.voters.events import BECAME_LEADER
-from snipelead.voters.events import MEMBERSHIP_CHANGED
-from snipelead.voters.events import SNAPSHOT_INSTALLED
-from snipelead.voters.events import SNAPSHOT_SAVED
 from snipelead.voters.events import STEPPED_DOWN
 from snipelead.voters.events import VOTER_FAILED
 from snipelead.voters.events import VOTER_OPENED
@@ -25,19 +23,15 @@
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import VoterNotRunningError
 from snipelead.voters.exceptions import WrongClusterError
+from snipelead.voters.journal import Journal
 from snipelead.voters.leadership import Leadership
-from snipelead.voters.log import Log
 from snipelead.voters.messages import Entry
 from snipelead.voters.signal import Signal
-from snipelead.voters.state import State
 from snipelead.voters.storage import Identity
-from snipelead.voters.storage import SavedState
 from snipelead.voters.storage import Vote
 
 __all__ = ['Replica', 'Role', 'read_time_ms']
 
-FIRST_INDEX = LogIndex(1)
-
 
 class Role(Enum):
     """Part of a member in its current term."""
@@ -74,16 +68,12 @@
         Leader of the current term, once heard of.
     leadership : Leadership or None
         Kept while this member leads.
-    log : Log
-        Entries held in memory.
-    commit_index : LogIndex
-        Last entry known to be committed; all up to it are applied.
-    configurations : list of tuple of (LogIndex, Configuration)
-        Configurations in the log, oldest first; the last one counts.
+    seen_leader : tuple of (Term, Member or None)
+        Last leader heard of, kept when it is no longer followed.
+    journal : Journal
+        Log, state and configurations.
     news : Signal
         There may be something to send to the other members.
-    applied : Signal
-        ``commit_index`` grew.
     heard_at : float
         When the leader was heard last, in seconds of the trio clock.
     led_at : float
@@ -100,32 +90,24 @@
         self.role = Role.FOLLOWER
         self.leader = None
         self.leadership = None
-        self.log = Log()
-        self.state = State()
-        self.commit_index = LogIndex(0)
-        self.configurations = []
+        self.seen_leader = (0, None)
+        self.journal = Journal(storage, settings.snapshot_entries)
         self.mutex = trio.Lock()
         self.news = Signal()
-        self.applied = Signal()
         self.changed = Signal()
-        self.heard_at = -float('inf')
-        self.led_at = -float('inf')
+        self.heard_at = -inf
+        self.led_at = -inf
         self.deadline = 0.0
         self.is_open = False
         self.failure = None
         self.failed = trio.Event()
-        self.on_result = None
         self.on_step_down = None
 
     # -- start ---------------------------------------------------------
 
     async def open(self):
         """Read the durable state."""
-        self.log = await self.storage.open(self.settings.control_id)
-        saved = self.storage.saved
-        if saved is not None:
-            self._take_state(saved)
-        self._note_configurations(self.log.entries)
+        await self.journal.open(self.settings.control_id)
         self.led_at = trio.current_time()
         self.reset_deadline()
         self.is_open = True
@@ -133,14 +115,9 @@
             VOTER_OPENED,
             member=str(self.member),
             term=self.term,
-            last_index=self.log.last_index,
+            last_index=self.journal.log.last_index,
         )
 
-    def _take_state(self, saved):
-        self.state = State.decode(saved.state)
-        self.commit_index = saved.index
-        self.configurations = [(saved.index, self.state.configuration)]
-
     @property
     def member(self):
         """Identity of this member."""
@@ -156,15 +133,10 @@
         """Current term."""
         return self.storage.vote.term
 
-    @property
-    def configuration(self):
-        """Newest configuration in the log, or None."""
-        return self.configurations[-1][1] if self.configurations else None
-
     @property
     def is_voter(self):
         """Whether this member votes."""
-        configuration = self.configuration
+        configuration = self.journal.configuration
         return configuration is not None and self.member in (
             configuration.voters
         )
@@ -237,7 +209,10 @@
             raise NotThisMemberError(f'this is {self.member}, not {to}')
         if cluster == self.cluster:
             return
-        if self.configuration is not None or self.log.last_index:
+        if (
+            self.journal.configuration is not None
+            or self.journal.log.last_index
+        ):
             raise WrongClusterError(
                 f'this member is of cluster {self.cluster}, not {cluster}'
             )
@@ -284,10 +259,7 @@
             If the term has another leader.
         """
         await self.adopt_term(term)
-        if self.leader not in (None, leader):
-            raise InvariantError(
-                f'term {term} has leaders {self.leader} and {leader}'
-            )
+        self.check_only_leader(leader)
         if self.leader is None:
             self.leader = leader
             self.role = Role.FOLLOWER
@@ -295,6 +267,21 @@
         self.heard_at = self.led_at = trio.current_time()
         self.reset_deadline()
 
+    def check_only_leader(self, leader):
+        """Check that the current term has no other leader.
+
+        Raises
+        ------
+        InvariantError
+            If another one was seen.
+        """
+        term, seen = self.seen_leader
+        if term == self.term and seen != leader:
+            raise InvariantError(
+                f'term {term} has leaders {seen} and {leader}'
+            )
+        self.seen_leader = (self.term, leader)
+
     def step_down(self):
         """Become a follower."""
         was_leader = self.leadership is not None
@@ -309,16 +296,15 @@
         self.reset_deadline()
         self.changed.notify()
         self.news.notify()
-        self.applied.notify()
+        self.journal.applied.notify()
 
     async def lead(self):
         """Become the leader of the current term."""
-        if self.leader not in (None, self.member):
-            raise InvariantError(f'term {self.term} has leader {self.leader}')
+        self.check_only_leader(self.member)
         now = trio.current_time()
         self.role = Role.LEADER
         self.leader = self.member
-        first_index = LogIndex(self.log.last_index + 1)
+        first_index = LogIndex(self.journal.log.last_index + 1)
         self.leadership = Leadership(self.term, self.member, first_index, now)
         log_event(BECAME_LEADER, term=self.term, first_index=first_index)
         self.changed.notify()
@@ -328,140 +314,40 @@
 
     def make_entry(self, offset, command=b'', configuration=None):
         """Return the entry ``offset`` places after the end of the log."""
-        index = LogIndex(self.log.last_index + 1 + offset)
+        index = LogIndex(self.journal.log.last_index + 1 + offset)
         return Entry(index, self.term, self.clock(), command, configuration)
 
     async def append_as_leader(self, entries):
         """Append own entries; the others get them while the disk writes."""
         leadership = self.leadership
-        self.log.append(entries)
-        self._note_configurations(entries)
+        self.journal.log.append(entries)
+        self.journal.note_configurations(entries)
         self.news.notify()
+        leadership.writing_since = trio.current_time()
         await self.storage.append(entries)
+        leadership.writing_since = inf
         leadership.synced_index = entries[-1].index
         self.advance_commit()
 
-    async def append_as_follower(self, entries):
-        """Append the leader's entries where they differ from the log.
-
-        Raises
-        ------
-        InvariantError
-            If a committed entry would change.
-        """
-        new = self._skip_known(entries)
-        if not new:
-            return
-        if new[0].index <= self.commit_index:
-            raise InvariantError(
-                f'committed entry {new[0].index} would be replaced'
-            )
-        await self.storage.append(new)
-        first = new[0].index
-        while self.configurations and self.configurations[-1][0] >= first:
-            self.configurations.pop()
-        self.log.append(new)
-        self._note_configurations(new)
-
-    def _skip_known(self, entries):
-        for number, entry in enumerate(entries):
-            if entry.index <= self.log.base_index:
-                continue
-            if self.log.term_at(entry.index) != entry.term:
-                return entries[number:]
-        return ()
-
-    def _note_configurations(self, entries):
-        for entry in entries:
-            known = self.configurations
-            if entry.configuration is None:
-                continue
-            if known and known[-1][0] >= entry.index:
-                continue
-            known.append((entry.index, entry.configuration))
-            log_event(
-                MEMBERSHIP_CHANGED,
-                index=entry.index,
-                voters=[str(m) for m in entry.configuration.voters],
-                learners=[str(m) for m in entry.configuration.learners],
-            )
-
     def advance_commit(self):
         """Commit what a majority has synced; called by the leader."""
         leadership = self.leadership
         if leadership is None:
             return
-        index = leadership.majority_index(self.configuration)
-        if self.log.term_at(index) == leadership.term:
-            self.commit_to(index)
-
-    def commit_to(self, index):
-        """Apply entries up to an index.
-
-        Raises
-        ------
-        InvariantError
-            If the index is not in the log.
-        """
-        if index <= self.commit_index:
-            return
-        if index > self.log.last_index:
-            raise InvariantError(f'entry {index} is not in the log')
-        while self.commit_index < index:
-            entry = self.log.get(self.commit_index + 1)
-            result = self.state.apply(entry)
-            self.commit_index = entry.index
-            if self.on_result is not None:
-                self.on_result(entry, result)
-        self.applied.notify()
-        self.news.notify()
-
-    # -- snapshots -----------------------------------------------------
-
-    def encode_state(self):
-        """Return the state after the last committed entry."""
-        index = self.commit_index
-        return SavedState(index, self.log.term_at(index), self.state.encode())
-
-    async def install(self, saved):
-        """Take over a whole state from the leader.
-
-        Entries after it that may have been acknowledged are kept.
-        """
-        if saved.index <= self.commit_index:
-            return
-        if self.log.term_at(saved.index) == saved.term:
-            self.commit_to(saved.index)
-            return
-        log = Log(saved.index, saved.term)
-        await self.storage.save_state(saved, log)
-        self.log = log
-        self._take_state(saved)
-        log_event(SNAPSHOT_INSTALLED, index=saved.index)
-        self.applied.notify()
-
-    async def compact(self):
-        """Save a snapshot and forget most of the entries before it."""
-        saved = self.encode_state()
-        keep = self.settings.snapshot_entries
-        self.log.compact(min(saved.index, self.log.last_index - keep))
-        await self.storage.save_state(saved, self.log)
-        applied = [c for c in self.configurations if c[0] <= saved.index]
-        self.configurations = (
-            applied[-1:] + self.configurations[len(applied) :]
-        )
-        log_event(SNAPSHOT_SAVED, index=saved.index, bytes=len(saved.state))
+        index = leadership.majority_index(self.journal.configuration)
+        if self.journal.log.term_at(index) == leadership.term:
+            self.journal.commit_to(index)
 
     async def run_compaction(self):
         """Compact the log whenever enough entries were applied."""
         while True:
             saved = self.storage.saved
-            behind = self.commit_index - (saved.index if saved else 0)
+            behind = self.journal.commit_index - (saved.index if saved else 0)
             if behind < self.settings.snapshot_entries:
-                await self.applied.wait()
+                await self.journal.applied.wait()
                 continue
             async with self.exclusive():
-                await self.compact()
+                await self.journal.compact()
 
 
 class _Stopping:
--- a/snipelead/voters/replication.py
+++ b/snipelead/voters/replication.py
@@ -5,6 +5,7 @@
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.voters.exceptions import NotLeaderError
+from snipelead.voters.exceptions import NotThisMemberError
 from snipelead.voters.messages import AppendReply
 from snipelead.voters.messages import AppendRequest
 from snipelead.voters.messages import BarrierReply
@@ -43,13 +44,11 @@
     async def run_peer(self, control_id):
         """Keep one voter in step while this member leads."""
         replica = self.replica
+        misses = 0
         while True:
             leadership = replica.leadership
-            if leadership is None:
-                await replica.news.wait()
-                continue
-            member = replica.configuration.find_newest(control_id)
-            if member is None:
+            member = self.choose_member(control_id, misses)
+            if leadership is None or member is None:
                 await replica.news.wait()
                 continue
             progress = leadership.progress_of(member)
@@ -57,12 +56,27 @@
                 await self.send(leadership, member, progress)
             except InvariantError:
                 raise
-            except SnipeleadError:
+            except SnipeleadError as error:
+                misses += isinstance(error, NotThisMemberError)
                 await self.pause()
                 continue
             if not self.has_news(leadership, progress):
                 await self.pause()
 
+    def choose_member(self, control_id, misses):
+        """Return a member of a control, or None.
+
+        A control has two while one replaces the other; only one of them
+        answers, and each miss leads to the other one.
+        """
+        configuration = self.replica.journal.configuration
+        if configuration is None:
+            return None
+        members = [
+            m for m in configuration.members if m.control_id == control_id
+        ]
+        return members[misses % len(members)] if members else None
+
     async def pause(self):
         """Wait for news, at most until the next heartbeat."""
         heartbeat_s = self.replica.settings.timings.heartbeat_ms / 1_000
@@ -73,16 +87,16 @@
         """Whether there is something to send before the next heartbeat."""
         replica = self.replica
         return replica.leadership is leadership and (
-            progress.next_index <= replica.log.last_index
+            progress.next_index <= replica.journal.log.last_index
             or progress.acked_round < leadership.round
-            or progress.sent_commit < replica.commit_index
+            or progress.sent_commit < replica.journal.commit_index
         )
 
     async def send(self, leadership, member, progress):
         """Send what a member lacks and take its answer."""
         replica = self.replica
         timeout_s = replica.settings.timings.election_min_ms / 1_000
-        if progress.next_index <= replica.log.base_index:
+        if progress.next_index <= replica.journal.log.base_index:
             request = self.make_install(leadership, member)
             timeout_s *= INSTALL_TIMEOUT_FACTOR
         else:
@@ -106,16 +120,16 @@
             leadership.term,
             replica.member,
             previous,
-            replica.log.term_at(previous),
-            replica.log.read(progress.next_index, MAX_ENTRIES),
-            replica.commit_index,
+            replica.journal.log.term_at(previous),
+            replica.journal.log.read(progress.next_index, MAX_ENTRIES),
+            replica.journal.commit_index,
             leadership.round,
         )
 
     def make_install(self, leadership, member):
         """Return the whole state."""
         replica = self.replica
-        saved = replica.encode_state()
+        saved = replica.journal.encode_state()
         return InstallRequest(
             replica.cluster,
             member,
@@ -136,7 +150,7 @@
             If the member claims entries that the leader never had.
         """
         replica = self.replica
-        if reply.match_index > replica.log.last_index:
+        if reply.match_index > replica.journal.log.last_index:
             raise InvariantError(
                 f'{reply.member} acknowledged entry {reply.match_index}'
             )
@@ -153,7 +167,7 @@
             if isinstance(request, AppendRequest):
                 progress.sent_commit = request.commit_index
         replica.advance_commit()
-        replica.applied.notify()
+        replica.journal.applied.notify()
 
     async def on_append(self, request):
         """Take entries from the leader."""
@@ -161,14 +175,14 @@
         async with replica.exclusive():
             if not await self._accept(request):
                 return AppendReply(replica.term, replica.member, False, 0)
-            previous_term = replica.log.term_at(request.previous_index)
-            compacted = request.previous_index < replica.log.base_index
+            previous_term = replica.journal.log.term_at(request.previous_index)
+            compacted = request.previous_index < replica.journal.log.base_index
             if not compacted and previous_term != request.previous_term:
                 hint = self._hint(request.previous_index, previous_term)
                 return AppendReply(replica.term, replica.member, False, hint)
-            await replica.append_as_follower(request.entries)
+            await replica.journal.append_as_follower(request.entries)
             match_index = request.previous_index + len(request.entries)
-            replica.commit_to(min(request.commit_index, match_index))
+            replica.journal.commit_to(min(request.commit_index, match_index))
             return AppendReply(replica.term, replica.member, True, match_index)
 
     async def _accept(self, request):
@@ -183,9 +197,9 @@
     def _hint(self, index, term):
         """Return the last index that may agree with the leader's log."""
         replica = self.replica
-        index = min(index - 1, replica.log.last_index)
-        while index > replica.commit_index and (
-            replica.log.term_at(index) == term
+        index = min(index - 1, replica.journal.log.last_index)
+        while index > replica.journal.commit_index and (
+            replica.journal.log.term_at(index) == term
         ):
             index -= 1
         return index
@@ -196,7 +210,7 @@
         async with replica.exclusive():
             if not await self._accept(request):
                 return InstallReply(replica.term, replica.member, 0)
-            await replica.install(
+            await replica.journal.install(
                 SavedState(
                     request.last_index, request.last_term, request.state
                 )
@@ -217,19 +231,22 @@
         replica = self.replica
         leadership = replica.leadership
         while replica.leadership is leadership and leadership is not None:
-            if replica.commit_index >= leadership.first_index:
+            if replica.journal.commit_index >= leadership.first_index:
                 break
-            await replica.applied.wait()
+            await replica.journal.applied.wait()
         if leadership is None or replica.leadership is not leadership:
             return None
-        index = replica.commit_index
+        index = replica.journal.commit_index
         leadership.round += 1
         needed = leadership.round
         replica.news.notify()
         while replica.leadership is leadership:
-            if leadership.majority_round(replica.configuration) >= needed:
+            if (
+                leadership.majority_round(replica.journal.configuration)
+                >= needed
+            ):
                 return index
-            await replica.applied.wait()
+            await replica.journal.applied.wait()
         return None
 
     async def on_barrier(self, request):
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -160,7 +160,7 @@
         known = self.current
         while True:
             if self.current is known:
-                await self.replica.applied.wait()
+                await self.replica.journal.applied.wait()
                 continue
             known = self.current
             self.changed.notify()
@@ -185,11 +185,11 @@
     @property
     def current(self):
         """Newest committed release known to this voter."""
-        return self.replica.state.current
+        return self.replica.journal.state.current
 
     def find(self, digest):
         """Return a recent release by digest, or None."""
-        return self.replica.state.history.find(digest)
+        return self.replica.journal.state.history.find(digest)
 
     async def wait_changed(self):
         """Wait until ``current`` changes."""
@@ -221,8 +221,8 @@
         reply = await self.peers.call(
             replica.leader.control_id, BarrierRequest(), CERTIFY_TIMEOUT_S
         )
-        while replica.commit_index < reply.index:
-            await replica.applied.wait()
+        while replica.journal.commit_index < reply.index:
+            await replica.journal.applied.wait()
         return True
 
     async def submit(self, note):
@@ -239,7 +239,7 @@
 
     async def outcomes(self):
         """Return the durable outcome of each recent note."""
-        notes = self.replica.state.notes
+        notes = self.replica.journal.state.notes
         return {o.note_id: o.reply for o in notes.values()}
 
     async def on_submit(self, request):
