Prove the voters' mechanisms by failure tests

Cause: each mechanism needs a test that fails without it. A learner keeps probing until it votes, so that it notices when a majority is lost for good (the test found that a learner of an uncommitted entry did not).

--- a/snipelead/voters/joining.py
+++ b/snipelead/voters/joining.py
@@ -46,24 +46,17 @@
         self.peers = peers
         self.proposals = proposals
 
-    def is_placed(self):
-        """Whether the log of this member gives it a place."""
-        configuration = self.replica.journal.configuration
-        return configuration is not None and self.replica.member in (
-            configuration.members
-        )
-
     async def run(self):
-        """Probe the other voters while this member has no place.
+        """Probe the other voters while this member does not vote.
 
-        A place can be lost again when the entry that gave it was not
-        committed.
+        A place among the learners can be lost again when the entry that
+        gave it was not committed.
         """
         timings = self.replica.settings.timings
         pause_s = timings.election_min_ms / 1_000
         rounds = 0
         while True:
-            if self.is_placed():
+            if self.replica.is_voter:
                 rounds = 0
                 self.proposals.quorum_lost = False
             else:
@@ -74,7 +67,7 @@
     async def find_place(self, rounds):
         """Probe once and act on what the others hold."""
         replies = await self.probe_all()
-        if self.is_placed():
+        if self.replica.is_voter:
             return
         if rounds == ROUNDS_BEFORE_WARNING:
             log_event(WAITING_FOR_VOTERS, answered=sorted(replies))
@@ -107,10 +100,9 @@
                 await self.found(replies)
             return
         newest = max(placed, key=lambda r: r.term)
-        if replica.member in newest.configuration.members:
-            return
         self.note_quorum(replies, newest.configuration)
-        await self.ask_to_join(placed)
+        if replica.member not in newest.configuration.members:
+            await self.ask_to_join(placed)
 
     def may_found(self, replies):
         """Whether all voters are empty and this one is to found."""
--- /dev/null
+++ b/snipelead/voters/tests/test_state.py
@@ -0,0 +1,176 @@
+from unittest import mock
+
+from testtools import ExpectedException
+from testtools import TestCase
+
+from snipelead.exceptions import InvariantError
+from snipelead.messages import ClaimRequest
+from snipelead.messages import SettleRequest
+from snipelead.releases.delta import apply_delta
+from snipelead.releases.delta import make_delta
+from snipelead.testing.cluster import make_note
+from snipelead.types import OutcomeKind
+from snipelead.types import Ran
+from snipelead.voters import claims
+from snipelead.voters.exceptions import ClaimsFullError
+from snipelead.voters.messages import Claim
+from snipelead.voters.messages import encode_command
+from snipelead.voters.messages import Entry
+from snipelead.voters.messages import Settle
+from snipelead.voters.messages import Submit
+from snipelead.voters.state import State
+
+
+class StateCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.state = State()
+        self.time_ms = 1_000
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        entry = Entry(self.index, 1, self.time_ms, encode_command(command))
+        return self.state.apply(entry)
+
+    def submit(self, *args):
+        return self.apply(Submit(make_note(*args)))
+
+    def restart(self):
+        self.state = State.decode(self.state.encode())
+
+
+class NotesTest(StateCase):
+    def test_resend_gets_the_first_outcome_also_after_restart(self):
+        first = self.submit(1)
+        self.submit(2)
+        self.restart()
+        self.assertEqual(first, self.submit(1))
+        self.assertEqual(2, self.state.current.number)
+
+    def test_refusal_is_kept_for_resends(self):
+        self.submit(1)
+        clash = self.submit(2, 'late', 'service-1')
+        self.assertEqual('SL7001', clash.code)
+        self.restart()
+        self.assertEqual(clash, self.submit(2, 'late', 'service-1'))
+
+    def test_equal_numbers_first_wins_and_is_named(self):
+        self.submit(5, 'winner', 'x')
+        self.restart()
+        reply = self.submit(5, 'loser', 'y')
+        self.assertEqual(OutcomeKind.REFUSED, reply.outcome)
+        self.assertEqual('SL7003', reply.code)
+        self.assertEqual('winner', reply.details['winner'])
+        self.assertEqual('SL7004', self.submit(4, 'low', 'z').code)
+
+    def test_note_id_with_other_contents_is_refused(self):
+        first = self.submit(1, 'n', 'x')
+        self.assertEqual('SL1007', self.submit(2, 'n', 'y').code)
+        self.assertEqual(first, self.submit(1, 'n', 'x'))
+
+    def test_outcomes_are_bounded(self):
+        with mock.patch('snipelead.voters.state.MAX_OUTCOMES', 3):
+            for number in range(1, 10):
+                self.submit(number)
+        self.assertEqual(3, len(self.state.notes))
+
+    def test_old_releases_are_bases_of_deltas(self):
+        held = [self.state.current]
+        for number in range(1, 651):
+            self.submit(number)
+            held.append(self.state.current)
+        self.restart()
+        for old in (held[0], held[1], held[50], held[649]):
+            base = self.state.history.find(old.digest)
+            self.assertEqual(old, base)
+            delta = make_delta(base, self.state.current)
+            self.assertEqual(held[-1].digest, apply_delta(base, delta).digest)
+        self.assertIsNone(self.state.history.find('unknown'))
+
+
+class ClaimsTest(StateCase):
+    def claim(self, claim_id, key='k', fingerprint='f'):
+        return self.apply(
+            Claim(ClaimRequest('route', key, claim_id, fingerprint))
+        )
+
+    def settle(self, claim_id, ran, key='k'):
+        self.apply(Settle(SettleRequest('route', key, claim_id, ran, 200)))
+
+    def test_only_the_first_claim_is_granted(self):
+        self.assertTrue(self.claim('c1').granted)
+        self.assertTrue(self.claim('c1').granted)
+        self.assertFalse(self.claim('c2').granted)
+        self.restart()
+        self.assertFalse(self.claim('c2').granted)
+
+    def test_settled_claim_tells_of_the_run(self):
+        self.claim('c1')
+        self.settle('c1', Ran.YES)
+        reply = self.claim('c2')
+        self.assertEqual((Ran.YES, 200), (reply.ran, reply.status))
+        self.assertFalse(self.claim('c3', fingerprint='g').granted)
+        self.assertTrue(self.claim('c3', fingerprint='g').mismatch)
+
+    def test_claim_given_back_goes_to_the_next(self):
+        self.claim('c1')
+        self.settle('c1', Ran.NO)
+        self.assertTrue(self.claim('c2').granted)
+
+    def test_late_duplicate_of_a_returned_claim_is_not_granted(self):
+        self.claim('c1')
+        self.settle('c1', Ran.NO)
+        self.restart()
+        late = self.claim('c1')
+        self.assertFalse(late.granted)
+        self.assertEqual(Ran.NO, late.ran)
+        self.assertTrue(self.claim('c2').granted)
+
+    def test_claim_that_arrives_after_its_return_is_not_granted(self):
+        self.settle('c1', Ran.NO)
+        self.assertFalse(self.claim('c1').granted)
+        self.assertTrue(self.claim('c2').granted)
+
+    def test_return_by_another_claim_changes_nothing(self):
+        self.claim('c1')
+        self.settle('c2', Ran.NO)
+        self.assertFalse(self.claim('c3').granted)
+
+    def test_run_is_never_taken_back(self):
+        self.claim('c1')
+        self.settle('c1', Ran.YES)
+        self.settle('c1', Ran.NO)
+        self.assertEqual(Ran.YES, self.claim('c2').ran)
+
+    def test_claims_expire_by_log_time(self):
+        self.claim('c1')
+        self.time_ms += claims.RETENTION_MS
+        self.assertFalse(self.claim('c2').granted)
+        self.time_ms += 1
+        self.assertTrue(self.claim('c3').granted)
+
+    def test_log_time_does_not_go_back(self):
+        self.time_ms += claims.RETENTION_MS
+        self.claim('c0', 'other')
+        self.time_ms = 0
+        self.claim('c1')
+        self.time_ms = claims.RETENTION_MS
+        self.assertFalse(self.claim('c2').granted)
+
+    def test_full_table_refuses_rather_than_forgets(self):
+        with mock.patch.object(claims, 'MAX_CLAIMS', 2):
+            self.claim('c1', 'k1')
+            self.claim('c2', 'k2')
+            self.assertIsInstance(self.claim('c3', 'k3'), ClaimsFullError)
+            self.settle('c1', Ran.YES, 'k1')
+            self.time_ms += claims.SHORT_RETENTION_MS + 1
+            self.assertTrue(self.claim('c3', 'k3').granted)
+            self.assertFalse(self.claim('c4', 'k2').granted)
+
+    def test_second_grant_breaks_an_invariant(self):
+        self.claim('c1')
+        record = self.state.claims.records['route', 'k']
+        request = ClaimRequest('route', 'k', 'c2', 'f')
+        with ExpectedException(InvariantError):
+            self.state.claims._grant(('route', 'k'), record, request)
--- /dev/null
+++ b/snipelead/voters/tests/test_storage.py
@@ -0,0 +1,166 @@
+import tempfile
+
+from testtools import ExpectedException
+from testtools import TestCase
+import trio
+
+from snipelead.testing.disk import MemoryDisk
+from snipelead.testing.disk import MemoryFiles
+from snipelead.testing.simulation import run_simulated
+from snipelead.voters.exceptions import CorruptStorageError
+from snipelead.voters.exceptions import FolderInUseError
+from snipelead.voters.exceptions import StorageWriteError
+from snipelead.voters.exceptions import WrongFolderError
+from snipelead.voters.files import DiskFiles
+from snipelead.voters.frames import HEADER_BYTES
+from snipelead.voters.log import Log
+from snipelead.voters.messages import Entry
+from snipelead.voters.storage import SavedState
+from snipelead.voters.storage import Storage
+from snipelead.voters.storage import Vote
+
+
+def entries(first, last, term=1):
+    return tuple(Entry(i, term, 0, b'x') for i in range(first, last + 1))
+
+
+class StorageTest(TestCase):
+    """Writes in one process, reads in the next."""
+
+    def setUp(self):
+        super().setUp()
+        self.disk = MemoryDisk()
+
+    def reopen(self, control_id='a'):
+        async def main():
+            self.disk.crash()
+            storage = Storage(MemoryFiles(self.disk))
+            return storage, await storage.open(control_id)
+
+        return run_simulated(main)
+
+    def write(self, *batches):
+        async def main():
+            self.disk.crash()
+            storage = Storage(MemoryFiles(self.disk))
+            await storage.open('a')
+            await storage.save_vote(Vote(9))
+            for batch in batches:
+                await storage.append(batch)
+
+        run_simulated(main)
+        self.log_name = self.disk.find('log-')
+
+    def test_vote_log_and_identity_survive(self):
+        self.write(entries(1, 3), entries(4, 4))
+        storage, log = self.reopen()
+        self.assertEqual(4, log.last_index)
+        self.assertEqual(9, storage.vote.term)
+        self.assertEqual(storage.identity, self.reopen()[0].identity)
+
+    def test_empty_folder_gets_a_new_member_id(self):
+        self.write()
+        old, _ = self.reopen()
+        self.disk.erase()
+        self.assertNotEqual(old.identity, self.reopen()[0].identity)
+
+    def test_later_entries_replace_what_they_overlap(self):
+        self.write(entries(1, 5), entries(3, 3, term=2))
+        _, log = self.reopen()
+        self.assertEqual((3, 2), (log.last_index, log.last_term))
+
+    def test_torn_tail_is_cut_at_every_length(self):
+        self.write(entries(1, 2))
+        whole = len(self.disk.contents[self.log_name])
+        self.write(entries(3, 4))
+        data = bytes(self.disk.contents[self.log_name])
+        for size in range(whole, len(data)):
+            self.disk.contents[self.log_name] = bytearray(data[:size])
+            _, log = self.reopen()
+            self.assertEqual(2, log.last_index)
+            self.assertEqual(whole, len(self.disk.contents[self.log_name]))
+
+    def test_damage_before_the_last_frame_is_refused(self):
+        self.write(entries(1, 2))
+        start = len(self.disk.contents[self.log_name])
+        self.write(entries(3, 4), entries(5, 5))
+        for offset in range(start, start + HEADER_BYTES + 5):
+            self.disk.flip(self.log_name, offset)
+            with ExpectedException(CorruptStorageError):
+                self.reopen()
+            self.disk.flip(self.log_name, offset)
+        self.assertEqual(5, self.reopen()[1].last_index)
+
+    def test_damaged_or_missing_small_files_are_refused(self):
+        self.write(entries(1, 2, term=3))
+        for name in ('vote', 'identity'):
+            self.disk.flip(name, 20)
+            with ExpectedException(CorruptStorageError):
+                self.reopen()
+            self.disk.flip(name, 20)
+            data = self.disk.contents.pop(name)
+            with ExpectedException(CorruptStorageError):
+                self.reopen()
+            self.disk.contents[name] = data
+
+    def test_folder_of_another_control_is_refused(self):
+        self.write()
+        with ExpectedException(WrongFolderError):
+            self.reopen('b')
+
+    def test_full_disk_stops_all_further_writes(self):
+        async def main():
+            storage = Storage(MemoryFiles(self.disk))
+            await storage.open('a')
+            self.disk.room = 10
+            with ExpectedException(StorageWriteError):
+                await storage.append(entries(1, 1))
+            self.disk.room = None
+            with ExpectedException(StorageWriteError):
+                await storage.save_vote(Vote(1))
+
+        run_simulated(main)
+
+    def test_crash_between_snapshot_and_log_is_repaired(self):
+        self.write(entries(1, 4))
+        old_log = bytes(self.disk.contents[self.log_name])
+
+        async def main():
+            self.disk.crash()
+            storage = Storage(MemoryFiles(self.disk))
+            await storage.open('a')
+            await storage.save_state(SavedState(9, 2, b's'), Log(9, 2))
+
+        run_simulated(main)
+        del self.disk.contents[self.disk.find('log-')]
+        self.disk.contents[self.log_name] = bytearray(old_log)
+        storage, log = self.reopen()
+        self.assertEqual((9, 2), (log.last_index, log.last_term))
+        self.assertEqual(9, storage.saved.index)
+
+
+class DiskFilesTest(TestCase):
+    """The same storage on real files."""
+
+    def test_round_trip_and_lock(self):
+        async def main(folder):
+            storage = Storage(DiskFiles(folder))
+            await storage.open('a')
+            await storage.save_vote(Vote(2))
+            await storage.append(entries(1, 4))
+            with ExpectedException(FolderInUseError):
+                await Storage(DiskFiles(folder)).open('a')
+            log = Log(2, 1, entries(3, 4))
+            await storage.save_state(SavedState(3, 1, b's'), log)
+            await storage.append(entries(5, 5))
+            await storage.close()
+            with ExpectedException(StorageWriteError):
+                await storage.append(entries(6, 6))
+            reopened = Storage(DiskFiles(folder))
+            log = await reopened.open('a')
+            self.assertEqual((2, 5), (log.base_index, log.last_index))
+            self.assertEqual(Vote(2), reopened.vote)
+            await reopened.close()
+
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(main, folder)
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -1,53 +1,275 @@
+from testtools import ExpectedException
 from testtools import TestCase
 import trio
-from trio.testing import MockClock
 
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.messages import ClaimRequest
+from snipelead.messages import SettleRequest
+from snipelead.messages import SubmitRequest
 from snipelead.testing.cluster import make_note
 from snipelead.testing.cluster import open_cluster
+from snipelead.testing.simulation import run_simulated
 from snipelead.types import OutcomeKind
+from snipelead.types import Ran
+from snipelead.voters.exceptions import StorageWriteError
 
+NODE = 'address-node'
 
-def run(main):
-    return trio.run(main, clock=MockClock(autojump_threshold=0))
 
+class ClusterCase(TestCase):
+    names = 'abc'
+    options = {}
 
-class VoterTest(TestCase):
-    def test_single_voter_accepts_and_remembers(self):
+    def run_cluster(self, test):
         async def main():
-            async with open_cluster('a') as cluster:
-                await cluster.wait_leader()
-                reply = await cluster.voters['a'].submit(make_note(1))
-                self.assertEqual(OutcomeKind.ACCEPTED, reply.outcome)
-                await cluster.kill('a')
-                await cluster.start('a')
-                await cluster.wait_leader()
-                self.assertTrue(await cluster.voters['a'].certify())
-                self.assertEqual(1, cluster.voters['a'].current.number)
-
-        run(main)
-
-    def test_followers_forward_and_apply(self):
-        async def main():
-            async with open_cluster() as cluster:
-                await cluster.wait_leader()
-                name = cluster.followers[0]
-                reply = await cluster.voters[name].submit(make_note(1))
-                self.assertEqual(OutcomeKind.ACCEPTED, reply.outcome)
-                self.assertTrue(await cluster.voters[name].certify())
-                self.assertEqual(reply.held, cluster.voters[name].current.held)
-                await cluster.wait_release(1)
-
-        run(main)
-
-    def test_new_leader_after_kill_keeps_what_was_accepted(self):
-        async def main():
-            async with open_cluster() as cluster:
-                old = await cluster.wait_leader()
+            async with open_cluster(self.names, **self.options) as cluster:
+                await cluster.wait_whole()
+                await test(cluster)
+
+        run_simulated(main)
+
+    def accept(self, reply):
+        self.assertEqual(OutcomeKind.ACCEPTED, reply.outcome)
+
+
+class SingleVoterTest(ClusterCase):
+    names = 'a'
+
+    def test_accepts_and_remembers(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            self.accept(await cluster.voters['a'].submit(make_note(1)))
+            await cluster.kill('a')
+            await cluster.start('a')
+            await cluster.wait_leader()
+            self.assertTrue(await cluster.voters['a'].certify())
+            self.assertEqual(1, cluster.voters['a'].current.number)
+
+        self.run_cluster(test)
+
+
+class ThreeVotersTest(ClusterCase):
+    def test_follower_forwards_and_certifies(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            voter = cluster.voters[cluster.followers[0]]
+            reply = await voter.submit(make_note(1))
+            self.accept(reply)
+            self.assertTrue(await voter.certify())
+            self.assertEqual(reply.held, voter.current.held)
+
+        self.run_cluster(test)
+
+    def test_change_wakes_waiters_everywhere(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            voter = cluster.voters[cluster.followers[0]]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(voter.wait_changed)
+                await trio.sleep(0)
+                await cluster.voters[leader].submit(make_note(1))
+            self.assertEqual(1, voter.current.number)
+
+        self.run_cluster(test)
+
+    def test_new_leader_keeps_what_was_accepted(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            self.accept(await cluster.voters[old].submit(make_note(1)))
+            await cluster.kill(old)
+            new = await cluster.wait_leader()
+            self.accept(await cluster.voters[new].submit(make_note(2)))
+            await cluster.start(old)
+            await cluster.wait_release(2)
+
+        self.run_cluster(test)
+
+    def test_leader_cut_off_neither_accepts_nor_certifies(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            cluster.cut_off(old)
+            voter = cluster.voters[old]
+            with ExpectedException(OutcomeUnknownError):
+                await voter.submit(make_note(1, 'lost', 'lost'))
+            self.assertFalse(await voter.certify())
+            new = await cluster.wait_leader(besides=old)
+            self.accept(await cluster.voters[new].submit(make_note(1)))
+            self.assertIsNone(voter.replica.leadership)
+            self.assertFalse(await voter.certify())
+            with ExpectedException(NoQuorumError):
+                await voter.submit(make_note(2))
+            cluster.network.heal()
+            await cluster.wait_release(1)
+            self.assertEqual(['note-1'], list(await voter.outcomes()))
+
+        self.run_cluster(test)
+
+    def test_thawed_leader_does_not_certify_by_its_own_belief(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            voter = cluster.voters[old]
+            # A stopped process does not see its own timers run out.
+            voter.election.check_quorum = lambda: None
+            cluster.network.freeze(cluster.address(old))
+            new = await cluster.wait_leader(besides=old)
+            self.accept(await cluster.voters[new].submit(make_note(1)))
+            self.assertIsNotNone(voter.replica.leadership)
+            cluster.network.thaw(cluster.address(old))
+            certified = await voter.certify()
+            self.assertFalse(certified and voter.current.number < 1)
+
+        self.run_cluster(test)
+
+    def test_returned_voter_does_not_depose_the_leader(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            term = cluster.voters[leader].replica.term
+            cut = cluster.followers[0]
+            cluster.cut_off(cut)
+            await trio.sleep(20)
+            cluster.network.heal()
+            await trio.sleep(5)
+            self.assertEqual(leader, cluster.leader)
+            self.assertEqual(term, cluster.voters[cut].replica.term)
+
+        self.run_cluster(test)
+
+    def test_no_majority_is_refused_at_once(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            alone = cluster.followers[0]
+            for name in cluster.names:
+                if name != alone:
+                    await cluster.kill(name)
+            await trio.sleep(5)
+            began = trio.current_time()
+            with ExpectedException(NoQuorumError):
+                await cluster.voters[alone].submit(make_note(1))
+            self.assertTrue(trio.current_time() - began < 0.2)
+            await cluster.start(leader)
+            await cluster.wait_leader()
+            self.accept(await cluster.voters[alone].submit(make_note(1)))
+
+        self.run_cluster(test)
+
+    def test_resend_after_lost_answer_and_change_of_leader(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            address = cluster.address(old)
+            cluster.network.silent.add((address, NODE))
+            channel = cluster.network.transport(NODE).connect(address)
+            with trio.move_on_after(1):
+                await channel.call(SubmitRequest(make_note(1)), 5)
+            await cluster.kill(old)
+            new = await cluster.wait_leader()
+            reply = await cluster.voters[new].submit(make_note(1))
+            self.accept(reply)
+            again = await cluster.voters[new].submit(make_note(1))
+            self.assertEqual(reply, again)
+            numbers = cluster.voters[new].replica.journal.state.history.past
+            self.assertEqual(1, len(numbers))
+
+        self.run_cluster(test)
+
+    def test_equal_numbers_race_has_one_winner(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            replies = {}
+
+            async def submit(name):
+                note = make_note(7, f'note-{name}', f'service-{name}')
+                replies[name] = await cluster.voters[name].submit(note)
+
+            async with trio.open_nursery() as nursery:
+                for name in cluster.names:
+                    nursery.start_soon(submit, name)
+            winners = [n for n, r in replies.items() if not r.code]
+            self.assertEqual(1, len(winners))
+            for name in set(cluster.names) - set(winners):
+                self.assertEqual('SL7003', replies[name].code)
+                self.assertEqual(
+                    f'note-{winners[0]}', replies[name].details['winner']
+                )
+
+        self.run_cluster(test)
+
+    def test_claims_survive_the_leader(self):
+        async def test(cluster):
+            first = ClaimRequest('r', 'k', 'c1', 'f')
+            second = ClaimRequest('r', 'k', 'c2', 'f')
+            old = await cluster.wait_leader()
+            voter = cluster.voters[cluster.followers[0]]
+            self.assertTrue((await voter.claim(first)).granted)
+            await cluster.kill(old)
+            await cluster.wait_leader()
+            self.assertFalse((await voter.claim(second)).granted)
+            self.assertTrue((await voter.claim(first)).granted)
+            await voter.settle(SettleRequest('r', 'k', 'c1', Ran.NO))
+            self.assertTrue((await voter.claim(second)).granted)
+
+        self.run_cluster(test)
+
+    def test_many_proposals_share_a_write(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            before = cluster.disks[leader].writes
+            async with trio.open_nursery() as nursery:
+                for number in range(300):
+                    request = ClaimRequest('r', str(number), 'c')
+                    nursery.start_soon(cluster.voters[leader].claim, request)
+            self.assertTrue(cluster.disks[leader].writes - before < 20)
+
+        self.run_cluster(test)
+
+    def test_full_disk_stops_the_voter_and_the_rest_goes_on(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            cluster.disks[leader].room = 0
+            with ExpectedException(OutcomeUnknownError):
+                await cluster.voters[leader].submit(make_note(1))
+            await cluster.wait_until(lambda: leader in cluster.failures)
+            self.assertIsInstance(cluster.failures[leader], StorageWriteError)
+            new = await cluster.wait_leader()
+            self.accept(await cluster.voters[new].submit(make_note(1)))
+            cluster.disks[leader].room = None
+            await cluster.start(leader)
+            await cluster.wait_release(1)
+
+        self.run_cluster(test)
+
+    def test_stuck_disk_deposes_the_leader(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            cluster.disks[old].max_write_s = 1e9
+            with trio.move_on_after(0.5):
                 await cluster.voters[old].submit(make_note(1))
-                await cluster.kill(old)
-                new = await cluster.wait_leader()
-                await cluster.voters[new].submit(make_note(2))
-                await cluster.start(old)
-                await cluster.wait_release(2)
+            new = await cluster.wait_leader(besides=old)
+            self.accept(await cluster.voters[new].submit(make_note(1)))
+
+        self.run_cluster(test)
+
+
+class CompactionTest(ClusterCase):
+    options = {'snapshot_entries': 10}
+
+    def test_log_stays_short_and_a_straggler_gets_a_snapshot(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            straggler = cluster.followers[0]
+            await cluster.kill(straggler)
+            for number in range(1, 100):
+                await cluster.voters[leader].submit(make_note(number))
+            log = cluster.voters[leader].replica.journal.log
+            self.assertTrue(len(log.entries) < 40)
+            await cluster.start(straggler)
+            await cluster.wait_release(99)
+            journal = cluster.voters[straggler].replica.journal
+            self.assertTrue(journal.log.base_index > 50)
+            await cluster.kill(straggler)
+            await cluster.start(straggler)
+            await cluster.wait_release(99)
+            state = cluster.voters[straggler].replica.journal.state
+            self.assertEqual(99, len(state.notes))
 
-        run(main)
+        self.run_cluster(test)
