Put the parts together in thin daemons

Cause: control, node and stand-in target must run as separate processes and also as tasks of one process.

--- /dev/null
+++ b/snipelead/daemons/control.py
@@ -0,0 +1,73 @@
+"""The control daemon."""
+
+import trio
+
+from snipelead.controls.relay import RelaySource
+from snipelead.controls.service import ControlService
+from snipelead.daemons.process import run_process
+from snipelead.metrics import ControlMetrics
+from snipelead.operators.app import make_app
+from snipelead.types import ControlRole
+from snipelead.utils.http import serve_app
+from snipelead.voters.voter import Voter
+
+__all__ = ['ControlDaemon', 'run_control']
+
+
+class ControlDaemon:
+    """A control: source of releases, distribution, operators' interface.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the process.
+    transport : Transport
+        Transport to other processes.
+    """
+
+    def __init__(self, settings, transport):
+        self.settings = settings
+        self.transport = transport
+        self.metrics = ControlMetrics()
+        self.source = self._make_source()
+        self.service = ControlService(settings, self.source, transport)
+
+    def _make_source(self):
+        match self.settings.role:
+            case ControlRole.VOTER:
+                return Voter(self.settings, self.transport)
+            case ControlRole.RELAY:
+                return RelaySource(self.settings, self.transport)
+
+    async def run(self, stop, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until ``stop`` is set.
+
+        Parameters
+        ----------
+        stop : trio.Event
+            Asks for a graceful stop.
+        task_status : trio.TaskStatus
+            Told once the control answers.
+        """
+        settings = self.settings
+        handlers = self.source.handlers() | self.service.handlers()
+        app = make_app(self.service, self.source, self.metrics)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.source.run)
+            await nursery.start(
+                self.transport.serve, settings.address, handlers
+            )
+            await nursery.start(self.service.run)
+            async with trio.open_nursery() as front:
+                await front.start(
+                    serve_app, app, settings.operator_address, stop
+                )
+                task_status.started()
+                await stop.wait()
+            # The operators' requests have ended; nobody waits any more.
+            nursery.cancel_scope.cancel()
+
+
+async def run_control(settings):
+    """Run a control process until it is told to stop."""
+    await run_process(ControlDaemon, settings, control=settings.control_id)
--- /dev/null
+++ b/snipelead/daemons/process.py
@@ -0,0 +1,69 @@
+"""What every daemon does as a process: signals, logs, exit."""
+
+import gc
+import signal
+
+import trio
+
+from snipelead.daemons.events import DAEMON_STARTED
+from snipelead.daemons.events import DAEMON_STOPPED
+from snipelead.daemons.events import DAEMON_STOPPING
+from snipelead.logs import configure_logs
+from snipelead.logs import log_event
+from snipelead.rpc.grpc import open_transport
+
+__all__ = ['run_process', 'tune_collector']
+
+# Full collections of a warm process take tens of milliseconds and would show
+# in the slowest calls; young ones are cheap and reclaim nearly everything.
+YOUNG_THRESHOLD = 50_000
+MIDDLE_THRESHOLD = 20
+OLD_THRESHOLD = 100
+
+
+def tune_collector():
+    """Keep the garbage collector out of the way of calls in flight."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
+
+
+async def _wait_signal(stop, *, task_status=trio.TASK_STATUS_IGNORED):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for number in signals:
+            name = signal.Signals(number).name
+            log_event(DAEMON_STOPPING, signal=name)
+            stop.set()
+
+
+async def run_process(make_daemon, settings, **context):
+    """Run one daemon until SIGTERM or SIGINT, then stop it gracefully.
+
+    Parameters
+    ----------
+    make_daemon : callable
+        Takes the settings and a transport; returns an object with an
+        asynchronous ``run(stop, task_status)``.
+    settings : ControlSettings, NodeSettings or TargetSettings
+        Settings of the process.
+    **context : object
+        Fields added to each log line.
+    """
+    configure_logs(settings.log.format, settings.log.level, **context)
+    stop = trio.Event()
+    async with open_transport() as transport, trio.open_nursery() as nursery:
+        await nursery.start(_wait_signal, stop)
+        daemon = make_daemon(settings, transport)
+        await nursery.start(_run_daemon, daemon, stop, nursery.cancel_scope)
+        tune_collector()
+        log_event(DAEMON_STARTED)
+    log_event(DAEMON_STOPPED)
+
+
+async def _run_daemon(
+    daemon, stop, scope, *, task_status=trio.TASK_STATUS_IGNORED
+):
+    await daemon.run(stop, task_status=task_status)
+    # The signal task would otherwise keep the process alive.
+    scope.cancel()
