Add messages of certification, exchange and outcomes

A relay has to ask a voter for a certified newest release and for the outcomes of notes, controls have to tell each other of the targets that register with them, and a restarted node has to say that it needs a certified floor. All fields are additive with defaults.

--- a/snipelead/messages.py
+++ b/snipelead/messages.py
@@ -17,6 +17,7 @@
 from snipelead.types import IdempotencyKey
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
+from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
 from snipelead.types import ServiceName
@@ -26,12 +27,19 @@
 
 __all__ = [
     'REPLY_TYPES',
+    'CertifyReply',
+    'CertifyRequest',
     'ClaimReply',
     'ClaimRequest',
     'DirectoryUpdate',
+    'ExchangeReply',
+    'ExchangeRequest',
     'FleetReply',
     'FleetRequest',
     'NodeStatus',
+    'OutcomesReply',
+    'OutcomesRequest',
+    'Registration',
     'SettleReply',
     'SettleRequest',
     'Snapshot',
@@ -146,6 +154,15 @@
         Version of the sender's own registration, see ``registration``.
     registration : Registration or None
         Sent when the control does not know version ``announced`` yet.
+    wants_certified : bool
+        The sender restarted and takes its floor from a certified answer.
+    unseen_services : tuple of ServiceName
+        Subscribed services whose targets the sender was never told of.
+    follower : bool
+        The sender is a relay: it follows releases, but holds no lease and
+        no directory.
+    offer : Snapshot or None
+        The sender's release, sent after a reply with ``wants_release``.
     """
 
     node_id: NodeId
@@ -157,6 +174,10 @@
     hold_ms: int = 0
     announced: int = 0
     registration: 'Registration | None' = None
+    wants_certified: bool = False
+    unseen_services: tuple[ServiceName, ...] = ()
+    follower: bool = False
+    offer: Snapshot | None = None
 
 
 class Registration(Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -204,6 +225,14 @@
         The control does not know the sender's registration.
     retry_after_ms : int
         Above 0 when the control is busy: come back then for the update.
+    packed_delta : bytes
+        The delta as zstd-compressed msgpack, in place of ``delta`` when
+        that is smaller.
+    warming : bool
+        The control restarted less than a lease ago and may not have heard
+        of all its nodes yet.
+    wants_release : bool
+        The sender holds a newer release than the control, which asks for it.
     """
 
     delta: Delta | None = None
@@ -213,6 +242,9 @@
     current: Held | None = None
     register_again: bool = False
     retry_after_ms: int = 0
+    packed_delta: bytes = b''
+    warming: bool = False
+    wants_release: bool = False
 
 
 class ClaimRequest(Struct, frozen=True, array_like=True):
@@ -354,6 +386,9 @@
         Nodes that poll this control.
     targets : tuple of TargetEntry
         Targets of those nodes.
+    warming : bool
+        The control restarted less than a lease ago and may not have heard
+        of all its nodes yet.
     """
 
     control_id: ControlId
@@ -362,6 +397,62 @@
     certified: bool = False
     nodes: tuple[NodeStatus, ...] = ()
     targets: tuple[TargetEntry, ...] = ()
+    warming: bool = False
+
+
+class CertifyRequest(Struct, frozen=True):
+    """Asks a voter to prove by a majority which release is the newest."""
+
+
+class CertifyReply(Struct, frozen=True):
+    """Answer to a request for certification.
+
+    Parameters
+    ----------
+    held : Held
+        Newest release that the voter holds.
+    certified : bool
+        Whether, at some moment after the request came, ``held`` was the
+        newest accepted release.
+    """
+
+    held: Held
+    certified: bool
+
+
+class OutcomesRequest(Struct, frozen=True):
+    """Asks a control for the durable outcomes of recent notes."""
+
+
+class OutcomesReply(Struct, frozen=True):
+    """Durable outcomes by note."""
+
+    outcomes: dict[NoteId, SubmitReply]
+
+
+class ExchangeRequest(Struct, frozen=True, omit_defaults=True):
+    """A control's long poll for the targets that register with a peer.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        Sender.
+    epoch, version : str, int
+        State of the peer's own entries that the sender has.
+    hold_ms : int
+        How long the peer may hold the request without news.
+    """
+
+    control_id: ControlId
+    epoch: str = ''
+    version: int = 0
+    hold_ms: int = 0
+
+
+class ExchangeReply(Struct, frozen=True, omit_defaults=True):
+    """Answer to an exchange; None when there is no news."""
+
+    directory: DirectoryUpdate | None = None
 
 
 register_reply(SyncRequest, SyncReply)
@@ -369,3 +460,6 @@
 register_reply(SettleRequest, SettleReply)
 register_reply(SubmitRequest, SubmitReply)
 register_reply(FleetRequest, FleetReply)
+register_reply(CertifyRequest, CertifyReply)
+register_reply(OutcomesRequest, OutcomesReply)
+register_reply(ExchangeRequest, ExchangeReply)
