--- /dev/null
+++ b/snipelead/controls/client.py
@@ -0,0 +1,250 @@
+"""Client of the controls, run by each node."""
+
+import trio
+
+from snipelead.controls.events import FLOOR_CERTIFIED
+from snipelead.controls.events import FLOOR_UNCERTIFIED
+from snipelead.controls.follower import ReleaseFollower
+from snipelead.controls.forwarding import forward
+from snipelead.controls.links import ControlLinks
+from snipelead.controls.polling import ControlPoller
+from snipelead.controls.polling import FIRST_DELAY_S
+from snipelead.controls.polling import MS_PER_S
+from snipelead.logs import log_event
+from snipelead.messages import Registration
+from snipelead.messages import Snapshot
+from snipelead.messages import SyncRequest
+from snipelead.releases.packing import pack
+from snipelead.utils.backoff import Backoff
+
+__all__ = ['SyncClient']
+
+CALL_TIMEOUT_S = 2.0
+LEAVE_TIMEOUT_S = 2.0
+# Time after which a restarted node serves without a certified release. It
+# is longer than two polls, so that each live node has told its control.
+FLOOR_LIMIT_S = 10.0
+MAX_FLOOR_DELAY_S = 1.0
+# Pause after a held poll that ended early without news.
+EMPTY_PAUSE_S = 0.1
+
+
+class SyncClient(ControlPoller):
+    """Keeps a node's release and target directory in step with a control.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    transport : Transport
+        Makes the channels.
+    holder : ReleaseHolder
+        Told of newer releases, and when its floor is known.
+    directory : TargetDirectory
+        Told of changes of subscribed targets.
+    local : LocalTargets
+        Targets beside the node.
+    rng : random.Random or None
+        Source of jitter.
+    """
+
+    def __init__(
+        self, settings, transport, holder, directory, local, rng=None
+    ):
+        links = ControlLinks(
+            settings.controls, settings.zone, settings.node_id, transport, rng
+        )
+        timings = settings.timings
+        super().__init__(links, timings.hold_ms, timings.miss_ms)
+        self.settings = settings
+        self.holder = holder
+        self.directory = directory
+        self.local = local
+        self.follower = ReleaseFollower(holder)
+        self.registration = None
+        self.sequence = 0
+        self.offers = False
+        self.floor = None
+        self.floor_backoff = Backoff(FIRST_DELAY_S, MAX_FLOOR_DELAY_S, rng)
+        self.started_at = None
+        self._seen_services = set()
+        self._seen_epoch = ''
+        self._polled_at = 0.0
+        self._leaving = trio.Event()
+        self._left = trio.Event()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Keep the node in step until cancelled."""
+        self.started_at = trio.current_time()
+        task_status.started()
+        await self.poll_forever()
+
+    async def claim(self, request):
+        """Make a durable claim through any control.
+
+        Raises
+        ------
+        NoControlError, NoQuorumError
+            The claim was not made.
+        OutcomeUnknownError
+            The claim may have been made.
+        """
+        return await forward(self.links, request, CALL_TIMEOUT_S)
+
+    async def settle(self, request):
+        """Record the end of a claimed request through any control."""
+        return await forward(self.links, request, CALL_TIMEOUT_S)
+
+    async def leave(self):
+        """Announce that the node stops; returns whether a control knows."""
+        self._leaving.set()
+        with trio.move_on_after(LEAVE_TIMEOUT_S):
+            await self._left.wait()
+        return self._left.is_set()
+
+    def make_request(self, link, hold_ms):
+        """Return the next poll, which also acknowledges and registers."""
+        self._update_registration()
+        self.sequence += 1
+        self._polled_at = trio.current_time()
+        link.asked = True
+        known = link.registered == self.registration.version
+        certify = not self.holder.ready and self.floor is None
+        return SyncRequest(
+            node_id=self.settings.node_id,
+            incarnation=self.local.incarnation,
+            sequence=self.sequence,
+            held=self.follower.base,
+            directory_epoch=self.directory.epoch,
+            directory_version=self.directory.version,
+            hold_ms=0 if certify else hold_ms,
+            announced=self.registration.version,
+            registration=None if known else self.registration,
+            wants_certified=certify,
+            unseen_services=self._unseen_services(),
+            offer=self._make_offer(),
+        )
+
+    async def wait_interrupted(self, request):
+        """Wait until targets, subscriptions or leaving are news."""
+        while self._facts() == self._registered_facts():
+            async with trio.open_nursery() as nursery:
+                for wait in (
+                    self.local.wait_changed,
+                    self.directory.wait_subscribed,
+                    self._wait_leaving,
+                ):
+                    nursery.start_soon(_cancel_after, wait, nursery)
+
+    async def take_reply(self, link, request, reply):
+        """Apply a reply; returns the seconds to wait before the next poll."""
+        if reply.register_again:
+            link.registered = 0
+            return self.backoff.next_s() if request.registration else 0.0
+        link.registered = request.announced
+        if self.registration.leaving:
+            self._left.set()
+            await trio.sleep_forever()
+        self.offers = reply.wants_release
+        changed = self.follower.apply(reply)
+        if reply.directory is not None:
+            self.directory.apply(reply.directory)
+            self._seen_services = set(self.registration.subscriptions)
+            self._seen_epoch = self.directory.epoch
+        if not self.holder.ready:
+            return self._seek_floor(link, reply)
+        if reply.retry_after_ms:
+            return reply.retry_after_ms / MS_PER_S
+        empty = not changed and reply.directory is None
+        polled_for_s = trio.current_time() - self._polled_at
+        early = request.hold_ms and polled_for_s < EMPTY_PAUSE_S
+        return EMPTY_PAUSE_S if empty and early else 0.0
+
+    def _seek_floor(self, link, reply):
+        """Decide whether the node may serve; returns seconds to wait."""
+        if reply.certified:
+            self.floor = max(self.floor or 0, reply.current.number)
+        number = self.holder.current.number
+        if self.floor is not None and number >= self.floor:
+            self.holder.ready = True
+            log_event(FLOOR_CERTIFIED, release=number)
+            return 0.0
+        if reply.retry_after_ms:
+            return reply.retry_after_ms / MS_PER_S
+        if self.floor is not None:
+            return 0.0
+        return self._seek_uncertified(link, reply)
+
+    def _seek_uncertified(self, link, reply):
+        """Settle for the highest release in reach once time is up."""
+        waited_s = trio.current_time() - self.started_at
+        release = self.holder.current
+        asked_all = all(
+            other.asked
+            for other in self.links.links
+            if other.zone == self.settings.zone
+        )
+        if (
+            waited_s >= FLOOR_LIMIT_S
+            and asked_all
+            and not reply.warming
+            and release.number > 0
+        ):
+            self.holder.ready = True
+            log_event(FLOOR_UNCERTIFIED, release=release.number)
+            return 0.0
+        self.links.defer(link)
+        return self.floor_backoff.next_s()
+
+    def _facts(self):
+        return (
+            self.local.entries(),
+            frozenset(self.directory.subscriptions),
+            self._leaving.is_set(),
+        )
+
+    def _registered_facts(self):
+        registration = self.registration
+        return (
+            registration.targets,
+            frozenset(registration.subscriptions),
+            registration.leaving,
+        )
+
+    def _update_registration(self):
+        known = self.registration
+        if known is not None and self._facts() == self._registered_facts():
+            return
+        targets, subscriptions, leaving = self._facts()
+        self.registration = Registration(
+            known.version + 1 if known else 1,
+            self.settings.zone,
+            self.settings.address,
+            tuple(sorted(subscriptions)),
+            targets,
+            leaving,
+        )
+
+    def _unseen_services(self):
+        if self._seen_epoch != self.directory.epoch:
+            return ()
+        subscriptions = self.registration.subscriptions
+        return tuple(s for s in subscriptions if s not in self._seen_services)
+
+    def _make_offer(self):
+        if not self.offers:
+            return None
+        self.offers = False
+        release = self.holder.current
+        return Snapshot(release.held, pack(release))
+
+    async def _wait_leaving(self):
+        # Once set, leaving is part of the facts and no longer news.
+        if self._leaving.is_set():
+            await trio.sleep_forever()
+        await self._leaving.wait()
+
+
+async def _cancel_after(wait, nursery):
+    await wait()
+    nursery.cancel_scope.cancel()
--- a/snipelead/controls/exceptions.py
+++ b/snipelead/controls/exceptions.py
@@ -2,7 +2,12 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['NoControlError', 'NoQuorumError', 'OutcomeUnknownError']
+__all__ = [
+    'NoControlError',
+    'NoQuorumError',
+    'OutcomeUnknownError',
+    'StaleRequestError',
+]
 
 
 class NoQuorumError(SnipeleadError):
@@ -21,3 +26,9 @@
     """No control answered; nothing was sent that could take effect."""
 
     code = 'SL2003'
+
+
+class StaleRequestError(SnipeleadError):
+    """A poll came after a newer one of the same node and was dropped."""
+
+    code = 'SL2004'
--- /dev/null
+++ b/snipelead/controls/exchange.py
@@ -0,0 +1,96 @@
+"""Exchange of targets with one other control."""
+
+import trio
+
+from snipelead.controls.events import PEER_EXPIRED
+from snipelead.controls.events import PEER_LOST
+from snipelead.controls.events import PEER_REACHED
+from snipelead.controls.polling import MS_PER_S
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
+from snipelead.logs import log_event
+from snipelead.messages import ExchangeRequest
+from snipelead.utils.backoff import Backoff
+
+__all__ = ['PeerExchange']
+
+HOLD_MS = 5_000
+MISS_S = 1.0
+FIRST_DELAY_S = 0.2
+MAX_DELAY_S = 2.0
+# Targets of a control that does not answer are kept for this long.
+RETENTION_S = 600.0
+
+
+class PeerExchange:
+    """Long-polls a peer for the targets of the nodes that poll it.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        This control.
+    link : ControlLink
+        The peer.
+    directory : ControlDirectory
+        Told of the peer's targets.
+    """
+
+    def __init__(self, control_id, link, directory):
+        self.control_id = control_id
+        self.link = link
+        self.directory = directory
+        self.backoff = Backoff(FIRST_DELAY_S, MAX_DELAY_S)
+        self.epoch = ''
+        self.version = 0
+        self.reached_at = None
+        self.failures = 0
+
+    async def run(self):
+        """Follow the peer until cancelled."""
+        while True:
+            # After a failure the peer is asked for a quick answer.
+            hold_ms = 0 if self.failures else HOLD_MS
+            request = ExchangeRequest(
+                self.control_id, self.epoch, self.version, hold_ms
+            )
+            try:
+                reply = await self.link.polls.call(
+                    request, hold_ms / MS_PER_S + MISS_S
+                )
+            except InvariantError:
+                raise
+            except SnipeleadError as error:
+                self._fail(error)
+                await trio.sleep(self.backoff.next_s())
+            else:
+                self._take(reply.directory)
+
+    def _take(self, update):
+        if self.failures or self.reached_at is None:
+            log_event(PEER_REACHED, control=self.link.control_id)
+        self.failures = 0
+        self.backoff.reset()
+        self.reached_at = trio.current_time()
+        self.directory.set_reachable(self.link.control_id, True)
+        if update is None:
+            return
+        self.directory.apply_peer(self.link.control_id, update)
+        self.epoch = update.epoch
+        self.version = update.version
+
+    def _fail(self, error):
+        self.failures += 1
+        # The first failure may be that of the connection alone.
+        if self.failures == 2:
+            self.directory.set_reachable(self.link.control_id, False)
+            log_event(
+                PEER_LOST, control=self.link.control_id, error=str(error)
+            )
+        silent = self.epoch and (
+            trio.current_time() - self.reached_at >= RETENTION_S
+        )
+        if silent:
+            self.directory.drop_peer(self.link.control_id)
+            self.epoch = ''
+            self.version = 0
+            log_event(PEER_EXPIRED, control=self.link.control_id)
--- /dev/null
+++ b/snipelead/controls/polling.py
@@ -0,0 +1,114 @@
+"""The long poll to one control at a time, with failover."""
+
+import trio
+
+from snipelead.controls.events import CONTROL_LOST
+from snipelead.controls.events import CONTROL_REACHED
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
+from snipelead.logs import log_event
+from snipelead.utils.backoff import Backoff
+
+__all__ = ['ControlPoller']
+
+MS_PER_S = 1_000
+FIRST_DELAY_S = 0.2
+MAX_DELAY_S = 5.0
+# A control proves itself current within this time or says that it cannot.
+CERTIFY_LIMIT_S = 1.0
+
+
+class ControlPoller:
+    """Polls controls one after another, straight down in one task.
+
+    A subclass says what to ask and what to do with the answer. An answer
+    that does not come within ``hold_ms`` and ``miss_ms`` makes the poller
+    use a fresh connection to the same control, and then another control.
+
+    Parameters
+    ----------
+    links : ControlLinks
+        Controls in order of preference.
+    hold_ms, miss_ms : int
+        How long a control may hold a poll, and how much later than that
+        the answer may come, in milliseconds.
+    """
+
+    def __init__(self, links, hold_ms, miss_ms):
+        self.links = links
+        self.hold_ms = hold_ms
+        self.miss_ms = miss_ms
+        self.backoff = Backoff(FIRST_DELAY_S, MAX_DELAY_S, links.rng)
+
+    def make_request(self, link, hold_ms):
+        """Return the request to send."""
+        raise NotImplementedError
+
+    async def take_reply(self, link, request, reply):
+        """Use a reply; returns the seconds to wait before the next poll."""
+        raise NotImplementedError
+
+    async def wait_interrupted(self, request):
+        """Wait until the request no longer says what it should."""
+        await trio.sleep_forever()
+
+    async def poll_forever(self):
+        """Poll until cancelled."""
+        try:
+            while True:
+                delay_s = await self.poll(self.links.choose())
+                if delay_s:
+                    await trio.sleep(delay_s)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.links.aclose()
+
+    async def poll(self, link):
+        """Poll a control once; returns the seconds to wait afterwards."""
+        # A control that did not answer lately is asked for a quick answer.
+        hold_ms = self.hold_ms if link.proven else 0
+        request = self.make_request(link, hold_ms)
+        timeout_s = (hold_ms + self.miss_ms) / MS_PER_S + CERTIFY_LIMIT_S
+        try:
+            reply = await self._call(link, request, timeout_s)
+        except InvariantError:
+            raise
+        except SnipeleadError as error:
+            return self._fail(link, error)
+        if reply is None:
+            return 0.0
+        if not link.proven:
+            log_event(CONTROL_REACHED, control=link.control_id)
+        link.proven = True
+        delay_s = await self.take_reply(link, request, reply)
+        if not delay_s:
+            self.backoff.reset()
+        return delay_s
+
+    async def _call(self, link, request, timeout_s):
+        """Return the reply, or None when the request got out of date."""
+        replies = []
+        failures = []
+
+        async def interrupt():
+            await self.wait_interrupted(request)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(interrupt)
+            try:
+                replies.append(await link.polls.call(request, timeout_s))
+            except SnipeleadError as error:
+                failures.append(error)
+            nursery.cancel_scope.cancel()
+        if failures:
+            raise failures[0]
+        return replies[0] if replies else None
+
+    def _fail(self, link, error):
+        # The first failure may be that of the connection alone.
+        if not link.proven:
+            self.links.defer(link)
+            log_event(CONTROL_LOST, control=link.control_id, error=str(error))
+        link.proven = False
+        return self.backoff.next_s()
--- /dev/null
+++ b/snipelead/controls/relay.py
@@ -0,0 +1,179 @@
+"""Releases at a control that does not vote."""
+
+from collections import OrderedDict
+
+import trio
+
+from snipelead.controls.follower import ReleaseFollower
+from snipelead.controls.forwarding import forward
+from snipelead.controls.links import ControlLinks
+from snipelead.controls.polling import ControlPoller
+from snipelead.controls.source import ReleaseSource
+from snipelead.exceptions import SnipeleadError
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
+from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesRequest
+from snipelead.messages import SettleRequest
+from snipelead.messages import SubmitRequest
+from snipelead.messages import SyncRequest
+from snipelead.nodes.holder import ReleaseHolder
+from snipelead.types import ControlRole
+from snipelead.types import Incarnation
+from snipelead.types import NodeId
+
+__all__ = ['RelaySource']
+
+HOLD_MS = 5_000
+MISS_MS = 1_000
+CALL_TIMEOUT_S = 2.0
+CERTIFY_TIMEOUT_S = 0.8
+# Bases of deltas that are kept.
+MAX_RECENT = 512
+
+
+class _VoterPoller(ControlPoller):
+    """Follows the releases of one voter at a time."""
+
+    def __init__(self, links, control_id, holder):
+        super().__init__(links, HOLD_MS, MISS_MS)
+        self.control_id = control_id
+        self.follower = ReleaseFollower(holder)
+        self.sequence = 0
+
+    def make_request(self, link, hold_ms):
+        """Return a poll that follows releases alone."""
+        self.sequence += 1
+        return SyncRequest(
+            node_id=NodeId(self.control_id),
+            incarnation=Incarnation(0),
+            sequence=self.sequence,
+            held=self.follower.base,
+            hold_ms=hold_ms,
+            follower=True,
+        )
+
+    async def take_reply(self, link, request, reply):
+        """Apply an update; returns the seconds to wait."""
+        self.follower.apply(reply)
+        if reply.wants_release:
+            # This voter is behind; another one may not be.
+            self.links.defer(link)
+            return self.backoff.next_s()
+        return reply.retry_after_ms / 1_000
+
+
+class RelaySource(ReleaseSource):
+    """Follows the voters and forwards what changes durable state to them.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the control.
+    transport : Transport
+        Makes the channels to the voters.
+    rng : random.Random or None
+        Source of jitter.
+    """
+
+    def __init__(self, settings, transport, rng=None):
+        self.settings = settings
+        self.transport = transport
+        voters = tuple(
+            peer
+            for peer in settings.peers
+            if peer.role is ControlRole.VOTER
+            and peer.control_id != settings.control_id
+        )
+        self.links = ControlLinks(
+            voters, settings.zone, settings.control_id, transport, rng
+        )
+        self.holder = ReleaseHolder()
+        self.holder.observers.append(self._remember)
+        self.recent = OrderedDict()
+        self.poller = _VoterPoller(
+            self.links, settings.control_id, self.holder
+        )
+
+    @property
+    def current(self):
+        """Newest committed release known to this relay."""
+        return self.holder.current
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Follow the voters until cancelled."""
+        task_status.started()
+        await self.poller.poll_forever()
+
+    def handlers(self):
+        """Return the procedures that are forwarded to voters."""
+        return {
+            SubmitRequest: self._forward,
+            ClaimRequest: self._forward,
+            SettleRequest: self._forward,
+            CertifyRequest: self._answer_certify,
+        }
+
+    def find(self, digest):
+        """Return a recent release by digest, or None."""
+        return self.recent.get(digest)
+
+    async def wait_changed(self):
+        """Wait until ``current`` changes."""
+        await self.holder.wait_changed()
+
+    async def certify(self):
+        """Ask voters whether the release held here is the newest."""
+        certified = []
+
+        async def ask(link):
+            if await self._certify_by(link):
+                certified.append(link)
+                nursery.cancel_scope.cancel()
+
+        with trio.move_on_after(CERTIFY_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for link in self.links.links:
+                    nursery.start_soon(ask, link)
+        return bool(certified)
+
+    async def submit(self, note):
+        """Submit a note through a voter; see the base class."""
+        return await self._forward(SubmitRequest(note))
+
+    async def claim(self, request):
+        """Make a durable claim through a voter; see the base class."""
+        return await self._forward(request)
+
+    async def settle(self, request):
+        """Record the end of a claimed request through a voter."""
+        return await self._forward(request)
+
+    async def outcomes(self):
+        """Return the durable outcome of each recent note."""
+        reply = await self._forward(OutcomesRequest())
+        return reply.outcomes
+
+    async def _forward(self, request):
+        return await forward(self.links, request, CALL_TIMEOUT_S)
+
+    async def _certify_by(self, link):
+        try:
+            reply = await link.calls.call(CertifyRequest(), CERTIFY_TIMEOUT_S)
+        except SnipeleadError:
+            return False
+        if not reply.certified:
+            return False
+        # The release may still be on its way here.
+        while self.current.number < reply.held.number:
+            await self.wait_changed()
+        return True
+
+    async def _answer_certify(self, request):
+        certified = await self.certify()
+        return CertifyReply(self.current.held, certified)
+
+    def _remember(self, release):
+        self.recent[release.digest] = release
+        if len(self.recent) > MAX_RECENT:
+            self.recent.popitem(last=False)
--- /dev/null
+++ b/snipelead/controls/service.py
@@ -0,0 +1,305 @@
+"""What a control answers to nodes, relays and other controls."""
+
+import random
+
+from msgspec.structs import replace
+import trio
+
+from snipelead.controls.certification import SharedCertification
+from snipelead.controls.directory import ControlDirectory
+from snipelead.controls.events import CONTROL_WARM
+from snipelead.controls.events import RELEASE_OFFERED
+from snipelead.controls.events import RELEASE_PUBLISHED
+from snipelead.controls.exchange import PeerExchange
+from snipelead.controls.fleet import collect_replies
+from snipelead.controls.fleet import merge_fleet
+from snipelead.controls.links import ControlLinks
+from snipelead.controls.membership import Membership
+from snipelead.controls.polling import CERTIFY_LIMIT_S
+from snipelead.controls.polling import MS_PER_S
+from snipelead.controls.sessions import NodeSessions
+from snipelead.controls.snapshots import SnapshotGate
+from snipelead.controls.updates import UpdateMaker
+from snipelead.exceptions import SnipeleadError
+from snipelead.logs import log_event
+from snipelead.messages import ExchangeReply
+from snipelead.messages import ExchangeRequest
+from snipelead.messages import FleetReply
+from snipelead.messages import FleetRequest
+from snipelead.messages import OutcomesReply
+from snipelead.messages import OutcomesRequest
+from snipelead.messages import SyncReply
+from snipelead.messages import SyncRequest
+from snipelead.releases.packing import unpack_release
+from snipelead.types import Preference
+
+__all__ = ['ControlService']
+
+# No poll is held for longer, whatever it asks for.
+MAX_HOLD_MS = 60_000
+
+
+class ControlService:
+    """Distribution by one control.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the control.
+    source : ReleaseSource
+        Accepted releases.
+    transport : Transport
+        Makes the channels to the other controls.
+    rng : random.Random or None
+        Source of jitter.
+
+    Attributes
+    ----------
+    published : Release
+        Newest release that nodes were told of.
+    offered : Release or None
+        Release of a node that was newer than the source's.
+    """
+
+    def __init__(self, settings, source, transport, rng=None):
+        self.settings = settings
+        self.source = source
+        self.transport = transport
+        self.sessions = NodeSessions()
+        self.directory = ControlDirectory(self.sessions.wake)
+        self.membership = Membership(
+            settings.timings, self.sessions, self.directory
+        )
+        self.gate = SnapshotGate(settings.max_snapshots, rng)
+        self.updates = UpdateMaker(source)
+        self.certification = SharedCertification(source)
+        peers = tuple(
+            peer
+            for peer in settings.peers
+            if peer.control_id != settings.control_id
+        )
+        self.links = ControlLinks(
+            peers,
+            settings.zone,
+            settings.control_id,
+            transport,
+            rng or random.Random(),
+        )
+        self.published = source.current
+        self.offered = None
+        self._published_changed = trio.Event()
+
+    @property
+    def newest(self):
+        """Newest release known to this control."""
+        current = self.source.current
+        if self.offered and self.offered.number > current.number:
+            return self.offered
+        return current
+
+    @property
+    def warming(self):
+        """Whether nodes may not have registered since the start."""
+        return not self.directory.own.complete
+
+    def handlers(self):
+        """Return the remote procedures that this service answers."""
+        return {
+            SyncRequest: self.sync,
+            FleetRequest: self.answer_fleet,
+            ExchangeRequest: self.exchange,
+            OutcomesRequest: self.answer_outcomes,
+        }
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Publish releases, end leases and exchange targets."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.certification.run)
+                nursery.start_soon(self._publish_releases)
+                nursery.start_soon(self.membership.end_leases)
+                nursery.start_soon(self._warm_up)
+                for link in self.links.links:
+                    exchange = PeerExchange(
+                        self.settings.control_id, link, self.directory
+                    )
+                    nursery.start_soon(exchange.run)
+                task_status.started()
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.links.aclose()
+
+    async def sync(self, request):
+        """Answer a long poll.
+
+        Raises
+        ------
+        StaleRequestError
+            If a newer poll of the same node came before.
+        """
+        if request.follower:
+            return await self._follow(request)
+        session = self.sessions.open(request.node_id)
+        session.accept(request)
+        self.gate.finish(request.node_id)
+        if not self.membership.renew(session, request):
+            return SyncReply(register_again=True)
+        self._take_offer(request)
+        if request.wants_certified:
+            return await self._certified_answer(session, request)
+        return await self._hold(session, request)
+
+    async def exchange(self, request):
+        """Tell another control of the targets that register here."""
+        own = self.directory.own
+        hold_ms = min(request.hold_ms, MAX_HOLD_MS)
+        with trio.move_on_after(hold_ms / MS_PER_S):
+            while True:
+                update = own.update_since(request.epoch, request.version)
+                if update is not None:
+                    return ExchangeReply(update)
+                await self.directory.wait_own_changed()
+        return ExchangeReply()
+
+    async def answer_outcomes(self, request):
+        """Tell the durable outcomes of recent notes."""
+        return OutcomesReply(await self.source.outcomes())
+
+    async def answer_fleet(self, request):
+        """Return this control's own view of the fleet."""
+        return FleetReply(
+            self.settings.control_id,
+            self.settings.zone,
+            self.newest.held,
+            False,
+            tuple(session.status() for session in self.membership.reported()),
+            self.directory.own.live(),
+            self.warming,
+        )
+
+    async def fleet(self):
+        """Return the status of the whole fleet.
+
+        Returns
+        -------
+        FleetStatus
+        """
+        replies, unreachable = await collect_replies(self.links.links)
+        certified = await self._certify()
+        own = await self.answer_fleet(FleetRequest())
+        replies.append(replace(own, certified=certified))
+        return merge_fleet(replies, unreachable)
+
+    async def _certify(self):
+        with trio.move_on_after(CERTIFY_LIMIT_S):
+            try:
+                certified = await self.certification.certify()
+            except SnipeleadError:
+                return False
+            return certified and self.newest is self.source.current
+        return False
+
+    async def _certified_answer(self, session, request):
+        certified = await self._certify()
+        reply = self._release_news(request, self.newest) or SyncReply()
+        return replace(
+            reply,
+            certified=certified,
+            current=self.newest.held,
+            warming=self.warming,
+            directory=self._directory_news(session, request),
+        )
+
+    async def _hold(self, session, request):
+        hold_ms = min(request.hold_ms, MAX_HOLD_MS)
+        order = session.order
+        with trio.move_on_after(hold_ms / MS_PER_S):
+            while session.order == order:
+                reply = self._news(session, request)
+                if reply is not None:
+                    return reply
+                await session.woken.wait()
+        return SyncReply()
+
+    async def _follow(self, request):
+        """Answer a relay, which follows releases alone."""
+        hold_ms = min(request.hold_ms, MAX_HOLD_MS)
+        self.gate.finish(request.node_id)
+        with trio.move_on_after(hold_ms / MS_PER_S):
+            while True:
+                reply = self._release_news(request, self.source.current)
+                if reply is not None:
+                    return reply
+                await self._published_changed.wait()
+        return SyncReply()
+
+    def _news(self, session, request):
+        """Return a reply, or None when there is no news."""
+        reply = self._release_news(request, self.published)
+        directory = self._directory_news(session, request)
+        if reply is None and directory is None:
+            return None
+        return replace(reply or SyncReply(), directory=directory)
+
+    def _directory_news(self, session, request):
+        return self.directory.merged.update_since(
+            request.directory_epoch,
+            request.directory_version,
+            session.services,
+            request.unseen_services,
+        )
+
+    def _release_news(self, request, published):
+        held = request.held
+        if held.number > self.newest.number:
+            return SyncReply(wants_release=True)
+        if held == published.held or held.number > published.number:
+            return None
+        release = self.newest
+        # The first release of a herd is always a snapshot, which is bounded.
+        if held.number > 0:
+            reply = self.updates.delta(held, release)
+            if reply is not None:
+                return reply
+        retry_after_ms = self.gate.admit(request.node_id)
+        if retry_after_ms:
+            return SyncReply(
+                retry_after_ms=retry_after_ms, current=release.held
+            )
+        return SyncReply(snapshot=self.updates.snapshot(release))
+
+    def _take_offer(self, request):
+        """Take over a node's release that is newer than the own one."""
+        offer = request.offer
+        if offer is None or offer.target.number <= self.newest.number:
+            return
+        self.offered = unpack_release(offer.compressed, offer.target)
+        log_event(
+            RELEASE_OFFERED,
+            release=offer.target.number,
+            node=request.node_id,
+        )
+        self._publish()
+
+    async def _publish_releases(self):
+        window_s = self.settings.timings.batch_window_ms / MS_PER_S
+        while True:
+            if self.published.number >= self.newest.number:
+                await self.source.wait_changed()
+                continue
+            if self.settings.preference is Preference.BYTES:
+                await trio.sleep(window_s)
+            self._publish()
+
+    def _publish(self):
+        self.published = self.newest
+        log_event(RELEASE_PUBLISHED, release=self.published.number)
+        self._published_changed.set()
+        self._published_changed = trio.Event()
+        self.sessions.wake()
+
+    async def _warm_up(self):
+        await trio.sleep(self.settings.timings.target_lease_ms / MS_PER_S)
+        self.directory.set_complete()
+        self.sessions.wake()
+        log_event(CONTROL_WARM)
--- /dev/null
+++ b/snipelead/controls/snapshots.py
@@ -0,0 +1,90 @@
+"""Bound on the whole snapshots that are under way at a time."""
+
+import random
+
+import trio
+
+__all__ = ['SnapshotGate']
+
+# A node that does not acknowledge a snapshot for this long frees its place.
+HOLD_LIMIT_S = 5.0
+FIRST_SERVICE_TIME_S = 0.02
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 10.0
+SERVICE_TIME_WEIGHT = 0.1
+
+
+class SnapshotGate:
+    """Admits a bounded number of snapshots and tells the rest when to return.
+
+    A snapshot is under way from its admission until the node's next poll,
+    or until ``HOLD_LIMIT_S``. The delay told to the others grows with the
+    number that waits, by the measured time of a snapshot.
+
+    Parameters
+    ----------
+    limit : int
+        Snapshots under way at a time.
+    rng : random.Random or None
+        Source of jitter.
+
+    Attributes
+    ----------
+    peak : int
+        Most snapshots that were under way at a time.
+    admissions : int
+        Snapshots that were admitted.
+    refused : int
+        Requests that were told to come back.
+    """
+
+    def __init__(self, limit, rng=None):
+        self.limit = limit
+        self.rng = rng or random.Random()
+        self.peak = 0
+        self.refused = 0
+        self.admissions = 0
+        self.service_time_s = FIRST_SERVICE_TIME_S
+        self._admitted = {}
+        self._waiting = {}
+
+    def admit(self, node_id):
+        """Take a place; returns 0, or the milliseconds to come back in."""
+        now = trio.current_time()
+        self._forget(now)
+        if node_id not in self._admitted and len(self._admitted) >= self.limit:
+            return self._refuse(node_id, now)
+        self._waiting.pop(node_id, None)
+        self._admitted[node_id] = now
+        self.admissions += 1
+        self.peak = max(self.peak, len(self._admitted))
+        return 0
+
+    def finish(self, node_id):
+        """Free the place of a node that polled again."""
+        admitted_at = self._admitted.pop(node_id, None)
+        if admitted_at is None:
+            return
+        took_s = trio.current_time() - admitted_at
+        self.service_time_s += SERVICE_TIME_WEIGHT * (
+            took_s - self.service_time_s
+        )
+
+    def _refuse(self, node_id, now):
+        self.refused += 1
+        self._waiting[node_id] = now + MAX_RETRY_S
+        turns = len(self._waiting) / self.limit
+        # Jitter spreads the returns evenly over the time that all need.
+        delay_s = self.rng.uniform(0, 2 * turns * self.service_time_s)
+        delay_s = min(MAX_RETRY_S, MIN_RETRY_S + delay_s)
+        self._waiting[node_id] = now + 2 * delay_s
+        return int(1_000 * delay_s) + 1
+
+    def _forget(self, now):
+        """Drop places and waiters whose nodes did not come back."""
+        for node_id, admitted_at in list(self._admitted.items()):
+            if admitted_at + HOLD_LIMIT_S <= now:
+                del self._admitted[node_id]
+        self._waiting = {
+            node_id: due for node_id, due in self._waiting.items() if due > now
+        }
--- /dev/null
+++ b/snipelead/controls/tests/mesh.py
@@ -0,0 +1,157 @@
+"""Controls and nodes on an in-memory network."""
+
+from contextlib import asynccontextmanager
+import random
+
+import trio
+
+from snipelead.controls.client import SyncClient
+from snipelead.controls.service import ControlService
+from snipelead.nodes.directory import TargetDirectory
+from snipelead.nodes.holder import ReleaseHolder
+from snipelead.settings.schema import ControlSettings
+from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import NodeSettings
+from snipelead.settings.schema import Peer
+from snipelead.targets.local import LocalTargets
+from snipelead.testing.network import MemoryNetwork
+from snipelead.testing.source import FakeSource
+from snipelead.types import ControlRole
+from snipelead.types import Incarnation
+from snipelead.types import TargetState
+
+POLL_S = 0.01
+
+
+async def wait_until(condition):
+    """Wait in virtual time until a condition holds."""
+    while not condition():
+        await trio.sleep(POLL_S)
+
+
+def make_peers(zones, roles=()):
+    """Return a control in each of the zones, with an address each."""
+    roles = roles or [ControlRole.VOTER] * len(zones)
+    return tuple(
+        Peer(
+            control_id=f'c{index}',
+            zone=zone,
+            address=f'127.0.0.1:{7000 + index}',
+            role=role,
+        )
+        for index, (zone, role) in enumerate(zip(zones, roles, strict=True))
+    )
+
+
+class Control:
+    """A control of the mesh."""
+
+    def __init__(self, mesh, peer, source, **overrides):
+        self.address = peer.address
+        self.source = source
+        self.settings = ControlSettings(
+            control_id=peer.control_id,
+            zone=peer.zone,
+            address=peer.address,
+            operator_address=peer.address,
+            data_dir='unused',
+            peers=mesh.peers,
+            role=peer.role,
+            **overrides,
+        )
+        self.transport = mesh.network.transport(peer.address)
+        self.service = ControlService(
+            self.settings, source, self.transport, random.Random(mesh.seed)
+        )
+        self.scope = trio.CancelScope()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        handlers = self.source.handlers() | self.service.handlers()
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.source.run)
+                await nursery.start(
+                    self.transport.serve, self.address, handlers
+                )
+                await nursery.start(self.service.run)
+                task_status.started()
+
+
+class Node:
+    """A node of the mesh, with a record of the releases that it ran."""
+
+    def __init__(self, mesh, index, zone, incarnation=1):
+        self.address = f'127.0.0.1:{10000 + index}'
+        self.settings = NodeSettings(
+            node_id=f'n{index}',
+            zone=zone,
+            caller_address=self.address,
+            address=self.address,
+            admin_address=self.address,
+            controls=mesh.peers,
+        )
+        self.holder = ReleaseHolder()
+        self.numbers = []
+        self.holder.observers.append(
+            lambda release: self.numbers.append(release.number)
+        )
+        self.directory = TargetDirectory()
+        self.local = LocalTargets(f'n{index}', zone, self.address)
+        self.local.incarnation = Incarnation(incarnation)
+        self.transport = mesh.network.transport(self.address)
+        self.client = SyncClient(
+            self.settings,
+            self.transport,
+            self.holder,
+            self.directory,
+            self.local,
+            random.Random(f'{mesh.seed}-{index}'),
+        )
+        self.scope = trio.CancelScope()
+
+    @property
+    def number(self):
+        return self.holder.current.number
+
+    def announce(self, service='service-0', state=TargetState.SERVING):
+        self.local.announce(
+            f't-{self.settings.node_id}', service, self.address, 20, 130, state
+        )
+
+    def target_ids(self, service='service-0'):
+        return {e.target_id for e in self.directory.targets(service)}
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        with self.scope:
+            await self.client.run(task_status=task_status)
+
+
+class Mesh:
+    """Controls and nodes that tests start and stop."""
+
+    def __init__(self, nursery, peers, seed=1, **network):
+        self.nursery = nursery
+        self.peers = peers
+        self.seed = seed
+        self.network = MemoryNetwork(seed, **network)
+
+    async def start_control(self, index=0, source=None, **overrides):
+        overrides.setdefault('timings', ControlTimings())
+        control = Control(
+            self, self.peers[index], source or FakeSource(), **overrides
+        )
+        await self.nursery.start(control.run)
+        return control
+
+    async def start_node(self, index=0, zone='a', incarnation=1):
+        node = Node(self, index, zone, incarnation)
+        await self.nursery.start(node.run)
+        return node
+
+
+@asynccontextmanager
+async def open_mesh(zones=('a',), roles=(), seed=1, **network):
+    """Yield a mesh and stop all of it afterwards."""
+    async with trio.open_nursery() as nursery:
+        yield Mesh(nursery, make_peers(zones, roles), seed, **network)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/snipelead/controls/tests/test_sync.py
@@ -0,0 +1,265 @@
+from msgspec.structs import replace
+from testtools import TestCase
+import trio
+
+from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import wait_until
+from snipelead.messages import SyncReply
+from snipelead.messages import SyncRequest
+from snipelead.releases.document import Held
+from snipelead.settings.schema import ControlTimings
+from snipelead.testing.clock import run_in_virtual_time
+from snipelead.testing.releases import change_route
+from snipelead.testing.releases import make_release
+from snipelead.testing.source import FakeSource
+from snipelead.types import Preference
+
+
+async def _answer(control, message):
+    return await control.service.handlers()[type(message)](message)
+
+
+class SyncTest(TestCase):
+    def test_node_gets_release_and_becomes_ready(self):
+        async def run():
+            async with open_mesh() as mesh:
+                await mesh.start_control(0, FakeSource(make_release()))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                self.assertEqual(make_release().held, node.holder.current.held)
+
+        run_in_virtual_time(run)
+
+    def test_change_reaches_node_by_delta_at_once(self):
+        async def run():
+            async with open_mesh() as mesh:
+                first = make_release(services=230)
+                control = await mesh.start_control(0, FakeSource(first))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                await trio.sleep(1)
+                before = node.transport.stats.received_bytes
+                began = trio.current_time()
+                control.source.publish(change_route(first))
+                await wait_until(lambda: node.number == 2)
+                self.assertLess(trio.current_time() - began, 0.1)
+                received = node.transport.stats.received_bytes - before
+                self.assertLess(received, 600)
+
+        run_in_virtual_time(run)
+
+    def test_missed_changes_come_as_one_net_delta(self):
+        async def run():
+            async with open_mesh() as mesh:
+                release = make_release(services=230)
+                control = await mesh.start_control(0, FakeSource(release))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                mesh.network.cut(node.address, control.address)
+                for index in range(500):
+                    release = change_route(release, index % 20)
+                    control.source.publish(release)
+                await trio.sleep(60)
+                snapshots = control.service.gate.admissions
+                mesh.network.heal()
+                await wait_until(lambda: node.number == 501)
+                self.assertEqual([1, 501], node.numbers)
+                self.assertEqual(snapshots, control.service.gate.admissions)
+
+        run_in_virtual_time(run)
+
+    def test_unknown_base_leads_to_snapshot(self):
+        async def run():
+            async with open_mesh() as mesh:
+                release = make_release()
+                source = FakeSource(release, max_recent=1)
+                control = await mesh.start_control(0, source)
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                source.publish(change_route(release))
+                await wait_until(lambda: node.number == 2)
+                self.assertEqual(2, control.service.gate.admissions)
+
+        run_in_virtual_time(run)
+
+    def test_digest_mismatch_leads_to_snapshot(self):
+        async def run():
+            async with open_mesh() as mesh:
+                release = make_release(services=50)
+                control = await mesh.start_control(0, FakeSource(release))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                newer = change_route(release)
+                make_delta = control.service.updates.delta
+
+                def corrupt(held, target):
+                    reply = make_delta(held, change_route(newer))
+                    delta = replace(reply.delta, target=target.held)
+                    return SyncReply(delta=delta)
+
+                control.service.updates.delta = corrupt
+                control.source.publish(newer)
+                await wait_until(lambda: node.number == 2)
+                self.assertEqual(newer.held, node.holder.current.held)
+                self.assertFalse(node.client.follower.needs_snapshot)
+
+        run_in_virtual_time(run)
+
+    def test_node_never_obeys_a_control_that_is_behind(self):
+        async def run():
+            async with open_mesh(('a', 'a')) as mesh:
+                old = make_release()
+                new = change_route(old)
+                first = await mesh.start_control(0, FakeSource(new))
+                stale = FakeSource(old)
+                stale.certifies = False
+                second = await mesh.start_control(1, stale)
+                node = await mesh.start_node()
+                await wait_until(lambda: node.number == 2)
+                for _ in range(4):
+                    preferred = node.client.links.choose()
+                    node.client.links.defer(preferred)
+                    await trio.sleep(7)
+                self.assertEqual(sorted(node.numbers), node.numbers)
+                self.assertEqual(2, node.number)
+                # The second control was given the newer release by the node.
+                self.assertEqual(2, second.service.newest.number)
+                self.assertEqual(2, first.service.newest.number)
+
+        run_in_virtual_time(run)
+
+    def test_silent_link_is_replaced(self):
+        async def run():
+            async with open_mesh() as mesh:
+                release = make_release()
+                control = await mesh.start_control(0, FakeSource(release))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                mesh.network.cut(node.address, control.address)
+                control.source.publish(change_route(release))
+                await trio.sleep(30)
+                self.assertEqual(1, node.number)
+                mesh.network.heal()
+                began = trio.current_time()
+                await wait_until(lambda: node.number == 2)
+                self.assertLess(trio.current_time() - began, 8)
+
+        run_in_virtual_time(run)
+
+    def test_preference_for_bytes_batches(self):
+        async def run():
+            async with open_mesh() as mesh:
+                release = make_release()
+                control = await mesh.start_control(
+                    0, FakeSource(release), preference=Preference.BYTES
+                )
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                await trio.sleep(1)
+                for _ in range(10):
+                    release = change_route(release)
+                    control.source.publish(release)
+                    await trio.sleep(0.01)
+                await wait_until(lambda: node.number == 11)
+                self.assertEqual([1, 11], node.numbers)
+
+        run_in_virtual_time(run)
+
+    def test_poll_older_than_the_newest_is_refused(self):
+        async def run():
+            async with open_mesh() as mesh:
+                control = await mesh.start_control()
+                held = Held(0, '')
+                await _answer(control, SyncRequest('n', 1, 5, held))
+                error = None
+                try:
+                    await _answer(control, SyncRequest('n', 1, 4, held))
+                except Exception as caught:
+                    error = caught
+                self.assertEqual('SL2004', error.code)
+
+        run_in_virtual_time(run)
+
+
+class HerdTest(TestCase):
+    def test_snapshots_of_a_herd_stay_within_bound(self):
+        async def run():
+            async with open_mesh(max_delay_s=0.02) as mesh:
+                source = FakeSource(make_release(services=50))
+                control = await mesh.start_control(0, source, max_snapshots=8)
+                nodes = [await mesh.start_node(i) for i in range(200)]
+                began = trio.current_time()
+                await wait_until(lambda: all(n.holder.ready for n in nodes))
+                self.assertLessEqual(control.service.gate.peak, 8)
+                self.assertGreater(control.service.gate.refused, 0)
+                self.assertLess(trio.current_time() - began, 10)
+
+        run_in_virtual_time(run)
+
+    def test_herd_shares_certifications(self):
+        async def run():
+            async with open_mesh() as mesh:
+                source = FakeSource(make_release())
+                source.certify_s = 0.2
+                await mesh.start_control(0, source, max_snapshots=200)
+                nodes = [await mesh.start_node(i) for i in range(100)]
+                await wait_until(lambda: all(n.holder.ready for n in nodes))
+                self.assertLess(source.certifications, 5)
+
+        run_in_virtual_time(run)
+
+
+class FloorTest(TestCase):
+    def test_control_that_is_cut_off_gives_no_floor(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                old = make_release()
+                stale = FakeSource(old)
+                stale.certifies = False
+                await mesh.start_control(0, stale)
+                await mesh.start_control(1, FakeSource(change_route(old)))
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                self.assertEqual(2, node.number)
+
+        run_in_virtual_time(run)
+
+    def test_without_certificate_highest_in_reach_after_the_limit(self):
+        async def run():
+            async with open_mesh(('a', 'a')) as mesh:
+                old = make_release()
+                for index, release in enumerate((old, change_route(old))):
+                    source = FakeSource(release)
+                    source.certifies = False
+                    await mesh.start_control(index, source)
+                await trio.sleep(15)
+                began = trio.current_time()
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                self.assertEqual(2, node.number)
+                waited = trio.current_time() - began
+                self.assertGreaterEqual(waited, 10)
+                self.assertLess(waited, 15)
+
+        run_in_virtual_time(run)
+
+    def test_floor_includes_release_of_live_nodes_after_control_restart(self):
+        async def run():
+            timings = ControlTimings(target_lease_ms=12_000)
+            async with open_mesh() as mesh:
+                old = make_release()
+                control = await mesh.start_control(
+                    0, FakeSource(change_route(old)), timings=timings
+                )
+                survivor = await mesh.start_node(0)
+                await wait_until(lambda: survivor.holder.ready)
+                control.scope.cancel()
+                await trio.sleep(1)
+                behind = FakeSource(old)
+                behind.certifies = False
+                await mesh.start_control(0, behind, timings=timings)
+                restarted = await mesh.start_node(1)
+                await wait_until(lambda: restarted.holder.ready)
+                self.assertEqual(2, restarted.number)
+
+        run_in_virtual_time(run)
--- /dev/null
+++ b/snipelead/controls/tests/test_targets.py
@@ -0,0 +1,227 @@
+from testtools import TestCase
+import trio
+
+from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import wait_until
+from snipelead.testing.clock import run_in_virtual_time
+from snipelead.testing.releases import make_release
+from snipelead.testing.source import FakeSource
+from snipelead.types import TargetState
+
+
+async def _start_all(mesh, zones, nodes_per_zone=1, release=None):
+    """Start a control and nodes with targets in each zone."""
+    source = FakeSource(release or make_release())
+    controls = [await mesh.start_control(i, source) for i in range(len(zones))]
+    nodes = []
+    for zone in zones:
+        for _ in range(nodes_per_zone):
+            node = await mesh.start_node(len(nodes), zone)
+            node.directory.subscribe('service-0')
+            node.announce()
+            nodes.append(node)
+    every = {f't-n{index}' for index in range(len(nodes))}
+    for node in nodes:
+        await wait_until(lambda node=node: node.target_ids() == every)
+    return controls, nodes
+
+
+class TargetsTest(TestCase):
+    def test_targets_of_all_zones_reach_subscribers_soon(self):
+        async def run():
+            async with open_mesh(('a', 'b', 'c')) as mesh:
+                began = trio.current_time()
+                await _start_all(mesh, ('a', 'b', 'c'), 2)
+                self.assertLess(trio.current_time() - began, 2)
+
+        run_in_virtual_time(run)
+
+    def test_change_of_state_propagates_at_once(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                _, nodes = await _start_all(mesh, ('a', 'b'))
+                began = trio.current_time()
+                nodes[0].announce(state=TargetState.LEAVING)
+                await wait_until(
+                    lambda: (
+                        TargetState.LEAVING
+                        in {
+                            entry.state
+                            for entry in nodes[1].directory.targets(
+                                'service-0'
+                            )
+                        }
+                    )
+                )
+                self.assertLess(trio.current_time() - began, 0.1)
+
+        run_in_virtual_time(run)
+
+    def test_targets_of_other_services_are_not_sent(self):
+        async def run():
+            async with open_mesh() as mesh:
+                _, nodes = await _start_all(mesh, ('a',), 2)
+                nodes[0].local.announce(
+                    'other', 'service-1', nodes[0].address, 1, 1, 'serving'
+                )
+                await trio.sleep(1)
+                self.assertEqual(set(), nodes[1].target_ids('service-1'))
+                nodes[1].directory.subscribe('service-1')
+                await wait_until(
+                    lambda: nodes[1].target_ids('service-1') == {'other'}
+                )
+
+        run_in_virtual_time(run)
+
+    def test_target_withdrawn_by_its_node_is_gone(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                _, nodes = await _start_all(mesh, ('a', 'b'))
+                nodes[0].local.change_state('t-n0', TargetState.GONE)
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+                nodes[0].announce()
+                await wait_until(
+                    lambda: nodes[1].target_ids() == {'t-n0', 't-n1'}
+                )
+
+        run_in_virtual_time(run)
+
+    def test_leaving_node_takes_its_targets_with_it(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                controls, nodes = await _start_all(mesh, ('a', 'b'))
+                began = trio.current_time()
+                self.assertTrue(await nodes[0].client.leave())
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+                self.assertLess(trio.current_time() - began, 0.1)
+                status = await controls[1].service.fleet()
+                self.assertEqual(1, status.total)
+                self.assertEqual((), status.unreachable_nodes)
+
+        run_in_virtual_time(run)
+
+    def test_targets_of_a_silent_node_end_with_its_lease(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                _, nodes = await _start_all(mesh, ('a', 'b'))
+                began = trio.current_time()
+                nodes[0].scope.cancel()
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+                waited = trio.current_time() - began
+                self.assertLess(waited, 13)
+
+        run_in_virtual_time(run)
+
+    def test_target_of_a_node_that_comes_back_is_told_again(self):
+        async def run():
+            async with open_mesh(('a', 'a')) as mesh:
+                controls, nodes = await _start_all(mesh, ('a',), 2)
+                every = {'t-n0', 't-n1'}
+                for control in controls:
+                    mesh.network.cut(nodes[0].address, control.address)
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+                mesh.network.heal()
+                await wait_until(lambda: nodes[1].target_ids() == every)
+
+        run_in_virtual_time(run)
+
+    def test_restarted_control_does_not_empty_directories(self):
+        async def run():
+            async with open_mesh() as mesh:
+                (control,), nodes = await _start_all(mesh, ('a',), 3)
+                every = {'t-n0', 't-n1', 't-n2'}
+                shrunk = []
+                await trio.sleep(20)
+
+                async def watch(node):
+                    while True:
+                        await node.directory.wait_changed()
+                        if node.target_ids() != every:
+                            shrunk.append(node.target_ids())
+
+                for node in nodes:
+                    mesh.nursery.start_soon(watch, node)
+                control.scope.cancel()
+                await trio.sleep(3)
+                control = await mesh.start_control(0, control.source)
+                await trio.sleep(30)
+                self.assertFalse(control.service.warming)
+                self.assertEqual([], shrunk)
+
+        run_in_virtual_time(run)
+
+    def test_node_lost_during_restart_of_control_is_dropped_when_warm(self):
+        async def run():
+            async with open_mesh() as mesh:
+                (control,), nodes = await _start_all(mesh, ('a',), 2)
+                control.scope.cancel()
+                nodes[0].scope.cancel()
+                await trio.sleep(1)
+                await mesh.start_control(0, control.source)
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+
+        run_in_virtual_time(run)
+
+    def test_zone_that_is_cut_off_goes_on(self):
+        async def run():
+            zones = ('a', 'b', 'c')
+            async with open_mesh(zones) as mesh:
+                controls, nodes = await _start_all(mesh, zones, 2)
+                await trio.sleep(15)
+                inside = [controls[0].address]
+                inside += [node.address for node in nodes[:2]]
+                outside = [c.address for c in controls[1:]]
+                outside += [node.address for node in nodes[2:]]
+                for address in inside:
+                    mesh.network.isolate(address, outside)
+                await trio.sleep(60)
+                every = {f't-n{index}' for index in range(6)}
+                # Both sides keep what they cannot see, and go on changing.
+                self.assertEqual(every, nodes[0].target_ids())
+                self.assertEqual(every, nodes[5].target_ids())
+                nodes[0].local.change_state('t-n0', TargetState.GONE)
+                await wait_until(
+                    lambda: nodes[1].target_ids() == every - {'t-n0'}
+                )
+                self.assertEqual(every, nodes[5].target_ids())
+                mesh.network.heal()
+                await wait_until(
+                    lambda: nodes[5].target_ids() == every - {'t-n0'}
+                )
+
+        run_in_virtual_time(run)
+
+    def test_entries_of_a_zone_out_of_reach_expire_after_retention(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                controls, nodes = await _start_all(mesh, ('a', 'b'))
+                for part in (controls[0], nodes[0]):
+                    part.scope.cancel()
+                await trio.sleep(590)
+                self.assertEqual({'t-n0', 't-n1'}, nodes[1].target_ids())
+                await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
+
+        run_in_virtual_time(run)
+
+    def test_node_that_turned_to_another_control_is_not_shown_twice(self):
+        async def run():
+            async with open_mesh(('a', 'a')) as mesh:
+                source = FakeSource(make_release())
+                controls = [
+                    await mesh.start_control(i, source) for i in (0, 1)
+                ]
+                nodes = [await mesh.start_node(i) for i in range(4)]
+                for node in nodes:
+                    node.directory.subscribe('service-0')
+                    node.announce()
+                await trio.sleep(15)
+                controls[0].scope.cancel()
+                await trio.sleep(20)
+                # The lost control still counts the target that now leaves.
+                await nodes[0].client.leave()
+                others = {'t-n1', 't-n2', 't-n3'}
+                await wait_until(
+                    lambda: all(n.target_ids() == others for n in nodes[1:])
+                )
+
+        run_in_virtual_time(run)
--- /dev/null
+++ b/snipelead/controls/updates.py
@@ -0,0 +1,86 @@
+"""What leads a node from the release that it holds to the newest."""
+
+from collections import OrderedDict
+
+import msgspec
+from msgspec import Struct
+
+from snipelead.messages import Snapshot
+from snipelead.messages import SyncReply
+from snipelead.releases.delta import make_delta
+from snipelead.releases.packing import pack
+
+__all__ = ['UpdateMaker']
+
+MAX_CACHED_DELTAS = 256
+# Smaller deltas gain less from compression than the frame costs.
+MIN_PACKED_BYTES = 256
+
+
+class _CachedDelta(Struct, frozen=True):
+    """Reply with a delta; None when the snapshot is not larger."""
+
+    reply: SyncReply | None
+
+
+class UpdateMaker:
+    """Makes deltas and snapshots, each of them once.
+
+    Parameters
+    ----------
+    source : ReleaseSource
+        Where the bases of deltas are found.
+    """
+
+    def __init__(self, source):
+        self.source = source
+        self._snapshot = None
+        self._deltas = OrderedDict()
+
+    def snapshot(self, release):
+        """Return the snapshot of the newest release."""
+        if self._snapshot is None or self._snapshot.target != release.held:
+            self._snapshot = Snapshot(release.held, pack(release))
+        return self._snapshot
+
+    def delta(self, held, release):
+        """Return a reply with a net delta.
+
+        Parameters
+        ----------
+        held : Held
+            Release that the receiver holds.
+        release : Release
+            Release to lead to.
+
+        Returns
+        -------
+        SyncReply or None
+            None when the base is unknown or a snapshot is not larger.
+        """
+        key = (held, release.held)
+        cached = self._deltas.get(key)
+        if cached is None:
+            cached = self._make_delta(held, release)
+            if cached is None:
+                return None
+            self._deltas[key] = cached
+            if len(self._deltas) > MAX_CACHED_DELTAS:
+                self._deltas.popitem(last=False)
+        return cached.reply
+
+    def _make_delta(self, held, release):
+        base = self.source.find(held.digest)
+        if base is None or base.held != held:
+            return None
+        delta = make_delta(base, release)
+        plain_bytes = len(msgspec.msgpack.encode(delta))
+        packed = b''
+        if plain_bytes > MIN_PACKED_BYTES:
+            packed = pack(delta)
+        size = min(len(packed) or plain_bytes, plain_bytes)
+        if size >= len(self.snapshot(release).compressed):
+            return _CachedDelta(None)
+        if packed and len(packed) < plain_bytes:
+            return _CachedDelta(SyncReply(packed_delta=packed))
+        return _CachedDelta(SyncReply(delta=delta))
--- a/snipelead/nodes/directory.py
+++ b/snipelead/nodes/directory.py
@@ -1,11 +1,15 @@
 """A node's view of the targets of the services that it calls."""
 
+from collections import OrderedDict
+
 import trio
 
 from snipelead.types import TargetState
 
 __all__ = ['TargetDirectory', 'is_newer']
 
+MAX_TOMBSTONES = 1_000
+
 
 def is_newer(entry, known):
     """Tell whether a target entry supersedes another (or none)."""
@@ -34,6 +38,7 @@
         self.subscriptions = set()
         self._entries = {}
         self._by_service = {}
+        self._tombstones = OrderedDict()
         self._subscribed = trio.Event()
         self._changed = trio.Event()
 
@@ -63,20 +68,45 @@
         if update.whole:
             self._drop_missing({entry.target_id for entry in update.entries})
         for entry in update.entries:
-            self.merge(entry)
+            self._store(entry)
         self.epoch = update.epoch
         self.version = update.version
+        self._rebuild()
 
     def merge(self, entry):
-        """Take in one entry if it is newer than the one known."""
-        if not is_newer(entry, self._entries.get(entry.target_id)):
-            return
+        """Take in one entry unless a newer one is known."""
+        if self._store(entry):
+            self._rebuild()
+
+    def _store(self, entry):
+        known = self._entries.get(entry.target_id)
+        if known is not None and is_newer(known, entry):
+            return False
+        ended = entry.state is TargetState.GONE
+        if ended and not is_newer(entry, known):
+            # Only a lease ended: the same entry may come back.
+            del self._entries[entry.target_id]
+            return True
         self._entries[entry.target_id] = entry
-        self._rebuild()
+        self._track_tombstone(entry.target_id, ended)
+        return entry != known
+
+    def _track_tombstone(self, target_id, ended):
+        """Keep the newest tombstones, which outlive late older entries."""
+        self._tombstones.pop(target_id, None)
+        if not ended:
+            return
+        self._tombstones[target_id] = None
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            oldest, _ = self._tombstones.popitem(last=False)
+            del self._entries[oldest]
 
     def _drop_missing(self, kept):
-        self._entries = {k: v for k, v in self._entries.items() if k in kept}
-        self._rebuild()
+        self._entries = {
+            target_id: entry
+            for target_id, entry in self._entries.items()
+            if target_id in kept or target_id in self._tombstones
+        }
 
     def _rebuild(self):
         by_service = {}
--- a/snipelead/rpc/exceptions.py
+++ b/snipelead/rpc/exceptions.py
@@ -2,7 +2,12 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['RpcInternalError', 'RpcTimeoutError', 'RpcUnreachableError']
+__all__ = [
+    'RpcInternalError',
+    'RpcNotSentError',
+    'RpcTimeoutError',
+    'RpcUnreachableError',
+]
 
 
 class RpcUnreachableError(SnipeleadError):
@@ -21,3 +26,9 @@
     """The other process failed in an unforeseen way or sent nonsense."""
 
     code = 'SL6003'
+
+
+class RpcNotSentError(RpcUnreachableError):
+    """No connection could be opened; the call was not sent."""
+
+    code = 'SL6004'
--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -23,6 +23,7 @@
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
+from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
 
 __all__ = ['GrpcChannel', 'GrpcTransport', 'open_transport']
@@ -45,6 +46,22 @@
     return host.strip('[]'), int(port)
 
 
+class _ConnectError(Exception):
+    """The connection could not be opened."""
+
+
+async def _exchange(connection, method, payload):
+    """Connect if needed and make one call, under asyncio."""
+    try:
+        await connection.__connect__()
+    except OSError as error:
+        raise _ConnectError(str(error)) from error
+    stub = UnaryUnaryMethod(
+        connection, f'{SERVICE_PATH}/{method}', bytes, bytes
+    )
+    return await stub(payload)
+
+
 class GrpcChannel(Channel):
     """Channel over one HTTP/2 connection."""
 
@@ -62,17 +79,26 @@
 
     async def exchange(self, method, payload):
         """Send an encoded request and return the encoded envelope."""
-        stub = UnaryUnaryMethod(
-            self._connection(), f'{SERVICE_PATH}/{method}', bytes, bytes
-        )
+        connection = self._connection()
         try:
-            return await aio_as_trio(stub)(payload)
+            return await aio_as_trio(_exchange)(connection, method, payload)
+        except _ConnectError as error:
+            self._drop(connection)
+            raise RpcNotSentError(
+                f'cannot connect to {self.address}: {error}'
+            ) from error
         except (GRPCError, StreamTerminatedError, OSError) as error:
-            await self.reset()
+            self._drop(connection)
             raise RpcUnreachableError(
                 f'cannot reach {self.address}: {error}'
             ) from error
 
+    def _drop(self, connection):
+        """Close a connection that failed, unless it was replaced already."""
+        if self.connection is connection:
+            connection.close()
+            self.connection = None
+
     async def reset(self):
         """Drop the current connection; calls in flight on it fail."""
         if self.connection is not None:
--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -7,6 +7,7 @@
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
+from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
 
 __all__ = ['MemoryNetwork', 'MemoryTransport']
@@ -82,7 +83,7 @@
         await self.network.carry(self.source, self.address)
         server = self.network.servers.get(self.address)
         if server is None:
-            raise RpcUnreachableError(f'nothing listens on {self.address}')
+            raise RpcNotSentError(f'nothing listens on {self.address}')
         if self.network.random.random() < self.network.duplication:
             server.deliver(method, payload)
         answer = await server.run(method, payload)
--- /dev/null
+++ b/snipelead/testing/source.py
@@ -0,0 +1,120 @@
+"""Fake source of accepted releases."""
+
+from collections import OrderedDict
+
+import trio
+
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.source import ReleaseSource
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
+from snipelead.messages import ClaimReply
+from snipelead.messages import ClaimRequest
+from snipelead.messages import SettleReply
+from snipelead.messages import SettleRequest
+from snipelead.messages import SubmitReply
+from snipelead.messages import SubmitRequest
+from snipelead.releases.changes import apply_note
+from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.types import OutcomeKind
+
+__all__ = ['FakeSource']
+
+
+class FakeSource(ReleaseSource):
+    """Source that accepts what it is told to, without a quorum.
+
+    Attributes
+    ----------
+    certifies : bool
+        Whether it can prove itself current and accept changes.
+    certify_s : float
+        Time that a certification takes in seconds.
+    certifications : int
+        Certifications made.
+    """
+
+    def __init__(self, current=EMPTY_RELEASE, max_recent=1_000):
+        self.current = current
+        self.max_recent = max_recent
+        self.certifies = True
+        self.certify_s = 0.005
+        self.certifications = 0
+        self.recent = OrderedDict({current.digest: current})
+        self.claims = {}
+        self.notes = {}
+        self._changed = trio.Event()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Do nothing until cancelled."""
+        task_status.started()
+        await trio.sleep_forever()
+
+    def handlers(self):
+        """Return the procedures of a voter that do not need consensus."""
+        return {
+            CertifyRequest: self._answer_certify,
+            SubmitRequest: self._answer_submit,
+            ClaimRequest: self.claim,
+            SettleRequest: self.settle,
+        }
+
+    def publish(self, release):
+        """Make a release the newest accepted one."""
+        self.current = release
+        self.recent[release.digest] = release
+        if len(self.recent) > self.max_recent:
+            self.recent.popitem(last=False)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def find(self, digest):
+        """Return a recent release by digest, or None."""
+        return self.recent.get(digest)
+
+    async def wait_changed(self):
+        """Wait until ``current`` changes."""
+        await self._changed.wait()
+
+    async def certify(self):
+        """Return ``certifies`` after a while."""
+        self.certifications += 1
+        await trio.sleep(self.certify_s)
+        return self.certifies
+
+    async def submit(self, note):
+        """Apply a note, once."""
+        self._check_quorum()
+        if note.note not in self.notes:
+            self.publish(apply_note(self.current, note))
+            self.notes[note.note] = SubmitReply(
+                OutcomeKind.ACCEPTED, self.current.held
+            )
+        return self.notes[note.note]
+
+    async def claim(self, request):
+        """Grant a key to the first claimant."""
+        self._check_quorum()
+        key = (request.scope, request.key)
+        owner = self.claims.setdefault(key, request.claim_id)
+        return ClaimReply(owner == request.claim_id)
+
+    async def settle(self, request):
+        """Record nothing."""
+        self._check_quorum()
+        return SettleReply()
+
+    async def outcomes(self):
+        """Return the outcomes of all notes."""
+        return dict(self.notes)
+
+    async def _answer_certify(self, request):
+        certified = await self.certify()
+        return CertifyReply(self.current.held, certified)
+
+    async def _answer_submit(self, request):
+        return await self.submit(request.note)
+
+    def _check_quorum(self):
+        if not self.certifies:
+            raise NoQuorumError('the fake source has no quorum')
