--- /dev/null
+++ b/snipelead/callers/call.py
@@ -0,0 +1,144 @@
+"""What the system knows of one call while it handles it."""
+
+from msgspec import Struct
+import trio
+
+from snipelead.types import AttemptId
+from snipelead.types import Incarnation
+from snipelead.types import Ran
+from snipelead.types import RequestClass
+from snipelead.types import TargetId
+from snipelead.types import TenantName
+
+__all__ = ['Call', 'CallInfo']
+
+# Longest deadline that is accepted, in milliseconds.
+MAX_DEADLINE_MS = 60_000
+_CERTAINTY = {Ran.NO: 0, Ran.UNKNOWN: 1, Ran.YES: 2}
+
+
+class CallInfo(Struct, frozen=True, array_like=True):
+    """What a node tells the target's node about a forwarded request.
+
+    Parameters
+    ----------
+    target_id : TargetId
+        Target chosen.
+    incarnation : Incarnation
+        Life of the target's node that the sender knows.
+    attempt_id : AttemptId
+        Unique id of this attempt.
+    request_class : RequestClass
+        Service class.
+    tenant : TenantName
+        Tenant.
+    once : bool
+        Whether the attempt must not be admitted twice.
+    deadline_ms : int
+        Time left, in milliseconds.
+    """
+
+    target_id: TargetId
+    incarnation: Incarnation
+    attempt_id: AttemptId
+    request_class: RequestClass
+    tenant: TenantName
+    once: bool
+    deadline_ms: int
+
+
+class Call:
+    """One call.
+
+    Attributes
+    ----------
+    request_class : RequestClass
+        Service class.
+    tenant : TenantName
+        Tenant.
+    once : bool
+        Whether at most one attempt may reach a target.
+    deadline : float
+        When the answer must be there, in seconds of trio's clock.
+    scope : trio.CancelScope
+        Cancelled at the deadline or when the caller goes away.
+    ran : Ran
+        What is known of the current attempt; NO until it is sent.
+    earlier_ran : Ran
+        What is known of the earlier attempts.
+    gone : bool
+        Whether the caller went away.
+    answering : bool
+        Whether the answer has begun to be sent.
+    attempts : int
+        Attempts so far.
+    status : int
+        HTTP status of the answer, 0 before it.
+    queue_wait_s, target_s : float
+        Time in the queue and time that the target took, in seconds.
+    """
+
+    __slots__ = (
+        'answering',
+        'attempts',
+        'deadline',
+        'earlier_ran',
+        'gone',
+        'once',
+        'queue_wait_s',
+        'ran',
+        'request_class',
+        'scope',
+        'started_at',
+        'status',
+        'target_s',
+        'tenant',
+    )
+
+    def __init__(self, request_class, tenant, once, deadline_ms):
+        self.request_class = request_class
+        self.tenant = tenant
+        self.once = once
+        self.started_at = trio.current_time()
+        self.deadline = self.started_at + deadline_ms / 1_000
+        self.scope = trio.CancelScope(deadline=self.deadline)
+        self.ran = Ran.NO
+        self.earlier_ran = Ran.NO
+        self.gone = False
+        self.answering = False
+        self.attempts = 0
+        self.queue_wait_s = 0.0
+        self.target_s = 0.0
+        self.status = 0
+
+    @property
+    def outcome(self):
+        """What is known of all attempts together."""
+        return max(self.ran, self.earlier_ran, key=_CERTAINTY.get)
+
+    def begin_attempt(self):
+        """Count an attempt and keep what is known of those before."""
+        self.earlier_ran = self.outcome
+        self.ran = Ran.NO
+        self.attempts += 1
+
+    def remaining_ms(self):
+        """Return the time left in whole milliseconds, at least 0."""
+        return max(0, int((self.deadline - trio.current_time()) * 1_000))
+
+    def abandon(self):
+        """Cancel the call because its caller went away."""
+        self.gone = True
+        self.scope.cancel()
+
+    def info(self, entry, attempt_id, margin_ms):
+        """Return what the target's node is told of this call."""
+        return CallInfo(
+            entry.target_id,
+            entry.incarnation,
+            attempt_id,
+            self.request_class,
+            self.tenant,
+            self.once,
+            max(1, self.remaining_ms() - margin_ms),
+        )
--- /dev/null
+++ b/snipelead/callers/connections.py
@@ -0,0 +1,179 @@
+"""One task for each connection: requests are answered in their order."""
+
+import trio
+
+from snipelead.callers.events import CALL_FAILED
+from snipelead.callers.exceptions import BadRequestError
+from snipelead.callers.exceptions import CallError
+from snipelead.callers.exceptions import HeadRefusedError
+from snipelead.callers.exceptions import TooManyConnectionsError
+from snipelead.callers.exceptions import UpgradeUnsupportedError
+from snipelead.callers.execution import send_refusal
+from snipelead.callers.request import CallerReader
+from snipelead.callers.request import Request
+from snipelead.exceptions import InvariantError
+from snipelead.http.connection import Connection
+from snipelead.http.exceptions import HeadTooLargeError
+from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.exceptions import UpgradeRefusedError
+from snipelead.logs import log_event
+from snipelead.types import Ran
+
+__all__ = ['ConnectionServer']
+
+# A connection idle at the start of a drain still gets this long, in
+# seconds, for a request that is already on its way.
+DRAIN_IDLE_S = 0.5
+# Pause after an accept fails for want of descriptors, in seconds.
+ACCEPT_PAUSE_S = 0.1
+
+
+class ConnectionServer:
+    """Accepts connections and serves each in a task of its own.
+
+    Parameters
+    ----------
+    listener : socket.socket
+        Listening socket.
+    handle : callable
+        Coroutine function of connection and request that answers.
+    limits : NodeLimits
+        Limits of head, body and number of connections.
+    idle_s : float
+        A connection without a request is closed after this many seconds.
+    max_connections : int or None
+        Connections accepted at a time.
+
+    Attributes
+    ----------
+    connections : int
+        Connections open.
+    busy : int
+        Requests being answered.
+    draining : bool
+        Whether connections are closed after their current request.
+    """
+
+    def __init__(self, listener, handle, limits, idle_s, max_connections=None):
+        self.listener = listener
+        self.handle = handle
+        self.limits = limits
+        self.idle_s = idle_s
+        self.max_connections = max_connections
+        self.connections = 0
+        self.busy = 0
+        self.draining = False
+        self.idle_scopes = set()
+        self.accept_scope = trio.CancelScope()
+
+    async def run(self, nursery):
+        """Accept connections until draining."""
+        with self.listener, self.accept_scope:
+            while True:
+                await trio.lowlevel.wait_readable(self.listener)
+                if not self.accept_pending(nursery):
+                    await trio.sleep(ACCEPT_PAUSE_S)
+
+    def accept_pending(self, nursery):
+        """Accept all connections that wait.
+
+        Returns
+        -------
+        bool
+            False when the process has no descriptors left.
+        """
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                return False
+            self.connections += 1
+            nursery.start_soon(self.serve, Connection(sock))
+
+    def drain(self, nursery):
+        """Accept no more; close connections after their current request."""
+        self.accept_pending(nursery)
+        self.accept_scope.cancel()
+        self.draining = True
+        deadline = trio.current_time() + DRAIN_IDLE_S
+        for scope in self.idle_scopes:
+            scope.deadline = min(scope.deadline, deadline)
+
+    async def serve(self, connection):
+        """Serve one connection until it closes."""
+        reader = CallerReader(connection, self.limits)
+        try:
+            with connection:
+                if self._is_full():
+                    error = TooManyConnectionsError('too many connections')
+                    await self._refuse(connection, reader, error)
+                    return
+                while await self._serve_next(connection, reader):
+                    pass
+        finally:
+            self.connections -= 1
+
+    def _is_full(self):
+        limit = self.max_connections
+        return limit is not None and self.connections > limit
+
+    async def _serve_next(self, connection, reader):
+        """Answer one request; returns whether another may follow."""
+        try:
+            request = await self._next_request(reader)
+        except CallError as error:
+            await self._refuse(connection, reader, error)
+            return False
+        if request is None:
+            return False
+        request.keep_alive = request.keep_alive and not self.draining
+        await self._answer(connection, request)
+        if connection.closed:
+            return False
+        if not request.keep_alive or not request.complete:
+            await connection.finish()
+            return False
+        return not (self.draining and not reader.ready)
+
+    async def _answer(self, connection, request):
+        self.busy += 1
+        try:
+            await self.handle(connection, request)
+        except CallError as error:
+            await send_refusal(connection, request, error, error.ran)
+        except InvariantError:
+            raise
+        except Exception as error:
+            # One request must not end the calls of all others.
+            log_event(CALL_FAILED, error=repr(error))
+            connection.abort()
+        finally:
+            self.busy -= 1
+
+    async def _next_request(self, reader):
+        if reader.ready:
+            return reader.ready.popleft()
+        idle_s = DRAIN_IDLE_S if self.draining else self.idle_s
+        with trio.move_on_after(idle_s) as scope:
+            self.idle_scopes.add(scope)
+            try:
+                return await reader.next_request()
+            except HeadTooLargeError as error:
+                raise HeadRefusedError(error.message) from error
+            except UpgradeRefusedError as error:
+                raise UpgradeUnsupportedError(error.message) from error
+            except MalformedMessageError as error:
+                raise BadRequestError(error.message) from error
+            finally:
+                self.idle_scopes.discard(scope)
+        return None
+
+    async def _refuse(self, connection, reader, error):
+        """Answer what is no request, or none that is wanted, and close."""
+        await send_refusal(connection, Request(reader), error, Ran.NO)
+        if not connection.closed:
+            await connection.finish()
--- /dev/null
+++ b/snipelead/callers/path.py
@@ -0,0 +1,187 @@
+"""The call path of a node: callers, gate and forwarding."""
+
+import trio
+
+from snipelead.callers.claims import ClaimKeeper
+from snipelead.callers.connections import ConnectionServer
+from snipelead.callers.dispatcher import Dispatcher
+from snipelead.callers.events import CALL_PATH_LISTENING
+from snipelead.callers.events import DRAIN_ENDED
+from snipelead.callers.events import DRAIN_STARTED
+from snipelead.callers.watcher import CallWatcher
+from snipelead.callers.watcher import TICK_S
+from snipelead.http.connection import listen
+from snipelead.logs import log_event
+from snipelead.nodes.forwarding import Forwarder
+from snipelead.nodes.gates import Gates
+from snipelead.nodes.peer_service import IDLE_S as PEER_IDLE_S
+from snipelead.nodes.peer_service import PeerService
+from snipelead.routing.balancer import Balancer
+from snipelead.routing.policies import Policy
+from snipelead.targets.sender import TargetSender
+
+__all__ = ['CallPath']
+
+CALLER_IDLE_S = 60.0
+DRAIN_POLL_S = 0.01
+_TICKS_PER_SWEEP = 20
+
+
+class CallPath:
+    """Serves callers and other nodes.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of the node.
+    holder : ReleaseHolder
+        Release that requests are routed by.
+    directory : TargetDirectory
+        Known targets.
+    local : LocalTargets
+        Targets beside this node.
+    claims : SyncClient
+        Has ``claim`` and ``settle``.
+    metrics : NodeMetrics
+        Histograms.
+    policy : Policy
+        How targets are chosen.
+    seed : int or None
+        Seed of random choices.
+
+    Attributes
+    ----------
+    caller_address, address : Address
+        Where callers and other nodes connect, once listening.
+    """
+
+    def __init__(
+        self,
+        settings,
+        holder,
+        directory,
+        local,
+        claims,
+        metrics,
+        policy=Policy.OBSERVED,
+        seed=None,
+    ):
+        self.settings = settings
+        self.holder = holder
+        self.directory = directory
+        self.local = local
+        self.claims = claims
+        self.metrics = metrics
+        self.policy = policy
+        self.seed = seed
+        self.caller_address = settings.caller_address
+        self.address = settings.address
+        self.scope = trio.CancelScope()
+        self.nursery = None
+        self.servers = ()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled or drained."""
+        self._build()
+        with self.scope, self.sender, self.forwarder:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                self.keeper.nursery = nursery
+                for server in self.servers:
+                    nursery.start_soon(server.run, nursery)
+                nursery.start_soon(self._tick)
+                log_event(
+                    CALL_PATH_LISTENING,
+                    caller_address=self.caller_address,
+                    address=self.address,
+                )
+                task_status.started()
+
+    def _build(self):
+        settings = self.settings
+        limits = settings.limits
+        self.watcher = CallWatcher()
+        self.sender = TargetSender()
+        self.forwarder = Forwarder()
+        self.gates = Gates(self.local, self.sender, limits, TICK_S)
+        self.balancer = Balancer(
+            settings.zone,
+            self.directory,
+            limits.retry_ratio,
+            self.policy,
+            self.seed,
+        )
+        self.keeper = ClaimKeeper(self.claims, self._make_claim_id)
+        self.dispatcher = Dispatcher(
+            settings.node_id,
+            self.holder,
+            self.directory,
+            self.gates,
+            self.forwarder,
+            self.balancer,
+            self.keeper,
+            self.watcher,
+            self.metrics,
+        )
+        self.servers = self._make_servers(limits)
+
+    def _make_claim_id(self):
+        return f'c-{self.dispatcher.make_attempt_id()}'
+
+    def _make_servers(self, limits):
+        peers = PeerService(self.gates, self.watcher)
+        callers = listen(self.settings.caller_address)
+        nodes = listen(self.settings.address)
+        self.caller_address = _bound_address(callers)
+        self.address = _bound_address(nodes)
+        return (
+            ConnectionServer(
+                callers,
+                self.dispatcher.handle,
+                limits,
+                CALLER_IDLE_S,
+                limits.caller_connections,
+            ),
+            ConnectionServer(nodes, peers.handle, limits, PEER_IDLE_S),
+        )
+
+    async def _tick(self):
+        ticks = 0
+        while True:
+            await trio.sleep(TICK_S)
+            ticks += 1
+            self.watcher.tick()
+            self.gates.tick()
+            if ticks % _TICKS_PER_SWEEP == 0:
+                self.sender.pool.close_expired()
+                self.forwarder.pool.close_expired()
+                self.balancer.forget_gone()
+
+    @property
+    def in_flight(self):
+        """Requests being answered and settlements under way."""
+        busy = sum(server.busy for server in self.servers)
+        return busy + self.keeper.unsettled
+
+    async def drain(self):
+        """Take no new work, finish what is in flight, then stop.
+
+        What has not ended after ``grace_ms`` is cut.
+        """
+        log_event(DRAIN_STARTED, in_flight=self.in_flight)
+        self.gates.stopping = True
+        for server in self.servers:
+            server.drain(self.nursery)
+        with trio.move_on_after(self.settings.timings.grace_ms / 1_000):
+            while self.in_flight or self._open_connections():
+                await trio.sleep(DRAIN_POLL_S)
+        log_event(DRAIN_ENDED, cut=self.in_flight)
+        self.scope.cancel()
+
+    def _open_connections(self):
+        return sum(server.connections for server in self.servers)
+
+
+def _bound_address(listener):
+    host, port = listener.getsockname()[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- /dev/null
+++ b/snipelead/callers/relay.py
@@ -0,0 +1,76 @@
+"""Passing a target's answer on to the connection that asked."""
+
+import trio
+
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.http.exceptions import HeadTooLargeError
+from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.writing import encode_chunk
+from snipelead.http.writing import encode_head
+from snipelead.http.writing import frame_body
+from snipelead.http.writing import LAST_CHUNK
+from snipelead.http.writing import status_line
+
+__all__ = ['LOST_ERRORS', 'relay_answer']
+
+# Longest time without progress while the body of an answer is passed on.
+STALL_S = 30.0
+LOST_ERRORS = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
+_CLOSE = b'Connection: close'
+
+
+async def relay_answer(connection, request, call, answer, extra=()):
+    """Send a whole answer, its body as it arrives.
+
+    Parameters
+    ----------
+    connection : Connection
+        Where the request came from.
+    request : Request
+        The request.
+    call : Call
+        The call; its deadline ends the wait for the head of the answer and
+        a stall limit takes its place.
+    answer : GateAnswer or PeerAnswer
+        The answer.
+    extra : tuple of bytes
+        Header fields to add.
+
+    Raises
+    ------
+    ConnectionLostError
+        If either end was lost; the connection must then be aborted.
+    """
+    response = answer.response
+    framing, chunked = frame_body(response, request.version == '1.1')
+    lines = [*response.lines, *extra]
+    if framing == _CLOSE:
+        request.keep_alive = False
+    elif framing and not _is_length_invented(request, response):
+        lines.append(framing)
+    if not request.keep_alive:
+        lines.append(_CLOSE)
+    call.answering = True
+    call.status = response.status
+    data = response.take_received()
+    if chunked and data:
+        data = encode_chunk(data)
+    head = encode_head(status_line(response.status, response.reason), lines)
+    await connection.send(head + data if data else head)
+    if not response.complete:
+        await _relay_rest(connection, call, response, chunked)
+
+
+def _is_length_invented(request, response):
+    """Tell whether a HEAD answer did not state the length itself."""
+    stated = b'content-length' in response.fields
+    return request.method == b'HEAD' and not stated
+
+
+async def _relay_rest(connection, call, response, chunked):
+    call.scope.deadline = trio.current_time() + STALL_S
+    while data := await response.read():
+        await connection.send(encode_chunk(data) if chunked else data)
+        call.scope.deadline = trio.current_time() + STALL_S
+    if chunked:
+        await connection.send(LAST_CHUNK)
--- /dev/null
+++ b/snipelead/callers/request.py
@@ -0,0 +1,124 @@
+"""Requests as the call path reads them."""
+
+from snipelead.callers.exceptions import BadRequestError
+from snipelead.callers.exceptions import BodyTooLargeError
+from snipelead.callers.exceptions import CallerGoneError
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.reading import Message
+from snipelead.http.reading import RequestReader
+from snipelead.http.writing import encode_head
+
+__all__ = ['CallerReader', 'Request']
+
+CONTINUE = encode_head(b'HTTP/1.1 100 Continue', ())
+
+
+class Request(Message):
+    """A request whose body is limited in size.
+
+    Attributes
+    ----------
+    body_bytes : int
+        Largest body.
+    body_size : int
+        Bytes of the body read so far.
+    """
+
+    __slots__ = ('body_bytes', 'body_size', 'continued')
+
+    def __init__(self, reader):
+        super().__init__(reader)
+        self.body_bytes = reader.body_bytes
+        self.body_size = 0
+        self.continued = False
+
+    @property
+    def expects_continue(self):
+        """Whether the sender waits for leave to send the body."""
+        waits = self.fields.get(b'expect', b'').lower() == b'100-continue'
+        return waits and not self.continued and not self.complete
+
+    def check_size(self):
+        """Check the stated length of the body and what came of it.
+
+        Raises
+        ------
+        BodyTooLargeError
+            If it exceeds the limit.
+        """
+        received = sum(map(len, self.chunks))
+        if max(received, self.content_length or 0) > self.body_bytes:
+            self.refuse_size()
+
+    def refuse_size(self):
+        """Raise the error for a body that exceeds the limit."""
+        raise BodyTooLargeError(
+            f'the body exceeds {self.body_bytes} bytes',
+            limit=self.body_bytes,
+        )
+
+    async def allow_body(self):
+        """Tell the sender to go on when it waits for that."""
+        if self.expects_continue:
+            self.continued = True
+            await self.reader.connection.send(CONTINUE)
+
+    async def read(self):
+        """Return the next part of the body, or ``b''`` at its end.
+
+        Raises
+        ------
+        BadRequestError, BodyTooLargeError, CallerGoneError
+            If the body does not come whole.
+        """
+        try:
+            await self.allow_body()
+            data = await super().read()
+        except MalformedMessageError as error:
+            raise BadRequestError(error.message) from error
+        except ConnectionLostError as error:
+            raise CallerGoneError(error.message) from error
+        self.body_size += len(data)
+        if self.body_size > self.body_bytes:
+            self.refuse_size()
+        return data
+
+    async def buffer(self, limit):
+        """Receive the body up to a number of bytes.
+
+        The body stays readable; ``complete`` tells whether it is whole.
+        """
+        parts = []
+        size = 0
+        while size <= limit and (self.chunks or not self.complete):
+            data = await self.read()
+            if not data:
+                break
+            parts.append(data)
+            size += len(data)
+        self.body_size = 0
+        self.chunks.extendleft(reversed(parts))
+
+    async def discard(self):
+        """Read what is left of the body."""
+        while await self.read():
+            pass
+
+
+class CallerReader(RequestReader):
+    """Reads the requests of one connection.
+
+    Parameters
+    ----------
+    connection : Connection
+        The connection.
+    limits : NodeLimits
+        Limits of head and body.
+    """
+
+    message_class = Request
+
+    def __init__(self, connection, limits):
+        super().__init__(connection, limits.head_bytes)
+        self.body_bytes = limits.body_bytes
--- /dev/null
+++ b/snipelead/callers/tests/fakes.py
@@ -0,0 +1,279 @@
+"""Stand-ins for callers, targets, controls and links."""
+
+from contextlib import asynccontextmanager
+from functools import partial
+
+import msgspec
+from testtools import TestCase
+import trio
+
+from snipelead.callers.connections import ConnectionServer
+from snipelead.callers.path import CallPath
+from snipelead.http.connection import connect
+from snipelead.http.connection import listen
+from snipelead.http.reading import ResponseReader
+from snipelead.messages import ClaimReply
+from snipelead.metrics import NodeMetrics
+from snipelead.nodes.directory import TargetDirectory
+from snipelead.nodes.holder import ReleaseHolder
+from snipelead.releases.document import Release
+from snipelead.releases.document import Route
+from snipelead.releases.document import Service
+from snipelead.settings.schema import NodeLimits
+from snipelead.settings.schema import NodeSettings
+from snipelead.settings.schema import NodeTimings
+from snipelead.targets.local import LocalTargets
+from snipelead.types import RequestClass
+from snipelead.types import TargetState
+
+ANY_PORT = '127.0.0.1:0'
+TEST_TIMEOUT_S = 30.0
+
+ROUTES = (
+    Route('reads', 'stock', '/reads', repeatable=True, deadline_ms=10_000),
+    Route(
+        'orders',
+        'stock',
+        '/orders',
+        request_class=RequestClass.ONCE,
+        deadline_ms=10_000,
+    ),
+    Route(
+        'reports',
+        'stock',
+        '/reports',
+        request_class=RequestClass.BATCH,
+        repeatable=True,
+        deadline_ms=10_000,
+    ),
+)
+RELEASE = Release(
+    1, {'stock': Service('stock')}, {route.name: route for route in ROUTES}
+)
+
+
+def bound(listener):
+    """Return the address of a listening socket."""
+    host, port = listener.getsockname()
+    return f'{host}:{port}'
+
+
+async def until(condition):
+    """Wait until a condition holds; bounded by the test's timeout."""
+    while not condition():
+        await trio.sleep(0.001)
+
+
+class FakeTarget:
+    """HTTP server that logs what it runs; ``hold`` keeps answers back."""
+
+    def __init__(self):
+        self.listener = listen(ANY_PORT)
+        self.address = bound(self.listener)
+        self.runs = []
+        self.bodies = []
+        self.hold = None
+        self.answer = self.echo
+        self.running = 0
+        self.most_running = 0
+        self.cancelled = 0
+
+    async def run(self, task_status):
+        server = ConnectionServer(
+            self.listener, self.handle, NodeLimits(), 60.0
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run, nursery)
+            task_status.started()
+
+    async def handle(self, connection, request):
+        body = b''
+        while data := await request.read():
+            body += data
+        self.runs.append(request.url.decode())
+        self.bodies.append(body)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            if self.hold is not None:
+                await self.wait_released(connection)
+            await self.answer(connection, request, body)
+        finally:
+            self.running -= 1
+
+    async def wait_released(self, connection):
+        """Wait for the release, or for the node to hang up."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch_end, connection)
+            await self.hold.wait()
+            nursery.cancel_scope.cancel()
+
+    async def watch_end(self, connection):
+        if not await connection.receive():
+            self.cancelled += 1
+
+    async def echo(self, connection, request, body):
+        answer = body or request.url
+        await connection.send(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+            % (len(answer), answer)
+        )
+
+
+class FakeClaims:
+    """Control that grants each key once; ``error`` is raised instead."""
+
+    def __init__(self):
+        self.granted = {}
+        self.settled = []
+        self.error = None
+
+    async def claim(self, request):
+        if self.error is not None:
+            raise self.error
+        first = self.granted.setdefault(request.key, request)
+        if first is request:
+            return ClaimReply(True)
+        return ClaimReply(
+            False, mismatch=first.fingerprint != request.fingerprint
+        )
+
+    async def settle(self, request):
+        self.settled.append(request)
+
+
+class FakeNode:
+    """A call path with a target beside it."""
+
+    def __init__(self, name, zone='a', slots=20, limits=None, **settings):
+        settings.setdefault('caller_address', ANY_PORT)
+        settings.setdefault('address', ANY_PORT)
+        self.settings = NodeSettings(
+            node_id=name,
+            zone=zone,
+            admin_address=ANY_PORT,
+            controls=(),
+            limits=limits or NodeLimits(),
+            timings=NodeTimings(grace_ms=5_000),
+            **settings,
+        )
+        self.holder = ReleaseHolder()
+        self.holder.swap(RELEASE)
+        self.holder.ready = True
+        self.directory = TargetDirectory()
+        self.local = LocalTargets(name, zone, ANY_PORT)
+        self.claims = FakeClaims()
+        self.metrics = NodeMetrics()
+        self.target = FakeTarget()
+        self.target_id = f't-{name}'
+        self.slots = slots
+        self.path = CallPath(
+            self.settings,
+            self.holder,
+            self.directory,
+            self.local,
+            self.claims,
+            self.metrics,
+            seed=1,
+        )
+
+    @property
+    def entry(self):
+        return self.local.targets[self.target_id].entry
+
+    @property
+    def gate(self):
+        return self.path.gates.find(self.target_id)
+
+    async def start(self, nursery):
+        await nursery.start(self.target.run)
+        await nursery.start(partial(_run_path, self.path))
+        self.local.address = self.path.address
+        self.announce(TargetState.SERVING)
+
+    def announce(self, state):
+        self.local.announce(
+            self.target_id,
+            'stock',
+            self.target.address,
+            self.slots,
+            130,
+            state,
+        )
+
+    def learn(self, *nodes):
+        """Take the targets of other nodes into the directory."""
+        for node in nodes:
+            self.directory.merge(node.entry)
+
+
+async def _run_path(path, task_status):
+    await path.run(task_status=task_status)
+
+
+class Caller:
+    """Connection of a caller."""
+
+    def __init__(self, connection):
+        self.connection = connection
+        self.reader = ResponseReader(connection)
+
+    @classmethod
+    async def open(cls, address):
+        return cls(await connect(address))
+
+    async def send(self, path, method='GET', body=b'', **fields):
+        lines = [f'{method} {path} HTTP/1.1', 'Host: shop']
+        lines += [f'{n.replace("_", "-")}: {v}' for n, v in fields.items()]
+        if body or method == 'POST':
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join((*lines, '', '')).encode()
+        await self.connection.send(head + body)
+
+    async def receive(self):
+        """Return response and body of the next answer."""
+        response = await self.reader.next_response()
+        body = b''
+        while data := await response.read():
+            body += data
+        return response, body
+
+    async def call(self, path, method='GET', body=b'', **fields):
+        await self.send(path, method, body, **fields)
+        return await self.receive()
+
+
+def refusal_of(answer):
+    """Return code, ran and body of a refusal."""
+    response, body = answer
+    return (
+        response.fields[b'x-snipelead-code'].decode(),
+        response.fields[b'x-snipelead-ran'].decode(),
+        msgspec.json.decode(body),
+    )
+
+
+class CallPathTestCase(TestCase):
+    """Runs coroutine functions against nodes on loopback."""
+
+    def run_nodes(self, test, *nodes):
+        """Run a coroutine function while the nodes run."""
+
+        async def main():
+            with trio.fail_after(TEST_TIMEOUT_S):
+                async with running(*nodes) as nursery:
+                    await test(nursery)
+
+        trio.run(main)
+
+
+@asynccontextmanager
+async def running(*nodes):
+    """Run nodes that know of each other's targets."""
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            await node.start(nursery)
+        for node in nodes:
+            node.learn(*nodes)
+        yield nursery
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/snipelead/nodes/forwarding.py
@@ -0,0 +1,269 @@
+"""Requests that a node forwards to the node beside a target."""
+
+import msgspec
+import trio
+
+from snipelead.callers.exceptions import AnswerLostError
+from snipelead.callers.exceptions import CallError
+from snipelead.callers.exceptions import TargetUnreachableError
+from snipelead.exceptions import error_from_info
+from snipelead.exceptions import ErrorInfo
+from snipelead.http.exceptions import ConnectFailedError
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.http.exceptions import HeadTooLargeError
+from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.exceptions import SendFailedError
+from snipelead.http.pool import ConnectionPool
+from snipelead.http.writing import encode_head
+from snipelead.http.writing import frame_body
+from snipelead.http.writing import send_message
+from snipelead.http.writing import send_rest
+from snipelead.nodes.peer_messages import CALL_FIELD
+from snipelead.nodes.peer_messages import encode_field
+from snipelead.nodes.peer_messages import FENCE_FIELD
+from snipelead.nodes.peer_messages import FenceReply
+from snipelead.nodes.peer_messages import FenceRequest
+from snipelead.nodes.peer_messages import Load
+from snipelead.nodes.peer_messages import LOAD_FIELD
+from snipelead.nodes.peer_messages import SILENCE_S
+from snipelead.types import Ran
+
+__all__ = ['Forwarder', 'PeerAnswer']
+
+# Shorter than the limit of the serving side, see peer_service.IDLE_S.
+IDLE_S = 15.0
+MAX_IDLE = 64
+CONNECT_TIMEOUT_S = 1.0
+FENCE_TIMEOUT_S = 1.0
+# Time taken off the deadline so that a peer's answer arrives before it.
+DEADLINE_MARGIN_MS = 5
+_CONTINUE = 100
+_INTERIM_STATUS = range(100, 200)
+_LOST = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
+
+
+class _SilenceError(ConnectionLostError):
+    """The peer gave no sign of life in time."""
+
+    code = 'SL3107'
+
+
+class PeerAnswer:
+    """Answer that came through the node beside a target.
+
+    Attributes
+    ----------
+    response : Message
+        Response whose body is read as it arrives.
+    load : Load or None
+        Load of the target that rode on the answer.
+    """
+
+    __slots__ = ('address', 'load', 'pool', 'reader', 'response')
+
+    def __init__(self, pool, address, reader, response):
+        self.pool = pool
+        self.address = address
+        self.reader = reader
+        self.response = response
+        self.load = _decode_load(response)
+
+    def close(self):
+        """Give the connection back, or close it if the body was not read."""
+        if self.response.complete and self.response.keep_alive:
+            self.pool.release(self.address, self.reader)
+        else:
+            self.reader.connection.close()
+
+
+def _decode_load(response):
+    field = response.fields.get(LOAD_FIELD)
+    if field is None:
+        return None
+    try:
+        return msgspec.json.decode(field, type=Load)
+    except msgspec.DecodeError:
+        return None
+
+
+class Forwarder:
+    """Connections to other nodes; closes them on exit."""
+
+    def __init__(self):
+        self.pool = ConnectionPool(IDLE_S, MAX_IDLE)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.pool.__exit__(*exc_info)
+
+    async def send(self, entry, call, request, attempt_id):
+        """Forward a request and return its answer.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            Target chosen.
+        call : Call
+            The call; its ``ran`` is kept true throughout.
+        request : Request
+            The request.
+        attempt_id : AttemptId
+            Unique id of this attempt.
+
+        Returns
+        -------
+        PeerAnswer
+            Must be closed.
+
+        Raises
+        ------
+        CallError
+            If the request was refused or its answer was lost.
+        """
+        reader = await self._acquire(entry.address)
+        call.ran = Ran.UNKNOWN
+        try:
+            response = await self._exchange(
+                reader, entry, call, request, attempt_id
+            )
+            refusal = await _read_refusal(response)
+        except _LOST as error:
+            reader.connection.close()
+            await self._handle_loss(entry, call, attempt_id)
+            raise AnswerLostError(
+                f'the connection to {entry.address} was lost: {error.message}',
+                ran=call.ran,
+            ) from error
+        except BaseException:
+            reader.connection.close()
+            raise
+        answer = PeerAnswer(self.pool, entry.address, reader, response)
+        if refusal is not None:
+            answer.close()
+            call.ran = refusal.ran
+            raise refusal
+        call.ran = Ran.YES
+        return answer
+
+    async def _acquire(self, address, fresh=False):
+        take = self.pool.open if fresh else self.pool.acquire
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                return await take(address)
+            except ConnectFailedError as error:
+                raise TargetUnreachableError(error.message) from error
+        raise TargetUnreachableError(
+            f'{address} took no connection within {CONNECT_TIMEOUT_S} s'
+        )
+
+    async def _exchange(self, reader, entry, call, request, attempt_id):
+        info = call.info(entry, attempt_id, DEADLINE_MARGIN_MS)
+        lines = [*request.lines, encode_field(CALL_FIELD, info)]
+        line = b'%b %b HTTP/1.1' % (request.method, request.url)
+        with trio.CancelScope() as silence:
+            silence.deadline = trio.current_time() + SILENCE_S
+            if request.complete:
+                await send_message(reader.connection, line, lines, request)
+            else:
+                await self._offer_body(reader, line, lines, request, silence)
+            return await self._next_final(reader, request, silence)
+        raise _SilenceError(f'no sign of life for {SILENCE_S} s')
+
+    async def _offer_body(self, reader, line, lines, request, silence):
+        """Send a body that is still arriving once the peer admits it."""
+        framing, chunked = frame_body(request)
+        lines += (framing, b'Expect: 100-continue')
+        await reader.connection.send(encode_head(line, lines))
+        while not reader.ready or reader.ready[0].status != _CONTINUE:
+            if reader.ready and reader.ready[0].status >= 200:
+                return
+            if reader.ready:
+                reader.ready.popleft()
+            else:
+                await reader.receive()
+            silence.deadline = trio.current_time() + SILENCE_S
+        silence.deadline = float('inf')
+        try:
+            await send_rest(reader.connection, request, chunked)
+        except SendFailedError:
+            # The peer may answer early and close; its answer counts.
+            return
+        finally:
+            silence.deadline = trio.current_time() + SILENCE_S
+
+    async def _next_final(self, reader, request, silence):
+        while True:
+            response = await reader.next_response(request.method == b'HEAD')
+            if response.status not in _INTERIM_STATUS:
+                return response
+            silence.deadline = trio.current_time() + SILENCE_S
+
+    async def _handle_loss(self, entry, call, attempt_id):
+        """Find out about a request whose connection was lost.
+
+        Other pooled connections to the peer took the same way and may be
+        lost as well, so they are dropped.
+        """
+        self.pool.drop(entry.address)
+        if call.once:
+            call.ran = await self.fence(entry, attempt_id)
+
+    async def fence(self, entry, attempt_id):
+        """Withdraw an attempt, asking over a fresh connection.
+
+        Returns
+        -------
+        Ran
+            NO when the attempt provably never ran and never will.
+        """
+        request = FenceRequest(attempt_id, entry.incarnation)
+        lines = (
+            b'Host: ' + entry.address.encode(),
+            b'Content-Length: 0',
+            encode_field(FENCE_FIELD, request),
+        )
+        with trio.move_on_after(FENCE_TIMEOUT_S):
+            try:
+                reader = await self._acquire(entry.address, fresh=True)
+                with reader.connection as connection:
+                    head = encode_head(b'POST /fence HTTP/1.1', lines)
+                    await connection.send(head)
+                    response = await reader.next_response()
+                    return await _read_fence_reply(response)
+            except (CallError, *_LOST, msgspec.DecodeError):
+                return Ran.UNKNOWN
+        return Ran.UNKNOWN
+
+
+async def _read_whole(response):
+    parts = []
+    while data := await response.read():
+        parts.append(data)
+    return b''.join(parts)
+
+
+async def _read_fence_reply(response):
+    body = await _read_whole(response)
+    return msgspec.json.decode(body, type=FenceReply).ran
+
+
+async def _read_refusal(response):
+    """Return the error that the peer answered with, or None."""
+    code = response.fields.get(b'x-snipelead-code')
+    if code is None:
+        return None
+    body = await _read_whole(response)
+    # The answer to a HEAD request has no body.
+    told = msgspec.json.decode(body) if body else {}
+    retry_after = response.fields.get(b'x-retry-after-ms')
+    info = ErrorInfo(
+        code.decode(),
+        told.get('message', response.reason.decode()),
+        int(retry_after) if retry_after else None,
+        told.get('details', {}),
+    )
+    error = error_from_info(info)
+    error.ran = Ran(response.fields[b'x-snipelead-ran'].decode())
+    return error
--- /dev/null
+++ b/snipelead/nodes/gate.py
@@ -0,0 +1,293 @@
+"""Admission of requests to the target beside this node."""
+
+import trio
+
+from snipelead.callers.exceptions import OverloadedError
+from snipelead.callers.exceptions import TargetLeavingError
+from snipelead.callers.exceptions import WrongIncarnationError
+from snipelead.exceptions import InvariantError
+from snipelead.nodes.attempts import AttemptState
+from snipelead.nodes.fair_queue import FairQueue
+from snipelead.nodes.fair_queue import Waiter
+from snipelead.nodes.peer_messages import Load
+from snipelead.types import RequestClass
+from snipelead.types import TargetState
+
+__all__ = ['Gate']
+
+# Share of the slots that batch requests never take.
+RESERVED_SHARE = 0.25
+# Weight of the newest service time in the moving average.
+SMOOTHING = 0.1
+INITIAL_SERVICE_S = 0.005
+MIN_RETRY_AFTER_MS = 10
+
+
+class Gate:
+    """Admits requests to one target and sends them.
+
+    Parameters
+    ----------
+    target_id : TargetId
+        The target.
+    local : LocalTargets
+        Registry that knows its limits and state.
+    sender : TargetSender
+        Connections to targets.
+    attempts : AttemptTable
+        Attempts that must not be admitted twice.
+    limits : NodeLimits
+        Limits of the queue.
+
+    Attributes
+    ----------
+    in_flight : int
+        Slots in use.
+    queue : FairQueue
+        Requests that wait for a slot.
+    service_s : float
+        Moving average of the target's service time in seconds.
+    """
+
+    def __init__(self, target_id, local, sender, attempts, limits):
+        self.target_id = target_id
+        self.local = local
+        self.sender = sender
+        self.attempts = attempts
+        self.limits = limits
+        self.in_flight = 0
+        self.batch_in_flight = 0
+        self.queue = FairQueue()
+        self.service_s = INITIAL_SERVICE_S
+
+    @property
+    def slots(self):
+        """Requests that the target runs at a time; 0 when it is gone."""
+        target = self.local.targets.get(self.target_id)
+        return target.entry.slots if target else 0
+
+    async def send(self, call, request, attempt_id, incarnation):
+        """Admit a request, send it and return its answer.
+
+        Returns
+        -------
+        GateAnswer
+            Must be closed; the slot is held until then.
+
+        Raises
+        ------
+        CallError
+            If the request was refused or its answer was lost.
+        """
+        self.check_target(incarnation)
+        if call.once:
+            self.attempts.begin(attempt_id)
+        try:
+            await self.admit(call)
+        except BaseException:
+            self.mark(call, attempt_id, AttemptState.REFUSED)
+            raise
+        try:
+            return await self.exchange(call, request, attempt_id, incarnation)
+        except BaseException:
+            self.leave(call)
+            raise
+
+    def mark(self, call, attempt_id, state):
+        """Record the state of an attempt that must not be repeated."""
+        if not call.once:
+            return
+        if self.attempts.find(attempt_id) is not AttemptState.FENCED:
+            self.attempts.mark(attempt_id, state)
+
+    def check_target(self, incarnation):
+        """Return the target if it takes new work.
+
+        Raises
+        ------
+        WrongIncarnationError, TargetLeavingError
+            If it does not.
+        """
+        if incarnation != self.local.incarnation:
+            raise WrongIncarnationError(
+                'the node of the target was restarted',
+                current=self.local.incarnation,
+            )
+        target = self.local.targets.get(self.target_id)
+        if target is None or target.entry.state is TargetState.LEAVING:
+            raise TargetLeavingError(f'{self.target_id} takes no new work')
+        return target
+
+    async def exchange(self, call, request, attempt_id, incarnation):
+        """Send an admitted request and wait for the head of its answer."""
+        sent_at = trio.current_time()
+        try:
+            # The target may have begun to leave while the request waited.
+            address = self.check_target(incarnation).target_address
+            reader = await self.sender.acquire(address)
+        except BaseException:
+            self.mark(call, attempt_id, AttemptState.REFUSED)
+            raise
+        try:
+            if call.once:
+                self.attempts.mark_sent(attempt_id)
+            response = await self.sender.exchange(reader, call, request)
+        except BaseException:
+            reader.connection.close()
+            raise
+        self.mark(call, attempt_id, AttemptState.ANSWERED)
+        return GateAnswer(self, call, address, reader, response, sent_at)
+
+    # Slots
+
+    def has_slot(self, request_class):
+        """Tell whether a request of a class may start now."""
+        slots = self.slots
+        if self.in_flight >= slots:
+            return False
+        if request_class is not RequestClass.BATCH:
+            return True
+        return self.batch_in_flight < self.batch_slots(slots)
+
+    def batch_slots(self, slots):
+        """Return how many slots batch requests may take."""
+        return max(1, slots - max(1, int(slots * RESERVED_SHARE)))
+
+    def enter(self, request_class):
+        """Take a slot."""
+        if self.in_flight >= self.slots:
+            raise InvariantError(
+                f'{self.target_id} would run more than {self.slots} requests'
+            )
+        self.in_flight += 1
+        self.batch_in_flight += request_class is RequestClass.BATCH
+
+    def leave(self, call):
+        """Give a slot back and start the next requests."""
+        self.in_flight -= 1
+        self.batch_in_flight -= call.request_class is RequestClass.BATCH
+        self.start_waiting()
+
+    def start_waiting(self):
+        """Give free slots to waiting requests."""
+        while self.queue and self.in_flight < self.slots:
+            batch_allowed = self.has_slot(RequestClass.BATCH)
+            waiter = self.queue.pop(batch_allowed)
+            if waiter is None:
+                return
+            self.enter(waiter.request_class)
+            waiter.granted = True
+            waiter.done.set()
+
+    # Queue
+
+    async def admit(self, call):
+        """Take a slot for a call, waiting briefly for one.
+
+        Raises
+        ------
+        OverloadedError
+            If no slot can be had in time; raised at once when that is
+            foreseeable.
+        TargetLeavingError
+            If the target began to leave meanwhile.
+        """
+        if not self.queue and self.has_slot(call.request_class):
+            self.enter(call.request_class)
+            return
+        waiter = self.enqueue(call)
+        waited_from = trio.current_time()
+        try:
+            with trio.move_on_after(self.limits.queue_wait_ms / 1_000):
+                await waiter.done.wait()
+        except trio.Cancelled:
+            self.give_up(waiter, call)
+            raise
+        call.queue_wait_s += trio.current_time() - waited_from
+        if not waiter.granted:
+            self.queue.remove(waiter)
+            raise self.overloaded(call)
+
+    def enqueue(self, call):
+        """Put a call into the queue, or refuse it at once."""
+        self.check_wait(call)
+        capacity = max(1, int(self.slots * self.limits.queue_per_slot))
+        if len(self.queue) >= capacity and not self.queue.make_room(
+            call.request_class, call.tenant
+        ):
+            raise self.overloaded(call)
+        waiter = Waiter(call.request_class, call.tenant)
+        self.queue.push(waiter)
+        self.start_waiting()
+        return waiter
+
+    def check_wait(self, call):
+        """Refuse a call whose wait would exceed its limits."""
+        wait_s = self.estimate_wait_s(call)
+        time_left_s = call.remaining_ms() / 1_000
+        limit_s = self.limits.queue_wait_ms / 1_000
+        if wait_s > limit_s or wait_s + self.service_s > time_left_s:
+            raise self.overloaded(call)
+
+    def estimate_wait_s(self, call):
+        """Return how long a new request would wait, in seconds."""
+        ahead = self.queue.ahead_of(call.request_class, call.tenant)
+        return (ahead + 1) * self.service_s / max(1, self.slots)
+
+    def overloaded(self, call):
+        """Return the refusal of a call, with when to come back."""
+        wait_ms = int(self.estimate_wait_s(call) * 1_000)
+        return OverloadedError(
+            f'{self.target_id} is at its limit of {self.slots} requests',
+            retry_after_ms=max(MIN_RETRY_AFTER_MS, wait_ms),
+        )
+
+    def give_up(self, waiter, call):
+        """Withdraw a cancelled call from the queue."""
+        if waiter.granted:
+            self.leave(call)
+        else:
+            self.queue.remove(waiter)
+
+    def load(self, call):
+        """Return the load of the target, to ride on the answer to a call."""
+        return Load(
+            self.in_flight,
+            len(self.queue),
+            self.slots,
+            int(call.queue_wait_s * 1e6),
+            int(call.target_s * 1e6),
+        )
+
+    def observe(self, service_s):
+        """Take a service time into the moving average."""
+        self.service_s += SMOOTHING * (service_s - self.service_s)
+
+
+class GateAnswer:
+    """Answer of a target; holds a slot until it is closed.
+
+    Attributes
+    ----------
+    response : Message
+        Response whose body is read as it arrives.
+    """
+
+    __slots__ = ('address', 'call', 'gate', 'reader', 'response', 'sent_at')
+    # The gate itself knows the load; nothing has to ride on the answer.
+    load = None
+
+    def __init__(self, gate, call, address, reader, response, sent_at):
+        self.gate = gate
+        self.call = call
+        self.address = address
+        self.reader = reader
+        self.response = response
+        self.sent_at = sent_at
+
+    def close(self):
+        """Release the slot and the connection."""
+        gate = self.gate
+        gate.observe(trio.current_time() - self.sent_at)
+        gate.sender.release(self.address, self.reader, self.response)
+        gate.leave(self.call)
--- /dev/null
+++ b/snipelead/nodes/peer_messages.py
@@ -0,0 +1,82 @@
+"""Header fields and messages between nodes on the call path."""
+
+import msgspec
+from msgspec import Struct
+
+from snipelead.types import AttemptId
+from snipelead.types import Incarnation
+from snipelead.types import Ran
+
+__all__ = [
+    'CALL_FIELD',
+    'FENCE_FIELD',
+    'LOAD_FIELD',
+    'FenceRequest',
+    'Load',
+]
+
+CALL_FIELD = b'x-snipelead-call'
+FENCE_FIELD = b'x-snipelead-fence'
+LOAD_FIELD = b'x-snipelead-load'
+# Longest time without a sign of life while a peer holds a request.
+SILENCE_S = 1.0
+# Time between the signs of life that a peer sends.
+SIGN_OF_LIFE_S = 0.3
+
+_encode = msgspec.json.encode
+
+
+class Load(Struct, frozen=True, array_like=True):
+    """Load of a target as its node knows it.
+
+    Parameters
+    ----------
+    in_flight : int
+        Slots in use.
+    queued : int
+        Requests that wait.
+    slots : int
+        Slots of the target.
+    queue_us, target_us : int
+        Time that this request waited and time that the target took, in
+        microseconds.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    queue_us: int = 0
+    target_us: int = 0
+
+
+class FenceRequest(Struct, frozen=True, array_like=True):
+    """Asks that an attempt never be admitted any more.
+
+    Parameters
+    ----------
+    attempt_id : AttemptId
+        The attempt.
+    incarnation : Incarnation
+        Life of the node that the attempt was sent to.
+    """
+
+    attempt_id: AttemptId
+    incarnation: Incarnation
+
+
+class FenceReply(Struct, frozen=True, array_like=True):
+    """Answer to a fence request.
+
+    Parameters
+    ----------
+    ran : Ran
+        NO when the attempt never ran and never will; YES when its target
+        has answered; otherwise UNKNOWN.
+    """
+
+    ran: Ran
+
+
+def encode_field(name, value):
+    """Return a header field that holds a message."""
+    return b'%b: %b' % (name, _encode(value))
--- /dev/null
+++ b/snipelead/routing/balancer.py
@@ -0,0 +1,159 @@
+"""Choice of the target of each attempt."""
+
+import random
+
+import trio
+
+from snipelead.callers.exceptions import AnswerLostError
+from snipelead.callers.exceptions import NoTargetError
+from snipelead.callers.exceptions import OverloadedError
+from snipelead.callers.exceptions import StoppingError
+from snipelead.callers.exceptions import TargetLeavingError
+from snipelead.callers.exceptions import TargetUnreachableError
+from snipelead.callers.exceptions import WrongIncarnationError
+from snipelead.routing.budget import RetryBudget
+from snipelead.routing.observations import TargetObservation
+from snipelead.routing.policies import POLICIES
+from snipelead.routing.policies import Policy
+
+__all__ = ['Balancer']
+
+MIN_AVOID_S = 0.02
+_MS_PER_S = 1_000
+
+
+class Balancer:
+    """Chooses targets by this node's own observation.
+
+    Parameters
+    ----------
+    zone : ZoneName
+        Availability zone of this node.
+    directory : TargetDirectory
+        Known targets.
+    retry_ratio : float
+        Retries allowed for each first attempt of a route.
+    policy : Policy
+        How to choose.
+    seed : int or None
+        Seed of the random choices.
+    """
+
+    def __init__(
+        self,
+        zone,
+        directory,
+        retry_ratio,
+        policy=Policy.OBSERVED,
+        seed=None,
+    ):
+        self.zone = zone
+        self.directory = directory
+        self.retry_ratio = retry_ratio
+        self.policy = policy
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.turn = 0
+        self.observations = {}
+        self.known_services = set()
+        self.budgets = {}
+
+    def budget(self, route):
+        """Return the retry budget of a route."""
+        budget = self.budgets.get(route.name)
+        if budget is None:
+            budget = RetryBudget(self.retry_ratio)
+            self.budgets[route.name] = budget
+        return budget
+
+    def observations_of(self, service):
+        """Return the observations of all targets of a service."""
+        entries = self.directory.targets(service)
+        # Targets found with the first look at a service are not new.
+        ramps = service in self.known_services
+        found = [self._observe(entry, ramps) for entry in entries]
+        if entries:
+            self.known_services.add(service)
+        return found
+
+    def _observe(self, entry, ramps):
+        observation = self.observations.get(entry.target_id)
+        if observation is None:
+            observation = TargetObservation(entry, ramps)
+            self.observations[entry.target_id] = observation
+        elif observation.entry is not entry:
+            observation.update(entry)
+        return observation
+
+    def choose(self, service, tried=()):
+        """Choose a target.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service called.
+        tried : collection of TargetId
+            Targets that this call has tried already.
+
+        Returns
+        -------
+        TargetObservation
+
+        Raises
+        ------
+        NoTargetError
+            If no target can be used; says when one may be.
+        """
+        now = trio.current_time()
+        known = self.observations_of(service)
+        usable = [
+            o
+            for o in known
+            if o.entry.target_id not in tried and o.is_usable(now)
+        ]
+        if not usable:
+            raise self._no_target(service, known, now)
+        ready = [o for o in usable if o.avoided_until <= now]
+        return POLICIES[self.policy](self, ready or usable, now)
+
+    def _no_target(self, service, known, now):
+        returns = [o.ejected_until for o in known if o.ejected_until > now]
+        delay_ms = (
+            int((min(returns) - now) * _MS_PER_S) + 1 if returns else None
+        )
+        return NoTargetError(
+            f'no target of {service} can be used', retry_after_ms=delay_ms
+        )
+
+    def record_error(self, observation, error):
+        """Take the failure of an attempt into the observation."""
+        now = trio.current_time()
+        match error:
+            case AnswerLostError() | TargetUnreachableError():
+                observation.fail(now)
+            case OverloadedError():
+                retry_after_ms = error.retry_after_ms or 0
+                observation.refuse(
+                    now, max(MIN_AVOID_S, retry_after_ms / _MS_PER_S)
+                )
+            case (
+                TargetLeavingError()
+                | StoppingError()
+                | WrongIncarnationError()
+            ):
+                observation.leave()
+            case _:
+                observation.probing = False
+
+    def forget_gone(self):
+        """Forget targets that the directory no longer lists."""
+        listed = {
+            entry.target_id
+            for service in self.known_services
+            for entry in self.directory.targets(service)
+        }
+        self.observations = {
+            target_id: observation
+            for target_id, observation in self.observations.items()
+            if target_id in listed or observation.in_flight
+        }
--- /dev/null
+++ b/snipelead/routing/observations.py
@@ -0,0 +1,130 @@
+"""What a node has observed of each target."""
+
+import trio
+
+from snipelead.types import TargetState
+
+__all__ = ['TargetObservation']
+
+# Weight of the newest latency in the moving average.
+SMOOTHING = 0.2
+INITIAL_LATENCY_S = 0.005
+# A reported load loses half its weight after this time in seconds.
+LOAD_HALF_LIFE_S = 0.1
+# A new target's share grows to its full size over this time in seconds.
+RAMP_S = 5.0
+MIN_RAMP = 0.1
+FAILURES_TO_EJECT = 3
+EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+
+
+class TargetObservation:
+    """Own observation of one target.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this node that are under way to the target.
+    latency_s : float
+        Moving average of the time to an answer, in seconds.
+    reported_load : float
+        Slots in use and requests queued, as told by the last answer.
+    failures : int
+        Consecutive failures.
+    ejected_until : float
+        No request is sent before this time, but one probe after it.
+    avoided_until : float
+        The target refused; others are preferred until then.
+    """
+
+    def __init__(self, entry, ramps):
+        self.entry = entry
+        self.in_flight = 0
+        self.latency_s = INITIAL_LATENCY_S
+        self.reported_load = 0.0
+        self.reported_at = 0.0
+        self.first_seen_at = trio.current_time() if ramps else -RAMP_S
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.avoided_until = 0.0
+        self.probing = False
+        self.left_as = None
+
+    def update(self, entry):
+        """Take in a newer entry of the directory."""
+        if entry.incarnation != self.entry.incarnation:
+            self.failures = 0
+            self.ejected_until = 0.0
+            self.ejections = 0
+            self.probing = False
+        self.entry = entry
+
+    def is_usable(self, now):
+        """Tell whether a request may be sent to the target."""
+        if self.entry.state is not TargetState.SERVING:
+            return False
+        if self.left_as == (self.entry.incarnation, self.entry.sequence):
+            return False
+        if self.ejected_until == 0.0:
+            return True
+        return now >= self.ejected_until and not self.probing
+
+    def load(self, now):
+        """Return the estimated load of the target in requests."""
+        age = max(0.0, now - self.reported_at)
+        others = self.reported_load * 0.5 ** (age / LOAD_HALF_LIFE_S)
+        return max(self.in_flight, others)
+
+    def utilisation(self, now):
+        """Return the estimated load for each slot."""
+        return self.load(now) / max(1, self.entry.slots)
+
+    def cost(self, now):
+        """Return the expected cost of one more request; lower is better."""
+        ramp = min(1.0, max(MIN_RAMP, (now - self.first_seen_at) / RAMP_S))
+        per_slot = (self.load(now) + 1) / max(1, self.entry.slots)
+        return self.latency_s * per_slot / ramp
+
+    def begin(self, now):
+        """Count a request that is being sent."""
+        self.in_flight += 1
+        if self.ejected_until and now >= self.ejected_until:
+            self.probing = True
+
+    def end(self):
+        """Count the end of a request."""
+        self.in_flight -= 1
+
+    def succeed(self, latency_s):
+        """Record an answer and the time that it took in seconds."""
+        self.latency_s += SMOOTHING * (latency_s - self.latency_s)
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.probing = False
+
+    def report(self, load, now):
+        """Take in the load that rode on an answer."""
+        self.reported_load = load.in_flight + load.queued
+        self.reported_at = now
+
+    def fail(self, now):
+        """Record a lost answer or refused connection."""
+        self.failures += 1
+        if self.failures >= FAILURES_TO_EJECT or self.probing:
+            delay_s = min(MAX_EJECTION_S, EJECTION_S * 2**self.ejections)
+            self.ejections += 1
+            self.ejected_until = now + delay_s
+            self.probing = False
+
+    def refuse(self, now, retry_after_s):
+        """Record that the target's gate was full."""
+        self.avoided_until = now + retry_after_s
+        self.probing = False
+
+    def leave(self):
+        """Record that the target takes no new work until a newer entry."""
+        self.left_as = (self.entry.incarnation, self.entry.sequence)
+        self.probing = False
