Declare the error of a silent connection with the others

Cause: the error was declared beside its use, so the catalogue lacked it unless that module had been loaded; the catalogue test then depended on the order of tests.

Change: it is declared in the exceptions module of snipelead.http.

--- a/snipelead/http/exceptions.py
+++ b/snipelead/http/exceptions.py
@@ -8,6 +8,7 @@
     'HeadTooLargeError',
     'MalformedMessageError',
     'SendFailedError',
+    'SilentConnectionError',
     'UpgradeRefusedError',
 ]
 
@@ -46,3 +47,9 @@
     """The other end no longer takes bytes."""
 
     code = 'SL3106'
+
+
+class SilentConnectionError(ConnectionLostError):
+    """The other end gave no sign of life in time."""
+
+    code = 'SL3107'
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -13,6 +13,7 @@
 from snipelead.http.exceptions import HeadTooLargeError
 from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.exceptions import SendFailedError
+from snipelead.http.exceptions import SilentConnectionError
 from snipelead.http.pool import ConnectionPool
 from snipelead.http.writing import encode_head
 from snipelead.http.writing import frame_body
@@ -42,12 +43,6 @@
 _LOST = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
 
 
-class _SilenceError(ConnectionLostError):
-    """The peer gave no sign of life in time."""
-
-    code = 'SL3107'
-
-
 class PeerAnswer:
     """Answer that came through the node beside a target.
 
@@ -169,7 +164,7 @@
             else:
                 await self._offer_body(reader, line, lines, request, silence)
             return await self._next_final(reader, request, silence)
-        raise _SilenceError(f'no sign of life for {SILENCE_S} s')
+        raise SilentConnectionError(f'no sign of life for {SILENCE_S} s')
 
     async def _offer_body(self, reader, line, lines, request, silence):
         """Send a body that is still arriving once the peer admits it."""
