Serve operators and targets over HTTP

Cause: nothing answered operators or took announcements of targets. A lost answer stays unknown until some control settles it; in force is said only when every control could be asked for its nodes. Result: application, client and server tests pass, among them 1,005 requests on one connection (hypercorn alone closes it after 1,000) and a request in flight that is finished after the stop.

--- /dev/null
+++ b/snipelead/operators/client.py
@@ -0,0 +1,193 @@
+"""Client of the operators' interface, with failover among controls."""
+
+import httpx
+import msgspec
+import trio
+
+from snipelead.controls.exceptions import NoControlError
+from snipelead.exceptions import error_from_info
+from snipelead.exceptions import ErrorInfo
+from snipelead.exceptions import SnipeleadError
+from snipelead.operators.exceptions import ReleaseNotFoundError
+from snipelead.operators.exceptions import UnexpectedAnswerError
+from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import ReleaseList
+from snipelead.operators.messages import ReleaseStatus
+from snipelead.operators.messages import SubmitAnswer
+from snipelead.types import OutcomeKind
+
+__all__ = ['OperatorClient']
+
+CONNECT_TIMEOUT_S = 1.0
+ANSWER_TIMEOUT_S = 5.0
+ROUNDS = 2
+RETRY_PAUSE_S = 0.5
+
+UNKNOWN_ADVICE = 'unknown: read it back or resend the same note'
+# Answers to requests that were not even read as a note.
+_NOT_TAKEN = (400, 404, 405, 413)
+# Failures before a connection exists: nothing can have been received.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class OperatorClient:
+    """Talks to the controls on behalf of an operator.
+
+    A context manager that closes its connections.
+
+    Parameters
+    ----------
+    addresses : sequence of Address
+        Operator addresses of the controls, tried in this order.
+    timeout_s : float
+        Time that one control gets to answer, in seconds.
+    rounds : int
+        How often the list of addresses is gone through.
+    transport : httpx.AsyncBaseTransport or None
+        Stand-in for the network, in tests.
+    """
+
+    def __init__(
+        self,
+        addresses,
+        timeout_s=ANSWER_TIMEOUT_S,
+        rounds=ROUNDS,
+        transport=None,
+    ):
+        self.addresses = tuple(addresses)
+        self.timeout_s = timeout_s
+        self.rounds = rounds
+        self.transport = transport
+        timeout = httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S)
+        self.http = httpx.AsyncClient(
+            timeout=timeout, transport=transport, trust_env=False
+        )
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.http.aclose()
+
+    async def submit(self, text, note_id):
+        """Submit a release note until its outcome is known.
+
+        When an answer is lost, the same note is sent to the next control;
+        the controls apply it once and give the first outcome again.
+
+        Parameters
+        ----------
+        text : str
+            The note as YAML.
+        note_id : NoteId
+            Its id.
+
+        Returns
+        -------
+        SubmitAnswer
+            UNKNOWN if some answer was lost and none has settled it.
+
+        Raises
+        ------
+        NoControlError
+            If no control could be connected to; nothing took effect.
+        """
+        refusal = None
+        lost = False
+        for address in self.addresses * self.rounds:
+            try:
+                answer = await self._post_note(address, text, note_id)
+            except _NOT_SENT:
+                continue
+            except (httpx.HTTPError, UnexpectedAnswerError):
+                lost = True
+                continue
+            if answer.retry_after_ms is None:
+                return answer
+            lost = lost or answer.outcome is OutcomeKind.UNKNOWN
+            refusal = answer
+            await trio.sleep(RETRY_PAUSE_S)
+        if lost:
+            return SubmitAnswer(
+                OutcomeKind.UNKNOWN,
+                note_id,
+                code='SL2002',
+                message=UNKNOWN_ADVICE,
+            )
+        if refusal is None:
+            raise self._no_control()
+        return refusal
+
+    async def show_release(self, number):
+        """Read back one release; returns a :class:`ReleaseStatus`."""
+        return await self._read(f'/v1/releases/{number}', ReleaseStatus)
+
+    async def list_releases(self):
+        """Read back the remembered notes; returns a :class:`ReleaseList`."""
+        return await self._read('/v1/releases', ReleaseList)
+
+    async def show_fleet(self):
+        """Read back the fleet; returns a :class:`FleetStatus`."""
+        return await self._read('/v1/fleet', FleetStatus)
+
+    async def _post_note(self, address, text, note_id):
+        response = await self.http.post(
+            f'http://{address}/v1/releases',
+            content=text.encode(),
+            headers={'Content-Type': 'application/yaml'},
+        )
+        if response.status_code in _NOT_TAKEN:
+            info = _decode(address, response, ErrorInfo)
+            return SubmitAnswer(
+                OutcomeKind.REFUSED,
+                note_id,
+                code=info.code,
+                message=info.message,
+            )
+        return _decode(address, response, SubmitAnswer)
+
+    async def _read(self, path, answer_type):
+        """Read from the first control that proves itself current.
+
+        An answer that is not proved is returned when there is no better.
+        """
+        unproved = None
+        failure = None
+        for address in self.addresses * self.rounds:
+            try:
+                response = await self.http.get(f'http://{address}{path}')
+                answer = _open_answer(address, response, answer_type)
+            except ReleaseNotFoundError:
+                raise
+            except httpx.HTTPError:
+                continue
+            except SnipeleadError as error:
+                failure = error
+                continue
+            if answer.certified:
+                return answer
+            unproved = unproved or answer
+        if unproved is not None:
+            return unproved
+        raise failure or self._no_control()
+
+    def _no_control(self):
+        return NoControlError(
+            'no control answered at ' + ', '.join(self.addresses)
+        )
+
+
+def _decode(address, response, answer_type):
+    try:
+        return msgspec.json.decode(response.content, type=answer_type)
+    except msgspec.DecodeError as error:
+        raise UnexpectedAnswerError(
+            f'{address} answered {response.status_code} with an unreadable'
+            f' body: {error}'
+        ) from error
+
+
+def _open_answer(address, response, answer_type):
+    if response.status_code == 200:
+        return _decode(address, response, answer_type)
+    raise error_from_info(_decode(address, response, ErrorInfo))
--- /dev/null
+++ b/snipelead/operators/exceptions.py
@@ -0,0 +1,27 @@
+"""Errors of the operators' interface."""
+
+from snipelead.exceptions import SnipeleadError
+
+__all__ = [
+    'NotProvedCurrentError',
+    'ReleaseNotFoundError',
+    'UnexpectedAnswerError',
+]
+
+
+class ReleaseNotFoundError(SnipeleadError):
+    """No release with this number was accepted, or it is long superseded."""
+
+    code = 'SL4001'
+
+
+class NotProvedCurrentError(SnipeleadError):
+    """The control cannot prove now that it knows the newest release."""
+
+    code = 'SL4002'
+
+
+class UnexpectedAnswerError(SnipeleadError):
+    """An address gave an answer that no control gives."""
+
+    code = 'SL4003'
--- /dev/null
+++ b/snipelead/operators/tests/test_app.py
@@ -0,0 +1,183 @@
+import msgspec
+from testtools import TestCase
+import trio
+
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.operators.app import make_app
+from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import ReleaseList
+from snipelead.operators.messages import ReleaseState
+from snipelead.operators.messages import ReleaseStatus
+from snipelead.operators.messages import SubmitAnswer
+from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.testing.fleet import FakeService
+from snipelead.testing.fleet import FakeSource
+from snipelead.testing.fleet import make_node_status
+from snipelead.types import OutcomeKind
+
+NOTE = """
+release: {number}
+note: {note}
+changes:
+  - {{action: add, service: {{name: {service}}}}}
+"""
+
+
+def make_note(number=1, note='n1', service='stock'):
+    return NOTE.format(number=number, note=note, service=service)
+
+
+class OperatorAppTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.source = FakeSource()
+        self.service = FakeService({})
+
+    def request(self, method, path, body=None):
+        async def run():
+            app = make_app(self.service, self.source)
+            client = app.test_client()
+            response = await client.open(path, method=method, data=body)
+            return response, await response.get_data(as_text=False)
+
+        return trio.run(run)
+
+    def submit(self, text):
+        response, body = self.request('POST', '/v1/releases', text)
+        return response, msgspec.json.decode(body, type=SubmitAnswer)
+
+    def show(self, number):
+        response, body = self.request('GET', f'/v1/releases/{number}')
+        self.assertEqual(200, response.status_code, body)
+        return msgspec.json.decode(body, type=ReleaseStatus)
+
+    def test_accepted_note(self):
+        response, answer = self.submit(make_note())
+        self.assertEqual(200, response.status_code)
+        self.assertEqual(OutcomeKind.ACCEPTED, answer.outcome)
+        self.assertEqual(self.source.current.held, answer.held)
+
+    def test_refused_note(self):
+        self.submit(make_note())
+        response, answer = self.submit(make_note(1, 'other'))
+        self.assertEqual(409, response.status_code)
+        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+        self.assertEqual('SL7004', answer.code)
+
+    def test_unreadable_note_is_refused(self):
+        response, answer = self.submit('release: [')
+        self.assertEqual(409, response.status_code)
+        self.assertEqual('SL7001', answer.code)
+
+    def test_no_quorum_is_a_refusal_that_may_be_tried_again(self):
+        self.source.failures = [NoQuorumError('alone', retry_after_ms=1_500)]
+        response, answer = self.submit(make_note())
+        self.assertEqual(503, response.status_code)
+        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+        self.assertEqual(1_500, answer.retry_after_ms)
+        self.assertEqual('2', response.headers['Retry-After'])
+        self.assertEqual(EMPTY_RELEASE, self.source.current)
+
+    def test_lost_answer_is_unknown(self):
+        self.source.failures = [OutcomeUnknownError('lost')]
+        response, answer = self.submit(make_note())
+        self.assertEqual(503, response.status_code)
+        self.assertEqual(OutcomeKind.UNKNOWN, answer.outcome)
+
+    def test_in_force_once_all_live_nodes_confirmed(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        old = EMPTY_RELEASE.held
+        nodes = [make_node_status('a', held), make_node_status('b', old)]
+        self.service = FakeService.with_nodes(held, nodes)
+        status = self.show(1)
+        self.assertEqual(ReleaseState.ACCEPTED, status.state)
+        self.assertEqual((1, 2), (status.confirmed, status.nodes))
+        self.assertEqual(['b'], [n.node_id for n in status.lagging])
+        nodes = [make_node_status('a', held), make_node_status('b', held, 2)]
+        self.service = FakeService.with_nodes(held, nodes)
+        self.assertTrue(self.show(1).in_force)
+
+    def test_silent_nodes_are_named_and_do_not_count(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        old = EMPTY_RELEASE.held
+        silent = make_node_status('b', old, live=False)
+        nodes = [make_node_status('a', held), silent]
+        self.service = FakeService.with_nodes(held, nodes)
+        status = self.show(1)
+        self.assertTrue(status.in_force)
+        self.assertEqual(('b',), status.silent_nodes)
+
+    def test_unreachable_control_leaves_in_force_open(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        nodes = [make_node_status('a', held)]
+        self.service = FakeService.with_nodes(held, nodes, ['c2'])
+        status = self.show(1)
+        self.assertFalse(status.in_force)
+        self.assertEqual(ReleaseState.IN_FORCE_WHERE_KNOWN, status.state)
+        self.assertEqual(('c2',), status.unreachable_controls)
+
+    def test_no_live_node_is_not_in_force(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        self.service = FakeService.with_nodes(held, [])
+        self.assertEqual(ReleaseState.ACCEPTED, self.show(1).state)
+
+    def test_newer_report_of_a_node_wins(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        old = EMPTY_RELEASE.held
+        nodes = [
+            make_node_status('a', held, sequence=9),
+            make_node_status('a', old, sequence=8),
+        ]
+        self.service = FakeService.with_nodes(held, nodes)
+        status = self.show(1)
+        self.assertEqual((1, 1), (status.confirmed, status.nodes))
+
+    def test_superseded_release(self):
+        self.submit(make_note())
+        self.submit(make_note(2, 'n2', 'contracts'))
+        held = self.source.current.held
+        nodes = [make_node_status('a', held)]
+        self.service = FakeService.with_nodes(held, nodes)
+        status = self.show(1)
+        self.assertEqual(ReleaseState.SUPERSEDED, status.state)
+        self.assertEqual('n1', status.note)
+
+    def test_unknown_release_is_not_found(self):
+        response, body = self.request('GET', '/v1/releases/7')
+        self.assertEqual(404, response.status_code)
+        self.assertIn(b'SL4001', body)
+
+    def test_unproved_control_does_not_deny_a_release(self):
+        self.source.certified = False
+        response, body = self.request('GET', '/v1/releases/7')
+        self.assertEqual(503, response.status_code)
+        self.assertIn(b'SL4002', body)
+
+    def test_list_has_newest_first(self):
+        self.submit(make_note())
+        self.submit(make_note(1, 'late'))
+        self.submit(make_note(2, 'n2', 'contracts'))
+        _, body = self.request('GET', '/v1/releases')
+        listed = msgspec.json.decode(body, type=ReleaseList)
+        self.assertEqual(['n2', 'n1', 'late'], [n.note for n in listed.notes])
+
+    def test_fleet_names_unreachable_controls(self):
+        held = EMPTY_RELEASE.held
+        nodes = [make_node_status('a', held)]
+        self.service = FakeService.with_nodes(held, nodes, ['c2', 'c3'])
+        _, body = self.request('GET', '/v1/fleet')
+        status = msgspec.json.decode(body, type=FleetStatus)
+        self.assertEqual(('c2', 'c3'), status.unreachable_controls)
+        self.assertEqual(['c1'], [c.control_id for c in status.controls])
+        self.assertEqual(['a'], [n.node_id for n in status.nodes])
+
+    def test_unknown_path_is_a_coded_error(self):
+        response, body = self.request('GET', '/v2/nothing')
+        self.assertEqual(404, response.status_code)
+        self.assertIn(b'SL4006', body)
--- /dev/null
+++ b/snipelead/targets/app.py
@@ -0,0 +1,163 @@
+"""HTTP interface of a node for the target beside it."""
+
+from msgspec import Struct
+from quart import Response
+
+from snipelead.logs import log_event
+from snipelead.targets.events import TARGET_ANNOUNCED
+from snipelead.targets.events import TARGET_GONE
+from snipelead.targets.events import TARGET_LEAVING
+from snipelead.targets.exceptions import UnknownTargetError
+from snipelead.types import Address
+from snipelead.types import ServiceName
+from snipelead.types import TargetId
+from snipelead.types import TargetState
+from snipelead.utils.http import error_response
+from snipelead.utils.http import json_response
+from snipelead.utils.http import make_quart
+from snipelead.utils.http import metrics_response
+from snipelead.utils.http import read_json
+from snipelead.utils.validation import check_address
+from snipelead.utils.validation import check_name
+from snipelead.utils.validation import check_parameters
+from snipelead.utils.validation import Interval
+from snipelead.utils.validation import Options
+
+__all__ = ['Announcement', 'make_app']
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_SLOTS = 100_000
+
+
+class Announcement(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a target tells its node about itself.
+
+    Parameters
+    ----------
+    target_id : TargetId
+        Unique id.
+    service : ServiceName
+        Service that it belongs to.
+    address : Address
+        Where it listens.
+    slots, connections : int
+        Requests that it runs at a time, connections that it accepts.
+    state : TargetState
+        ``starting`` while it warms up, else ``serving``.
+    """
+
+    target_id: TargetId
+    service: ServiceName
+    address: Address
+    slots: int = 20
+    connections: int = 130
+    state: TargetState = TargetState.SERVING
+
+
+_LIMIT = Interval(int, 1, MAX_SLOTS)
+_CONSTRAINTS = {
+    'slots': [_LIMIT],
+    'connections': [_LIMIT],
+    'state': [Options((TargetState.STARTING, TargetState.SERVING))],
+}
+
+
+def check_announcement(announcement):
+    """Check the values of an announcement.
+
+    Raises
+    ------
+    InvalidParameterError
+        Naming the parameter, the value got and the values allowed.
+    """
+    owner = 'announcement'
+    check_name(owner, 'target_id', announcement.target_id)
+    check_name(owner, 'service', announcement.service)
+    check_address(owner, 'address', announcement.address)
+    values = {name: getattr(announcement, name) for name in _CONSTRAINTS}
+    check_parameters(owner, values, _CONSTRAINTS)
+
+
+def _announce(local, announcement):
+    check_announcement(announcement)
+    local.announce(
+        announcement.target_id,
+        announcement.service,
+        announcement.address,
+        announcement.slots,
+        announcement.connections,
+        announcement.state,
+    )
+    log_event(
+        TARGET_ANNOUNCED,
+        target=announcement.target_id,
+        service=announcement.service,
+        state=announcement.state.value,
+    )
+
+
+def _check_known(local, target_id):
+    if target_id not in local.targets:
+        raise UnknownTargetError(f'target {target_id!r} is not announced here')
+
+
+def _no_content():
+    return Response(b'', status=204)
+
+
+def make_app(local, metrics=None, status=None):
+    """Make the application on a node's admin address.
+
+    Parameters
+    ----------
+    local : LocalTargets
+        Registry of the targets beside the node.
+    metrics : NodeMetrics or None
+        Shown at ``/metrics``.
+    status : callable or None
+        Returns what ``/v1/status`` shows.
+
+    Returns
+    -------
+    QuartTrio
+    """
+    app = make_quart(__name__, MAX_BODY_BYTES)
+
+    @app.post('/v1/targets')
+    async def announce():
+        _announce(local, await read_json(Announcement))
+        return _no_content()
+
+    @app.post('/v1/targets/<target_id>/renew')
+    async def renew(target_id):
+        _check_known(local, target_id)
+        local.renew(target_id)
+        return _no_content()
+
+    @app.post('/v1/targets/<target_id>/leaving')
+    async def leave(target_id):
+        _check_known(local, target_id)
+        local.change_state(target_id, TargetState.LEAVING)
+        log_event(TARGET_LEAVING, target=target_id)
+        return _no_content()
+
+    @app.delete('/v1/targets/<target_id>')
+    async def withdraw(target_id):
+        if target_id in local.targets:
+            local.change_state(target_id, TargetState.GONE)
+            log_event(TARGET_GONE, target=target_id)
+        return _no_content()
+
+    @app.get('/v1/status')
+    async def show_status():
+        return json_response({} if status is None else status())
+
+    @app.get('/metrics')
+    async def show_metrics():
+        return metrics_response(metrics)
+
+    @app.errorhandler(UnknownTargetError)
+    async def answer_unknown(error):
+        return error_response(error, 404)
+
+    return app
--- /dev/null
+++ b/snipelead/utils/tests/test_http.py
@@ -0,0 +1,73 @@
+from functools import partial
+
+import httpx
+from testtools import TestCase
+import trio
+from trio.testing import wait_all_tasks_blocked
+
+from snipelead.utils.http import json_response
+from snipelead.utils.http import make_quart
+from snipelead.utils.http import serve_app
+
+
+class ServeAppTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.entered = trio.Event()
+        self.finish = trio.Event()
+        self.stop = trio.Event()
+        self.app = make_quart(__name__, 1_000)
+
+        @self.app.get('/slow')
+        async def slow():
+            self.entered.set()
+            await self.finish.wait()
+            return json_response('whole')
+
+        @self.app.get('/fast')
+        async def fast():
+            return json_response('fast')
+
+    async def start(self, nursery):
+        address = await nursery.start(
+            partial(serve_app, self.app, '127.0.0.1:0', stop=self.stop)
+        )
+        return f'http://{address}'
+
+    def test_request_in_flight_is_finished_after_stop(self):
+        async def run():
+            answers = []
+
+            async def read_slow(url):
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    answers.append(await client.get(f'{url}/slow'))
+
+            async with trio.open_nursery() as nursery:
+                url = await self.start(nursery)
+                nursery.start_soon(read_slow, url)
+                await self.entered.wait()
+                self.stop.set()
+                await wait_all_tasks_blocked()
+                self.finish.set()
+            return answers[0]
+
+        response = trio.run(run)
+        self.assertEqual('whole', response.json())
+
+    def test_connection_outlives_a_thousand_requests(self):
+        async def run():
+            async with trio.open_nursery() as nursery:
+                url = await self.start(nursery)
+                limits = httpx.Limits(max_connections=1)
+                async with httpx.AsyncClient(
+                    limits=limits, trust_env=False
+                ) as client:
+                    streams = set()
+                    for _ in range(1_005):
+                        response = await client.get(f'{url}/fast')
+                        network = response.extensions['network_stream']
+                        streams.add(network.get_extra_info('client_addr'))
+                self.stop.set()
+            return streams
+
+        self.assertEqual(1, len(trio.run(run)))
--- a/snipelead/utils/validation.py
+++ b/snipelead/utils/validation.py
@@ -17,9 +17,12 @@
     'check_interval',
     'check_name',
     'check_parameters',
+    'is_address',
+    'is_name',
 ]
 
 MAX_NAME_CHARS = 120
+MAX_PORT = 65_535
 _NAME_PUNCTUATION = frozenset('-_.:/')
 
 
@@ -75,7 +78,8 @@
         case Interval() | Options():
             return str(constraint)
         case _:
-            return getattr(constraint, '__doc__', None) or repr(constraint)
+            text = getattr(constraint, '__doc__', None) or repr(constraint)
+            return text.rstrip('.')
 
 
 def check_parameters(owner, values, constraints):
@@ -114,6 +118,25 @@
     return value
 
 
+def is_address(value):
+    """IP:port with an IP number and a port from 0 to 65535."""
+    host, _, port = str(value).rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        return port.isdecimal() and 0 <= int(port) <= MAX_PORT
+    except ValueError:
+        return False
+
+
+def is_name(value):
+    """1 to 120 letters, digits or any of -_.:/."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARS
+        and all(c.isalnum() or c in _NAME_PUNCTUATION for c in value)
+    )
+
+
 def check_address(owner, name, value):
     """Check that a value is ``IP:port`` and return it.
 
@@ -122,36 +145,17 @@
     InvalidParameterError
         If the host is not an IP number or the port is out of range.
     """
-    host, _, port = str(value).rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-        valid = port.isdigit() and 0 <= int(port) <= 65535
-    except ValueError:
-        valid = False
-    if not valid:
-        raise InvalidParameterError(
-            f'{owner}: {name!r} must be IP:port with a port from 0 to 65535,'
-            f' got {value!r}',
-            parameter=name,
-            got=repr(value),
-            allowed='IP:port',
-        )
+    check_parameters(owner, {name: value}, {name: [is_address]})
     return value
 
 
 def check_name(owner, name, value):
-    """Check an identifier used in releases and settings and return it."""
-    valid = (
-        isinstance(value, str)
-        and 0 < len(value) <= MAX_NAME_CHARS
-        and all(c.isalnum() or c in _NAME_PUNCTUATION for c in value)
-    )
-    if not valid:
-        raise InvalidParameterError(
-            f'{owner}: {name!r} must be 1 to {MAX_NAME_CHARS} letters, digits'
-            f' or any of -_.:/, got {value!r}',
-            parameter=name,
-            got=repr(value),
-            allowed=f'1 to {MAX_NAME_CHARS} letters, digits or -_.:/',
-        )
+    """Check an identifier used in releases and settings and return it.
+
+    Raises
+    ------
+    InvalidParameterError
+        If the identifier is empty, too long or holds other characters.
+    """
+    check_parameters(owner, {name: value}, {name: [is_name]})
     return value
