Add the command line and strict settings

Cause: the processes could not be started and mistyped settings were refused without the value got or the keys allowed. Result: tests of exit codes, JSON, progress and each kind of refusal pass.

--- /dev/null
+++ b/snipelead/cli/tests/test_commands.py
@@ -0,0 +1,222 @@
+from pathlib import Path
+
+from cleo.testers.application_tester import ApplicationTester
+from fixtures import EnvironmentVariable
+from fixtures import MonkeyPatch
+from fixtures import TempDir
+import httpx
+import msgspec
+from testtools import TestCase
+
+from snipelead.cli.application import make_application
+from snipelead.cli.bench import BenchCommand
+from snipelead.cli.command import CONTROLS_VARIABLE
+from snipelead.cli.command import SnipeleadCommand
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.operators.app import make_app
+from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.testing.fleet import FakeService
+from snipelead.testing.fleet import FakeSource
+from snipelead.testing.fleet import make_node_status
+
+NOTE = """
+release: 1
+note: n1
+changes:
+  - {action: add, service: {name: stock}}
+"""
+
+
+class GrowingService(FakeService):
+    """Shows one more confirming node each time it is asked."""
+
+    def __init__(self, source, size):
+        super().__init__({'c1': None})
+        self.source = source
+        self.size = size
+        self.confirmed = 0
+
+    async def fleet(self):
+        nodes = [
+            make_node_status(
+                f'node-{i}',
+                self.source.current.held
+                if i < self.confirmed
+                else EMPTY_RELEASE.held,
+            )
+            for i in range(self.size)
+        ]
+        self.confirmed += 1
+        held = self.source.current.held
+        return await FakeService.with_nodes(held, nodes).fleet()
+
+
+class CommandsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = Path(self.useFixture(TempDir()).path)
+        self.note = self.directory / 'note.yaml'
+        self.note.write_text(NOTE)
+        self.source = FakeSource()
+        self.service = GrowingService(self.source, 2)
+        app = make_app(self.service, self.source)
+        self.useFixture(EnvironmentVariable(CONTROLS_VARIABLE, '127.0.0.1:1'))
+        self.useFixture(
+            MonkeyPatch(
+                'snipelead.cli.command.SnipeleadCommand.transport',
+                httpx.ASGITransport(app),
+            )
+        )
+        self.tester = ApplicationTester(make_application())
+
+    def run_command(self, arguments, expected):
+        code = self.tester.execute(arguments)
+        self.errors = self.tester.io.fetch_error()
+        self.assertEqual(expected, code, self.errors)
+        return self.tester.io.fetch_output()
+
+    def read_json(self, arguments, expected=0):
+        return msgspec.json.decode(self.run_command(arguments, expected))
+
+    def test_submit_waits_until_in_force(self):
+        report = self.read_json(f'release submit {self.note} --wait --json')
+        self.assertEqual('accepted', report['answer']['outcome'])
+        self.assertTrue(report['status']['in_force'])
+        progress = self.errors
+        self.assertIn('in force on 0 of 2 live nodes', progress)
+        self.assertIn('in force on 1 of 2 live nodes', progress)
+
+    def test_submit_without_wait(self):
+        output = self.run_command(f'release submit {self.note}', 0)
+        self.assertEqual('accepted: release 1\n', output)
+
+    def test_submit_reports_release_not_in_force_in_time(self):
+        self.service.size = 1_000
+        self.run_command(
+            f'release submit {self.note} --wait --timeout 0.001', 3
+        )
+        self.assertIn('SL4005', self.errors)
+
+    def test_resent_note_has_the_same_outcome(self):
+        first = self.read_json(f'release submit {self.note} --json')
+        again = self.read_json(f'release submit {self.note} --json')
+        self.assertEqual(first, again)
+
+    def test_refused_note_exits_1(self):
+        self.run_command(f'release submit {self.note}', 0)
+        self.note.write_text(NOTE.replace('n1', 'other'))
+        self.run_command(f'release submit {self.note}', 1)
+        self.assertIn('SL7004', self.errors)
+
+    def test_no_quorum_exits_1(self):
+        self.source.failures = [NoQuorumError('alone') for _ in range(2)]
+        self.run_command(f'release submit {self.note}', 1)
+        self.assertIn('nothing took effect', self.errors)
+
+    def test_unknown_outcome_exits_3(self):
+        self.source.failures = [OutcomeUnknownError('lost') for _ in range(2)]
+        self.run_command(f'release submit {self.note}', 3)
+        self.assertIn(
+            'unknown: read it back or resend the same note', self.errors
+        )
+
+    def test_note_that_is_no_note_is_refused_before_it_is_sent(self):
+        self.note.write_text('release: one')
+        error = self.read_json(f'release submit {self.note} --json', 1)
+        self.assertEqual('SL7001', error['code'])
+        self.assertEqual({}, self.source.known)
+
+    def test_usage_errors_exit_2(self):
+        for arguments in (
+            'nonsense',
+            'release submit',
+            'release submit /nonexistent.yaml',
+            'release show one',
+            f'release submit {self.note} --timeout never',
+            f'release submit {self.note} --control localhost:1',
+            'fleet status --unknown',
+            'control',
+        ):
+            self.run_command(arguments, 2)
+
+    def test_addresses_must_be_named(self):
+        self.useFixture(EnvironmentVariable(CONTROLS_VARIABLE))
+        self.run_command('fleet status', 2)
+        self.run_command('fleet status --control 127.0.0.1:1', 0)
+
+    def test_show(self):
+        self.run_command(f'release submit {self.note}', 0)
+        status = self.read_json('release show 1 --json')
+        self.assertEqual('accepted', status['state'])
+        self.assertEqual(2, len(status['lagging']))
+        output = self.run_command('release show', 0)
+        self.assertIn('release 1: accepted, in force on 1 of 2', output)
+        self.assertIn('node node-1 in z1 lags', output)
+        self.assertIn(
+            'in force on all 2 nodes', self.run_command('release show 1', 0)
+        )
+
+    def test_show_of_unknown_release_exits_1(self):
+        error = self.read_json('release show 9 --json', 1)
+        self.assertEqual('SL4001', error['code'])
+
+    def test_unproved_read_exits_3(self):
+        self.source.certified = False
+        self.assertFalse(self.read_json('release list --json', 3)['certified'])
+        self.run_command('fleet status', 3)
+        self.run_command('release show 9', 3)
+
+    def test_list(self):
+        self.run_command(f'release submit {self.note}', 0)
+        output = self.run_command('release list', 0)
+        self.assertIn('release 1: note n1', output)
+
+    def test_fleet_status(self):
+        status = self.read_json('fleet status --json')
+        self.assertEqual(2, len(status['nodes']))
+        output = self.run_command('fleet status', 0)
+        self.assertIn('nodes: 2 live, 0 silent', output)
+
+    def test_validate_lists_what_the_note_needs(self):
+        self.assertIn(
+            'note n1: 1 valid changes',
+            self.run_command(f'release validate {self.note}', 0),
+        )
+        self.note.write_text(
+            'release: 2\nnote: n2\nchanges:\n'
+            '  - {action: add, route: {name: r, service: stock}}\n'
+            '  - {action: withdraw, setting: unit}\n'
+        )
+        checked = self.read_json(f'release validate {self.note} --json')
+        self.assertEqual(
+            ["service 'stock'", "setting 'unit'"], checked['needs']
+        )
+
+    def test_validate_refuses_what_can_never_hold(self):
+        self.note.write_text(
+            'release: 2\nnote: n2\nchanges:\n'
+            '  - {action: add, route: {name: r, service: stock}}\n'
+            '  - {action: withdraw, service: stock}\n'
+        )
+        error = self.read_json(f'release validate {self.note} --json', 1)
+        self.assertEqual('SL7002', error['code'])
+
+    def test_help_has_examples(self):
+        for command in make_application().all().values():
+            if not isinstance(command, SnipeleadCommand):
+                continue
+            if isinstance(command, BenchCommand):
+                continue
+            self.assertIn('snipelead ' + command.name, command.help)
+
+    def test_refused_settings_exit_1_and_leave_nothing(self):
+        settings = self.directory / 'control.yaml'
+        settings.write_text('kind: control\ncontrol-id: a\n')
+        self.run_command(f'control --settings {settings}', 1)
+        error = self.errors
+        self.assertIn('SL5002', error)
+        self.assertIn("did you mean 'control_id'", error)
+        error = self.read_json(f'settings check {settings} --json', 1)
+        self.assertEqual('control-id', error['details']['key'])
+        self.assertEqual({self.note, settings}, set(self.directory.iterdir()))
--- a/snipelead/releases/changes.py
+++ b/snipelead/releases/changes.py
@@ -8,7 +8,7 @@
 from snipelead.releases.exceptions import InvalidNoteError
 from snipelead.releases.exceptions import NumberNotAboveCurrentError
 
-__all__ = ['apply_note']
+__all__ = ['apply_note', 'check_note']
 
 
 def _split(change):
@@ -85,3 +85,62 @@
     )
     check_release(release)
     return release
+
+
+def _name_of(value):
+    return value if isinstance(value, str) else value.name
+
+
+def _find_needs(note):
+    """Return what the note takes for granted: a set of names by kind."""
+    needs = {'service': {}, 'route': {}, 'setting': {}}
+    added = {'service': set(), 'route': set(), 'setting': set()}
+    for change in note.changes:
+        kind, value = _split(change)
+        name = _name_of(value)
+        if change.action == 'add':
+            added[kind].add(name)
+        elif name not in added[kind]:
+            needs[kind][name] = None
+    for change in note.changes:
+        if isinstance(change.route, Route):
+            if change.route.service not in added['service']:
+                needs['service'][change.route.service] = None
+            for name in change.route.settings:
+                if name not in added['setting']:
+                    needs['setting'][name] = None
+    return needs
+
+
+def check_note(note):
+    """Check a note as far as that is possible without the current release.
+
+    Parameters
+    ----------
+    note : ReleaseNote
+        Note to check.
+
+    Returns
+    -------
+    tuple of str
+        What the current release must hold for the note to be accepted, such
+        as ``service 'stock'``.
+
+    Raises
+    ------
+    NumberNotAboveCurrentError, InvalidNoteError, DanglingReferenceError
+        If the note would be refused whatever the current release.
+    """
+    needs = _find_needs(note)
+    # A release that holds what the note takes for granted stands in for the
+    # current one.
+    services = {name: Service(name) for name in needs['service']}
+    stand_in = next(iter(services), 'stand-in')
+    routes = {name: Route(name, stand_in) for name in needs['route']}
+    if routes:
+        services.setdefault(stand_in, Service(stand_in))
+    settings = {name: Setting(name, True) for name in needs['setting']}
+    apply_note(Release(0, services, routes, settings), note)
+    return tuple(
+        f'{kind} {name!r}' for kind, names in needs.items() for name in names
+    )
