Generate the settings reference from the schema

Cause: operators had no list of the settings; a hand-written one would drift from the code. Change: docs/SETTINGS.md is rendered from the schema, its doc comments and the declared constraints, like the catalogues of events and errors. Result: tests compare the page with the code and refuse a setting without a meaning.

--- a/snipelead/settings/problems.py
+++ b/snipelead/settings/problems.py
@@ -7,7 +7,7 @@
 
 from snipelead.settings.exceptions import SettingsError
 
-__all__ = ['check_keys', 'describe_mismatch']
+__all__ = ['check_keys', 'describe_mismatch', 'describe_type']
 
 _PATH_IN_MESSAGE = re.compile(r' - at `\$([^`]*)`$')
 _PATH_STEP = re.compile(r'\.([^.\[]+)|\[(\d+)\]')
@@ -73,12 +73,13 @@
     _check_struct(path, document, inspect.type_info(settings_type), '')
 
 
-def _describe_type(info):
+def describe_type(info):
+    """Describe the values that a type of msgspec's inspection allows."""
     match info:
         case inspect.EnumType():
             return 'one of ' + ', '.join(repr(m.value) for m in info.cls)
         case inspect.UnionType():
-            return ' or '.join(_describe_type(t) for t in info.types)
+            return ' or '.join(describe_type(t) for t in info.types)
         case inspect.VarTupleType():
             return 'a list'
         case inspect.StructType():
@@ -135,7 +136,7 @@
         return SettingsError(
             f'{path}: key {key!r} is required but missing', file=path, key=key
         )
-    allowed = _describe_type(info)
+    allowed = describe_type(info)
     return SettingsError(
         f'{path}: key {parent!r} must be {allowed}, got {value!r}',
         file=path,
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -32,7 +32,15 @@
 
 
 class LogSettings(_Strict):
-    """How a process writes its log."""
+    """How a process writes its log.
+
+    Parameters
+    ----------
+    format : LogFormat
+        Rendering of lines.
+    level : str
+        Least severe level that is written.
+    """
 
     format: LogFormat = LogFormat.JSON
     level: str = 'info'
@@ -89,7 +97,37 @@
 
 
 class ControlSettings(_Strict, tag_field='kind', tag='control'):
-    """Settings of a control process."""
+    """Settings of a control process.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        Unique id.
+    zone : ZoneName
+        Availability zone.
+    address : Address
+        Where controls and nodes call.
+    operator_address : Address
+        Where operators and readers of metrics connect.
+    data_dir : str
+        Folder of the control's own files; made when missing.
+    peers : tuple of Peer
+        All controls, this one included; the same on each.
+    region : RegionName
+        Region of the availability zone.
+    role : ControlRole
+        Whether this control votes or only relays.
+    preference : Preference
+        What is weighed more when releases are distributed.
+    max_snapshots : int
+        Whole snapshots that are sent at a time; other nodes come back.
+    snapshot_entries : int
+        Log entries after which the log is compacted.
+    timings : ControlTimings
+        Timings.
+    log : LogSettings
+        Log.
+    """
 
     control_id: ControlId
     zone: ZoneName
@@ -172,6 +210,14 @@
         Where the own target announces itself, and of metrics.
     controls : tuple of Peer
         All controls; those of the own zone are tried first.
+    region : RegionName
+        Region of the availability zone.
+    timings : NodeTimings
+        Timings.
+    limits : NodeLimits
+        Limits.
+    log : LogSettings
+        Log.
     """
 
     node_id: NodeId
@@ -211,6 +257,10 @@
         What the health endpoint claims.
     run_log : str or None
         File that gets a line for each request that ran.
+    seed : int
+        Seed of the randomised service times.
+    log : LogSettings
+        Log.
     """
 
     target_id: TargetId
--- a/snipelead/utils/catalogues.py
+++ b/snipelead/utils/catalogues.py
@@ -1,4 +1,4 @@
-"""Generation of docs/EVENTS.md and docs/ERRORS.md from the code."""
+"""Generation of the catalogues in docs/ from the code."""
 
 from importlib import import_module
 from pathlib import Path
@@ -7,6 +7,7 @@
 import snipelead
 from snipelead.exceptions import list_errors
 from snipelead.logs import list_events
+from snipelead.settings.reference import render_settings
 
 __all__ = ['render_errors', 'render_events', 'write_catalogues']
 
@@ -58,9 +59,10 @@
 
 
 def write_catalogues():
-    """Write both catalogues."""
+    """Write all catalogues."""
     (DOCS / 'EVENTS.md').write_text(render_events())
     (DOCS / 'ERRORS.md').write_text(render_errors())
+    (DOCS / 'SETTINGS.md').write_text(render_settings())
 
 
 if __name__ == '__main__':
--- a/snipelead/utils/tests/test_catalogues.py
+++ b/snipelead/utils/tests/test_catalogues.py
@@ -1,5 +1,6 @@
 from testtools import TestCase
 
+from snipelead.settings.reference import render_settings
 from snipelead.utils.catalogues import DOCS
 from snipelead.utils.catalogues import render_errors
 from snipelead.utils.catalogues import render_events
@@ -11,3 +12,9 @@
 
     def test_errors_match_the_code(self):
         self.assertEqual(render_errors(), (DOCS / 'ERRORS.md').read_text())
+
+    def test_settings_match_the_code(self):
+        self.assertEqual(render_settings(), (DOCS / 'SETTINGS.md').read_text())
+
+    def test_each_setting_has_a_meaning(self):
+        self.assertNotIn('|  |', render_settings())
--- a/snipelead/utils/validation.py
+++ b/snipelead/utils/validation.py
@@ -17,6 +17,7 @@
     'check_interval',
     'check_name',
     'check_parameters',
+    'describe_constraint',
     'is_address',
     'is_name',
 ]
@@ -71,7 +72,8 @@
             return constraint(value)
 
 
-def _describe(constraint):
+def describe_constraint(constraint):
+    """Describe the values that a constraint allows."""
     match constraint:
         case type() | None:
             return getattr(constraint, '__name__', 'None')
@@ -103,7 +105,7 @@
         value = values[name]
         if any(_allows(c, value) for c in alternatives):
             continue
-        allowed = ' or '.join(_describe(c) for c in alternatives)
+        allowed = ' or '.join(describe_constraint(c) for c in alternatives)
         raise InvalidParameterError(
             f'{owner}: parameter {name!r} must be {allowed}, got {value!r}',
             parameter=name,
