--- a/snipelead/targets/events.py
+++ b/snipelead/targets/events.py
@@ -1,11 +1,11 @@
-"""Log events of a node's conversation with the target beside it."""
+"""Log events about the target beside a node."""
 
 from snipelead.logs import Event
 
 __all__ = [
     'TARGET_ANNOUNCED',
-    'TARGET_EXPIRED',
     'TARGET_GONE',
+    'TARGET_LEASE_ENDED',
     'TARGET_LEAVING',
 ]
 
@@ -22,10 +22,10 @@
     'A target is leaving and gets no new work.',
 )
 TARGET_GONE = Event(4012, 'target_gone', 'info', 'A target withdrew itself.')
-TARGET_EXPIRED = Event(
-    4013,
-    'target_expired',
+TARGET_LEASE_ENDED = Event(
+    5101,
+    'target_lease_ended',
     'warning',
-    'A target did not renew its announcement in time and counts as gone;'
-    ' check the target beside this node.',
+    'The target beside the node did not renew its announcement and gets no'
+    ' new work; look at the target.',
 )
--- a/snipelead/targets/leases.py
+++ b/snipelead/targets/leases.py
@@ -1,35 +1,36 @@
-"""Expiry of targets that no longer renew their announcement."""
+"""Expiry of targets that stopped renewing their announcement."""
 
 import trio
 
 from snipelead.logs import log_event
-from snipelead.targets.events import TARGET_EXPIRED
+from snipelead.targets.events import TARGET_LEASE_ENDED
 from snipelead.types import TargetState
 
-__all__ = ['expire_targets', 'run_expiry']
+__all__ = ['expire_targets']
 
-CHECKS_PER_LEASE = 10
+CHECKS_PER_LEASE = 4
+MS_PER_S = 1_000
 
 
-def expire_targets(local, lease_s):
-    """Remove the targets that were not renewed within the lease.
+async def expire_targets(local, lease_ms):
+    """Remove targets that did not renew within their lease.
 
     Parameters
     ----------
     local : LocalTargets
-        Registry of the targets beside the node.
-    lease_s : float
-        Length of the lease in seconds.
+        Registry to watch.
+    lease_ms : int
+        Lease in milliseconds.
     """
-    oldest = trio.current_time() - lease_s
-    for target_id, target in list(local.targets.items()):
-        if target.renewed_at < oldest:
-            local.change_state(target_id, TargetState.GONE)
-            log_event(TARGET_EXPIRED, target=target_id)
-
-
-async def run_expiry(local, lease_s):
-    """Keep removing expired targets until cancelled."""
+    lease_s = lease_ms / MS_PER_S
     while True:
         await trio.sleep(lease_s / CHECKS_PER_LEASE)
-        expire_targets(local, lease_s)
+        oldest_allowed = trio.current_time() - lease_s
+        expired = [
+            target_id
+            for target_id, target in local.targets.items()
+            if target.renewed_at < oldest_allowed
+        ]
+        for target_id in expired:
+            log_event(TARGET_LEASE_ENDED, target=target_id)
+            local.change_state(target_id, TargetState.GONE)
--- a/snipelead/targets/tests/test_app.py
+++ b/snipelead/targets/tests/test_app.py
@@ -82,15 +82,16 @@
 
     def test_target_that_does_not_renew_is_gone(self):
         async def expire(client, local):
-            await self.post(client, '/v1/targets', TARGET)
-            await trio.sleep(2)
-            await self.post(client, '/v1/targets/stock-1/renew')
-            await trio.sleep(2)
-            expire_targets(local, 3)
-            self.assertEqual(1, len(local.entries()))
-            await trio.sleep(2)
-            expire_targets(local, 3)
-            self.assertEqual(0, len(local.entries()))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(expire_targets, local, 3_000)
+                await self.post(client, '/v1/targets', TARGET)
+                await trio.sleep(2)
+                await self.post(client, '/v1/targets/stock-1/renew')
+                await trio.sleep(2)
+                self.assertEqual(1, len(local.entries()))
+                await trio.sleep(2)
+                self.assertEqual(0, len(local.entries()))
+                nursery.cancel_scope.cancel()
 
         self.run_with_client(expire)
 
--- a/snipelead/utils/http.py
+++ b/snipelead/utils/http.py
@@ -158,9 +158,9 @@
 async def serve_app(
     app,
     address,
-    *,
     stop=None,
     grace_s=GRACE_S,
+    *,
     task_status=trio.TASK_STATUS_IGNORED,
 ):
     """Serve an application until told to stop or cancelled.
