--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -1,5 +1,7 @@
 """Schema of the settings of each process."""
 
+from enum import Enum
+
 from msgspec import field
 from msgspec import Struct
 
@@ -22,6 +24,7 @@
     'NodeSettings',
     'NodeTimings',
     'Peer',
+    'ServiceTimes',
     'Settings',
     'TargetSettings',
 ]
@@ -186,6 +189,13 @@
     log: LogSettings = field(default_factory=LogSettings)
 
 
+class ServiceTimes(Enum):
+    """Distribution of the time that a request takes at a target."""
+
+    EXPONENTIAL = 'exponential'
+    FIXED = 'fixed'
+
+
 class TargetSettings(_Strict, tag_field='kind', tag='target'):
     """Settings of a stand-in target (emulator).
 
@@ -203,6 +213,8 @@
         Limits that it announces and keeps.
     service_time_ms : float
         Mean time that a request takes.
+    service_times : ServiceTimes
+        Distribution of those times.
     cold_start_ms : int
         Time after start during which requests are slower.
     sheds : bool
@@ -220,6 +232,7 @@
     slots: int = 20
     connections: int = 130
     service_time_ms: float = 2.0
+    service_times: ServiceTimes = ServiceTimes.EXPONENTIAL
     cold_start_ms: int = 0
     sheds: bool = True
     health: str = 'honest'
