Add the stand-in target

Cause: benches and failure tests need a back end that is cheap, limited like a real one, and that records each request it ran. Change: HTTP/1.1 on trio streams and httptools; slots, connections, cold start, shedding, deadlines, cancellation, false health and load, freeze, announcement to the node with renewal. A run is logged when it begins, so that a killed target has lost no line.

--- /dev/null
+++ b/snipelead/emulator/target.py
@@ -0,0 +1,278 @@
+"""Stand-in target: an echo service with limits, faults and a run log."""
+
+import time
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import trio
+
+from snipelead.base import Parametrized
+from snipelead.emulator.announcer import Announcer
+from snipelead.emulator.behaviour import Behaviour
+from snipelead.emulator.events import BEHAVIOUR_CHANGED
+from snipelead.emulator.events import TARGET_STOPPED
+from snipelead.emulator.exceptions import InvalidBehaviourError
+from snipelead.emulator.http import format_answer
+from snipelead.emulator.http import HttpConnection
+from snipelead.emulator.run_log import Run
+from snipelead.emulator.run_log import RunLog
+from snipelead.emulator.run_log import RunOutcome
+from snipelead.logs import log_event
+from snipelead.settings.schema import TargetSettings
+
+__all__ = ['BEHAVIOUR_PATH', 'EmulatedTarget']
+
+BEHAVIOUR_PATH = '/_emulator/behaviour'
+DRAIN_TIMEOUT_S = 30.0
+THAW_POLL_S = 0.05
+
+
+class EmulatedTarget(Parametrized):
+    """Target that echoes requests, limited like a real back end.
+
+    Work stops when the caller goes away or its ``X-Deadline-Ms`` is over.
+    Query parameters of a request: ``bytes`` for the length of the answer,
+    ``ms`` for the service time. ``/health`` and ``/load`` answer as the
+    behaviour says; :data:`BEHAVIOUR_PATH` changes it by a POST of a
+    :class:`~snipelead.emulator.behaviour.BehaviourChange`.
+
+    Parameters
+    ----------
+    settings : TargetSettings
+        Limits and behaviour.
+    announces : bool
+        Whether the target announces itself to its node.
+
+    Attributes
+    ----------
+    bound_address : str
+        Where it listens, once started.
+    behaviour : Behaviour
+        Current behaviour.
+    run_log : RunLog
+        Requests that ran.
+    """
+
+    _parameter_constraints = {
+        'settings': [TargetSettings],
+        'announces': [bool],
+    }
+
+    def __init__(self, settings, announces=True):
+        self.settings = settings
+        self.announces = announces
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled, then leave in order.
+
+        A cancellation announces the leaving, lets requests in flight
+        finish and removes the target from its node.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told the bound address once listening.
+        """
+        self.check_parameters()
+        self._reset()
+        host, _, port = self.settings.address.rpartition(':')
+        listeners = await trio.open_tcp_listeners(
+            int(port), host=host.strip('[]'), backlog=1_024
+        )
+        bound = listeners[0].socket.getsockname()
+        self.bound_address = f'{host}:{bound[1]}'
+        self.behaviour.start()
+        with self.run_log:
+            async with trio.open_nursery() as nursery:
+                server_scope = trio.CancelScope(shield=True)
+                nursery.start_soon(self._serve, listeners, server_scope)
+                async with Announcer(
+                    self.settings, self.bound_address
+                ) as announcer:
+                    try:
+                        task_status.started(self.bound_address)
+                        await self._stay(announcer)
+                    finally:
+                        await self._leave(announcer)
+                        server_scope.cancel()
+
+    def _reset(self):
+        self.behaviour = Behaviour(self.settings)
+        self.run_log = RunLog(self.settings.run_log)
+        self.in_flight = 0
+        self.open_connections = 0
+        self._slots = trio.CapacityLimiter(self.settings.slots)
+        self._idle = trio.Event()
+        self._idle.set()
+
+    async def _stay(self, announcer):
+        if self.announces:
+            await announcer.run()
+        await trio.sleep_forever()
+
+    async def _leave(self, announcer):
+        with trio.move_on_after(DRAIN_TIMEOUT_S) as scope:
+            scope.shield = True
+            if self.announces:
+                await announcer.leave()
+            await self._idle.wait()
+            if self.announces:
+                await announcer.remove()
+        log_event(TARGET_STOPPED, target=self.settings.target_id)
+
+    async def _serve(self, listeners, scope):
+        with scope:
+            await trio.serve_listeners(self._serve_connection, listeners)
+
+    async def _serve_connection(self, stream):
+        if self.open_connections >= self.settings.connections:
+            await self._refuse_connection(stream)
+            return
+        self.open_connections += 1
+        try:
+            async with stream:
+                connection = HttpConnection(stream)
+                while (request := await connection.next_request()) is not None:
+                    await self._answer(connection, request)
+                    if connection.closed or not request.keep_alive:
+                        return
+        finally:
+            self.open_connections -= 1
+
+    async def _refuse_connection(self, stream):
+        async with stream:
+            answer = format_answer(
+                503, {'error': 'too many connections'}, keep_alive=False
+            )
+            await HttpConnection(stream).send(answer)
+
+    async def _answer(self, connection, request):
+        path = urlsplit(request.url).path
+        match request.method, path:
+            case 'GET', '/health':
+                answer = self._health()
+            case 'GET', '/load':
+                answer = self._load()
+            case 'POST', _ if path == BEHAVIOUR_PATH:
+                answer = self._change_behaviour(request)
+            case _:
+                await self._work(connection, request)
+                return
+        if self.behaviour.frozen and path != BEHAVIOUR_PATH:
+            await self._wait_thaw(connection)
+        await connection.send(answer)
+
+    def _health(self):
+        free = self.in_flight < self.settings.slots
+        up = {'always-up': True, 'always-down': False}.get(
+            self.behaviour.health, free and not self.behaviour.fails
+        )
+        return format_answer(200 if up else 503, {'healthy': up})
+
+    def _load(self):
+        load = self.behaviour.load
+        if load < 0:
+            load = self.in_flight / self.settings.slots
+        return format_answer(200, {'load': load})
+
+    def _change_behaviour(self, request):
+        try:
+            change = self.behaviour.change(request.body)
+        except InvalidBehaviourError as error:
+            return format_answer(
+                400, {'code': error.code, 'message': error.message}
+            )
+        log_event(
+            BEHAVIOUR_CHANGED,
+            target=self.settings.target_id,
+            change=repr(change),
+        )
+        return format_answer(200, {'changed': True})
+
+    async def _work(self, connection, request):
+        if self.settings.sheds and self.in_flight >= self.settings.slots:
+            await connection.send(_shed(request))
+            return
+        self.in_flight += 1
+        if self.in_flight == 1:
+            self._idle = trio.Event()
+        try:
+            async with self._slots:
+                await self._run(connection, request)
+        finally:
+            self.in_flight -= 1
+            if self.in_flight == 0:
+                self._idle.set()
+
+    async def _run(self, connection, request):
+        headers = request.headers
+        run = Run(
+            len(self.run_log.runs),
+            self.settings.target_id,
+            request.url,
+            headers.get('idempotency-key', ''),
+            headers.get('x-request-id', ''),
+            started_ns=time.time_ns(),
+        )
+        self.run_log.begin(run)
+        outcome = RunOutcome.CANCELLED
+        try:
+            outcome = await self._spend_time(connection, request)
+        finally:
+            self.run_log.end(run, outcome)
+        match outcome:
+            case RunOutcome.RAN:
+                await connection.send(self._echo(request))
+            case RunOutcome.DEADLINE:
+                await connection.send(
+                    format_answer(504, {'error': 'deadline passed'})
+                )
+
+    async def _spend_time(self, connection, request):
+        query = parse_qs(urlsplit(request.url).query)
+        given_ms = float(query['ms'][0]) if 'ms' in query else None
+        service_s = self.behaviour.service_time_s(given_ms)
+        left_s = float(request.headers.get('x-deadline-ms', 'inf')) / 1_000
+        if not await connection.work(min(service_s, left_s)):
+            return RunOutcome.CANCELLED
+        if self.behaviour.frozen and not await self._wait_thaw(connection):
+            return RunOutcome.CANCELLED
+        if left_s < service_s:
+            return RunOutcome.DEADLINE
+        return RunOutcome.RAN
+
+    async def _wait_thaw(self, connection):
+        while self.behaviour.frozen:
+            if not await connection.work(THAW_POLL_S):
+                return False
+        return True
+
+    def _echo(self, request):
+        request_id = request.headers.get('x-request-id', '')
+        document = {
+            'target': self.settings.target_id,
+            'service': self.settings.service,
+            'request_id': request_id,
+            'method': request.method,
+            'path': request.url,
+            'received_bytes': len(request.body),
+        }
+        query = parse_qs(urlsplit(request.url).query)
+        if 'bytes' in query:
+            document['filler'] = 'x' * int(query['bytes'][0])
+        status = 500 if self.behaviour.fails else 200
+        return format_answer(
+            status,
+            document,
+            (('X-Request-Id', request_id),),
+            request.keep_alive,
+        )
+
+
+def _shed(request):
+    return format_answer(
+        503,
+        {'error': 'no free slot'},
+        (('X-Target-Shed', '1'), ('Retry-After', '1')),
+        request.keep_alive,
+    )
