--- /dev/null
+++ b/snipelead/testing/processes.py
@@ -0,0 +1,305 @@
+"""Separate processes of the system, for tests and measurements."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import httpx
+import msgspec
+import yaml
+
+from snipelead.settings.schema import ControlSettings
+from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import NodeSettings
+from snipelead.settings.schema import Peer
+from snipelead.settings.schema import TargetSettings
+from snipelead.testing.exceptions import ConditionTimeoutError
+from snipelead.types import Address
+from snipelead.types import ControlId
+from snipelead.types import NodeId
+from snipelead.types import ServiceName
+from snipelead.types import TargetId
+from snipelead.types import ZoneName
+
+__all__ = ['Fleet', 'Process', 'find_free_addresses', 'wait_for']
+
+WAIT_S = 60.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 30.0
+HTTP_TIMEOUT_S = 10.0
+
+
+def find_free_addresses(count):
+    """Return loopback addresses whose ports were free a moment ago.
+
+    All ports are bound at the same time, so that they differ.
+    """
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [Address(f'127.0.0.1:{s.getsockname()[1]}') for s in sockets]
+
+
+def wait_for(condition: Callable, what: str, timeout_s: float = WAIT_S):
+    """Wait until a condition holds and return its value.
+
+    Failures to reach a process count as "not yet".
+
+    Raises
+    ------
+    ConditionTimeoutError
+        Naming what was waited for and the last value or failure.
+    """
+    end = time.monotonic() + timeout_s
+    while True:
+        try:
+            last = condition()
+            if last:
+                return last
+        except (httpx.HTTPError, OSError) as error:
+            last = error
+        if time.monotonic() > end:
+            raise ConditionTimeoutError(
+                f'{what}: not within {timeout_s} s; last: {last!r}'
+            )
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process of the system; a context manager that ends it.
+
+    Parameters
+    ----------
+    settings : ControlSettings, NodeSettings or TargetSettings
+        Settings, written to a file in ``folder``.
+    name : str
+        Name of its files.
+    folder : Path
+        Where settings and log go.
+    """
+
+    def __init__(self, settings, name, folder):
+        self.settings = settings
+        self.name = name
+        self.folder = Path(folder)
+        self.popen = None
+
+    @property
+    def kind(self):
+        """Subcommand that starts the process."""
+        return type(self.settings).__struct_config__.tag
+
+    @property
+    def log_path(self):
+        """File that standard output and error go to."""
+        return self.folder / f'{self.name}.log'
+
+    def write_settings(self):
+        """Write the settings file and return its path."""
+        path = self.folder / f'{self.name}.yaml'
+        path.write_text(yaml.safe_dump(msgspec.to_builtins(self.settings)))
+        return path
+
+    def start(self):
+        """Start the process; it is not ready yet when this returns."""
+        path = self.write_settings()
+        with self.log_path.open('ab') as log:
+            self.popen = subprocess.Popen(
+                [
+                    *(sys.executable, '-m', 'snipelead'),
+                    *(self.kind, '--settings', str(path)),
+                ],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        return self
+
+    def is_running(self):
+        """Tell whether the process was started and has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def kill(self):
+        """End the process by SIGKILL and wait for its end."""
+        if self.is_running():
+            self.popen.kill()
+            self.popen.wait(STOP_TIMEOUT_S)
+
+    def freeze(self):
+        """Stop the process by SIGSTOP."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self):
+        """Ask for a planned stop by SIGTERM; returns the exit status."""
+        self.popen.terminate()
+        return self.popen.wait(STOP_TIMEOUT_S)
+
+    def restart(self):
+        """Kill the process, if it runs, and start it again."""
+        self.kill()
+        return self.start()
+
+    def __enter__(self):
+        return self.start()
+
+    def __exit__(self, *exc_info):
+        self.kill()
+
+
+class Fleet:
+    """Controls, nodes and targets; a context manager that ends all.
+
+    Each node has at most one target beside it. Settings may be replaced
+    before the start, for example to put a relay between two processes.
+
+    Parameters
+    ----------
+    folder : str or Path
+        Folder for settings, logs, data and run logs.
+    controls : int
+        Number of voting controls, each in a zone of its own.
+    services : sequence of str
+        Service of each node's target, one node for each entry; None for a
+        node without a target.
+    timings : ControlTimings or None
+        Timings of the controls.
+    target_changes : dict
+        Target settings that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        folder,
+        controls=3,
+        services=('stock', 'stock'),
+        timings=None,
+        target_changes=None,
+    ):
+        self.folder = Path(folder)
+        self.services = services
+        self.timings = timings or ControlTimings()
+        self.target_changes = target_changes or {}
+        self.peers = _make_peers(controls)
+        self.controls = [self._make_control(peer) for peer in self.peers]
+        self.nodes = []
+        self.targets = []
+        for number, service in enumerate(services):
+            self._add_node(number, service)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for process in self.processes:
+            process.kill()
+
+    @property
+    def processes(self):
+        """All processes, controls first."""
+        return [*self.controls, *self.nodes, *filter(None, self.targets)]
+
+    def start(self):
+        """Start all processes and wait until each answers."""
+        for process in self.processes:
+            process.start()
+        self.wait_ready()
+        return self
+
+    def wait_ready(self):
+        """Wait until each running process answers its status."""
+        for process in self.processes:
+            if process.is_running():
+                wait_for(lambda p=process: is_ready(p), f'{process.name} up')
+
+    def settings_of(self, process, **changes):
+        """Replace settings of a process that is not started yet."""
+        process.settings = msgspec.structs.replace(process.settings, **changes)
+
+    def run_log_paths(self):
+        """Return the run logs of all targets."""
+        return [t.settings.run_log for t in self.targets if t is not None]
+
+    def operator_addresses(self):
+        """Return where the controls answer operators."""
+        return [peer.operator_address for peer in self.peers]
+
+    def caller_urls(self):
+        """Return where the nodes answer callers."""
+        return [f'http://{n.settings.caller_address}' for n in self.nodes]
+
+    def _make_control(self, peer):
+        settings = ControlSettings(
+            control_id=peer.control_id,
+            zone=peer.zone,
+            address=peer.address,
+            operator_address=peer.operator_address,
+            data_dir=str(self.folder / peer.control_id),
+            peers=self.peers,
+            timings=self.timings,
+        )
+        return Process(settings, peer.control_id, self.folder)
+
+    def _add_node(self, number, service):
+        caller, address, admin, target = find_free_addresses(4)
+        peer = self.peers[number % len(self.peers)]
+        name = f'node-{number}'
+        node = NodeSettings(
+            node_id=NodeId(name),
+            zone=peer.zone,
+            caller_address=caller,
+            address=address,
+            admin_address=admin,
+            controls=self.peers,
+        )
+        self.nodes.append(Process(node, name, self.folder))
+        if service is None:
+            self.targets.append(None)
+            return
+        name = f'target-{number}'
+        settings = TargetSettings(
+            target_id=TargetId(name),
+            service=ServiceName(service),
+            address=target,
+            node_admin_address=admin,
+            run_log=str(self.folder / f'{name}.runs'),
+            **self.target_changes,
+        )
+        self.targets.append(Process(settings, name, self.folder))
+
+
+def is_ready(process):
+    """Tell whether a process answers its status."""
+    match process.settings:
+        case ControlSettings(operator_address=address):
+            path = '/v1/fleet'
+        case NodeSettings(admin_address=address):
+            path = '/v1/status'
+        case TargetSettings(address=address):
+            path = '/load'
+    response = httpx.get(
+        f'http://{address}{path}', timeout=HTTP_TIMEOUT_S, trust_env=False
+    )
+    return response.is_success
+
+
+def _make_peers(count):
+    addresses = find_free_addresses(2 * count)
+    return tuple(
+        Peer(
+            control_id=ControlId(f'control-{number}'),
+            zone=ZoneName(f'zone-{number}'),
+            address=addresses[2 * number],
+            operator_address=addresses[2 * number + 1],
+        )
+        for number in range(count)
+    )
--- /dev/null
+++ b/snipelead/testing/relay.py
@@ -0,0 +1,93 @@
+"""TCP relay that can lose track of its connections, for tests."""
+
+import trio
+
+__all__ = ['Relay']
+
+CHUNK_BYTES = 65_536
+
+
+class Relay:
+    """Relay in front of one address; a middlebox that can go silent.
+
+    Parameters
+    ----------
+    upstream : Address
+        Where connections are relayed to.
+    address : Address
+        Where the relay listens.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections accepted so far.
+    refusing : bool
+        Whether new connections are accepted but go nowhere.
+    """
+
+    def __init__(self, upstream, address='127.0.0.1:0'):
+        self.upstream = upstream
+        self.address = address
+        self.accepted = 0
+        self.refusing = False
+        self._silenced = trio.Event()
+
+    def silence(self):
+        """Carry nothing more on open connections; new ones work.
+
+        Neither end is told: connections stay open for good.
+        """
+        self._silenced.set()
+        self._silenced = trio.Event()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Relay until cancelled; reports the bound address."""
+        host, port = _split(self.address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f'{host}:{port}'
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._accept, listeners)
+            task_status.started(self.address)
+
+    async def _accept(self, caller):
+        self.accepted += 1
+        silenced = self._silenced
+        async with caller:
+            if self.refusing:
+                await trio.sleep_forever()
+            try:
+                upstream = await trio.open_tcp_stream(*_split(self.upstream))
+            except OSError:
+                return
+            async with upstream:
+                await self._carry_both_ways(caller, upstream, silenced)
+
+    async def _carry_both_ways(self, caller, upstream, silenced):
+        async with trio.open_nursery() as carriers:
+
+            async def stop_when_silenced():
+                await silenced.wait()
+                carriers.cancel_scope.cancel()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stop_when_silenced)
+                nursery.start_soon(_carry, caller, upstream, nursery)
+                nursery.start_soon(_carry, upstream, caller, nursery)
+        if silenced.is_set():
+            # Held open, so that neither end sees a reset or an end.
+            await trio.sleep_forever()
+
+
+async def _carry(source, destination, nursery):
+    try:
+        while data := await source.receive_some(CHUNK_BYTES):
+            await destination.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+    nursery.cancel_scope.cancel()
+
+
+def _split(address):
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
--- /dev/null
+++ b/snipelead/testing/tests/test_relay.py
@@ -0,0 +1,32 @@
+from testtools import TestCase
+import trio
+
+from snipelead.emulator.client import CallerConnection
+from snipelead.emulator.target import EmulatedTarget
+from snipelead.emulator.tests.test_target import make_settings
+from snipelead.testing.relay import Relay
+
+
+class RelayTest(TestCase):
+    def test_silenced_connections_hang_while_new_ones_work(self):
+        target = EmulatedTarget(make_settings(), announces=False)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                upstream = await nursery.start(target.run)
+                relay = Relay(upstream)
+                address = await nursery.start(relay.run)
+                old = await CallerConnection.open(address)
+                first = await old.request('GET', '/')
+                relay.silence()
+                with trio.move_on_after(0.2) as scope:
+                    await old.request('GET', '/')
+                fresh = await CallerConnection.open(address)
+                second = await fresh.request('GET', '/')
+                old.close()
+                fresh.close()
+                nursery.cancel_scope.cancel()
+            return first.status, scope.cancelled_caught, second.status
+
+        self.assertEqual((200, True, 200), trio.run(main))
+        self.assertEqual(2, len(target.run_log.runs))
