Let a node advertise another address than it listens on

Cause: a relay between two nodes cannot be put in place while the address that a node binds is also the one that others are told. Change: optional advertised_address, used for the entries of targets.

--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -34,7 +34,9 @@
         self.holder = ReleaseHolder()
         self.directory = TargetDirectory()
         self.local = LocalTargets(
-            settings.node_id, settings.zone, settings.address
+            settings.node_id,
+            settings.zone,
+            settings.advertised_address or settings.address,
         )
         self.client = SyncClient(
             settings, transport, self.holder, self.directory, self.local
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -173,6 +173,9 @@
         Where other nodes forward requests to.
     admin_address : Address
         Where the own target announces itself, and of metrics.
+    advertised_address : Address or None
+        Where other nodes reach ``address`` when that is not the same, such
+        as behind a relay.
     controls : tuple of Peer
         All controls; those of the own zone are tried first.
     """
@@ -183,6 +186,7 @@
     address: Address
     admin_address: Address
     controls: tuple[Peer, ...]
+    advertised_address: Address | None = None
     region: RegionName = RegionName('local')
     timings: NodeTimings = field(default_factory=NodeTimings)
     limits: NodeLimits = field(default_factory=NodeLimits)
