--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -217,9 +217,12 @@
 
     def wait_ready(self):
         """Wait until each running process answers its status."""
-        for process in self.processes:
-            if process.is_running():
-                wait_for(lambda p=process: is_ready(p), f'{process.name} up')
+        self.wait_ready_of(p for p in self.processes if p.is_running())
+
+    def wait_ready_of(self, processes):
+        """Wait until some processes answer their status."""
+        for process in processes:
+            wait_for(lambda p=process: is_ready(p), f'{process.name} up')
 
     def settings_of(self, process, **changes):
         """Replace settings of a process that is not started yet."""
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -1,8 +1,10 @@
 """TCP relay that can lose track of its connections, for tests."""
 
+import threading
+
 import trio
 
-__all__ = ['Relay']
+__all__ = ['Relay', 'RelayThread']
 
 CHUNK_BYTES = 65_536
 
@@ -91,3 +93,46 @@
 def _split(address):
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
+
+
+class RelayThread:
+    """Relays in a thread of their own, for tests that are not asynchronous.
+
+    A context manager; the relays end with it.
+    """
+
+    def __init__(self):
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._main,))
+
+    def __enter__(self):
+        self._thread.start()
+        self._ready.wait()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.run_sync(self._nursery.cancel_scope.cancel)
+        self._thread.join()
+
+    def add(self, upstream):
+        """Start a relay to an address and return it."""
+        relay = Relay(upstream)
+        trio.from_thread.run(
+            self._nursery.start, relay.run, trio_token=self._token
+        )
+        return relay
+
+    def silence(self, relays):
+        """Silence open connections of some relays, see :class:`Relay`."""
+        for relay in relays:
+            self.run_sync(relay.silence)
+
+    def run_sync(self, function):
+        """Run a function in the thread of the relays."""
+        return trio.from_thread.run_sync(function, trio_token=self._token)
+
+    async def _main(self):
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as self._nursery:
+            self._ready.set()
+            await trio.sleep_forever()
