Keep a silenced relay from carrying data that has just arrived

Change: a carrier looks at the silence between receiving and sending; the relay counts the bytes that it carries.

--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -23,6 +23,8 @@
     ----------
     accepted : int
         Connections accepted so far.
+    carried_bytes : int
+        Bytes carried, both ways together.
     refusing : bool
         Whether new connections are accepted but go nowhere.
     """
@@ -31,6 +33,7 @@
         self.upstream = upstream
         self.address = address
         self.accepted = 0
+        self.carried_bytes = 0
         self.refusing = False
         self._silenced = trio.Event()
 
@@ -65,31 +68,30 @@
             async with upstream:
                 await self._carry_both_ways(caller, upstream, silenced)
 
-    async def _carry_both_ways(self, caller, upstream, silenced):
-        async with trio.open_nursery() as carriers:
-
-            async def stop_when_silenced():
-                await silenced.wait()
-                carriers.cancel_scope.cancel()
+    async def _carry(self, source, destination, nursery, silenced):
+        try:
+            while data := await source.receive_some(CHUNK_BYTES):
+                # Data may arrive before the carriers notice the silence.
+                if silenced.is_set():
+                    await trio.sleep_forever()
+                await destination.send_all(data)
+                self.carried_bytes += len(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        nursery.cancel_scope.cancel()
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(stop_when_silenced)
-                nursery.start_soon(_carry, caller, upstream, nursery)
-                nursery.start_soon(_carry, upstream, caller, nursery)
+    async def _carry_both_ways(self, caller, upstream, silenced):
+        async with trio.open_nursery() as nursery:
+            ends = (nursery, silenced)
+            nursery.start_soon(self._carry, caller, upstream, *ends)
+            nursery.start_soon(self._carry, upstream, caller, *ends)
+            await silenced.wait()
+            nursery.cancel_scope.cancel()
         if silenced.is_set():
             # Held open, so that neither end sees a reset or an end.
             await trio.sleep_forever()
 
 
-async def _carry(source, destination, nursery):
-    try:
-        while data := await source.receive_some(CHUNK_BYTES):
-            await destination.send_all(data)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        pass
-    nursery.cancel_scope.cancel()
-
-
 def _split(address):
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
