Use the shared messages of certification and outcomes in the voter

Cause: the relay sends messages of the shared module; the voter declared its own of the same names with other fields. Change: the voter answers the shared ones.

--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -14,6 +14,7 @@
 
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import configure_logs
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
@@ -23,7 +24,6 @@
 from snipelead.testing.network import MemoryNetwork
 from snipelead.testing.simulation import run_simulated
 from snipelead.types import Ran
-from snipelead.voters.messages import CertifyRequest
 
 __all__ = ['Soak', 'run_seed']
 
--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -6,12 +6,9 @@
 from snipelead.messages import ClaimRequest
 from snipelead.messages import register_reply
 from snipelead.messages import SettleRequest
-from snipelead.messages import SubmitReply
-from snipelead.releases.document import Held
 from snipelead.releases.note import ReleaseNote
 from snipelead.types import ControlId
 from snipelead.types import LogIndex
-from snipelead.types import NoteId
 from snipelead.types import Term
 
 __all__ = [
@@ -19,8 +16,6 @@
     'AppendRequest',
     'BarrierReply',
     'BarrierRequest',
-    'CertifyReply',
-    'CertifyRequest',
     'Claim',
     'Command',
     'Configuration',
@@ -30,8 +25,6 @@
     'JoinReply',
     'JoinRequest',
     'Member',
-    'OutcomesReply',
-    'OutcomesRequest',
     'ProbeReply',
     'ProbeRequest',
     'ProposeReply',
@@ -269,27 +262,6 @@
     index: LogIndex
 
 
-class CertifyRequest(Struct, frozen=True):
-    """Asks a voter for the newest release, proved by a majority."""
-
-
-class CertifyReply(Struct, frozen=True):
-    """Newest release; without ``certified`` merely the one it holds."""
-
-    certified: bool
-    held: Held
-
-
-class OutcomesRequest(Struct, frozen=True):
-    """Asks a voter for the outcomes of recent notes."""
-
-
-class OutcomesReply(Struct, frozen=True):
-    """Outcomes of recent notes, as applied at that voter."""
-
-    outcomes: dict[NoteId, SubmitReply]
-
-
 register_reply(VoteRequest, VoteReply)
 register_reply(AppendRequest, AppendReply)
 register_reply(InstallRequest, InstallReply)
@@ -297,5 +269,3 @@
 register_reply(JoinRequest, JoinReply)
 register_reply(ProposeRequest, ProposeReply)
 register_reply(BarrierRequest, BarrierReply)
-register_reply(CertifyRequest, CertifyReply)
-register_reply(OutcomesRequest, OutcomesReply)
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -7,7 +7,11 @@
 from snipelead.base import Parametrized
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesReply
+from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
 from snipelead.settings.schema import ControlSettings
@@ -17,13 +21,9 @@
 from snipelead.voters.membership import Membership
 from snipelead.voters.messages import AppendRequest
 from snipelead.voters.messages import BarrierRequest
-from snipelead.voters.messages import CertifyReply
-from snipelead.voters.messages import CertifyRequest
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import InstallRequest
 from snipelead.voters.messages import JoinRequest
-from snipelead.voters.messages import OutcomesReply
-from snipelead.voters.messages import OutcomesRequest
 from snipelead.voters.messages import ProbeRequest
 from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.messages import Settle
@@ -249,7 +249,7 @@
     async def on_certify(self, request):
         """Answer with the newest release."""
         certified = await self.certify()
-        return CertifyReply(certified, self.current.held)
+        return CertifyReply(self.current.held, certified)
 
     async def on_outcomes(self, request):
         """Answer with the outcomes of recent notes."""
