Share the voters' messages and history, make runs repeatable

Cause: the messages of certification and outcomes stood twice, a relay kept each base of a delta whole, and seeded runs differed from one run to the next, since tasks and sets came in another order each time.

Change: relays use the voters' messages and compact history; the tests use the simulated clock with a repeatable order of tasks; wake-ups follow insertion order; ControlService.fleet() returns the controls' views, as the operators' interface reads them, and fleet_status() the merged one.

--- a/snipelead/controls/directory.py
+++ b/snipelead/controls/directory.py
@@ -85,7 +85,7 @@
 
     def _merge(self, target_ids):
         services = set()
-        for target_id in target_ids:
+        for target_id in sorted(target_ids):
             entry = self._newest(target_id)
             if entry is not None:
                 services |= self.merged.put(entry)
--- a/snipelead/controls/exchange.py
+++ b/snipelead/controls/exchange.py
@@ -33,13 +33,15 @@
         The peer.
     directory : ControlDirectory
         Told of the peer's targets.
+    rng : random.Random or None
+        Source of jitter.
     """
 
-    def __init__(self, control_id, link, directory):
+    def __init__(self, control_id, link, directory, rng=None):
         self.control_id = control_id
         self.link = link
         self.directory = directory
-        self.backoff = Backoff(FIRST_DELAY_S, MAX_DELAY_S)
+        self.backoff = Backoff(FIRST_DELAY_S, MAX_DELAY_S, rng)
         self.epoch = ''
         self.version = 0
         self.reached_at = None
--- a/snipelead/controls/fleet.py
+++ b/snipelead/controls/fleet.py
@@ -8,10 +8,8 @@
 from snipelead.controls.events import PEER_LOST
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
-from snipelead.messages import FleetReply
 from snipelead.messages import FleetRequest
 from snipelead.messages import NodeStatus
-from snipelead.messages import TargetEntry
 from snipelead.releases.document import Held
 from snipelead.types import ControlId
 
@@ -61,10 +59,6 @@
         Controls that did not answer.
     warming_controls : tuple of ControlId
         Controls that restarted less than a lease ago.
-    targets : tuple of TargetEntry
-        Targets of all nodes.
-    replies : tuple of FleetReply
-        What the controls said.
     """
 
     release: Held
@@ -77,8 +71,6 @@
     unreachable_nodes: tuple[NodeStatus, ...]
     unreachable_controls: tuple[ControlId, ...]
     warming_controls: tuple[ControlId, ...]
-    targets: tuple[TargetEntry, ...]
-    replies: tuple[FleetReply, ...]
 
 
 async def collect_replies(links):
@@ -170,6 +162,4 @@
         unreachable_nodes=lost,
         unreachable_controls=tuple(sorted(unreachable_controls)),
         warming_controls=warming,
-        targets=tuple(t for reply in replies for t in reply.targets),
-        replies=tuple(replies),
     )
--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -1,7 +1,5 @@
 """Releases at a control that does not vote."""
 
-from collections import OrderedDict
-
 import trio
 
 from snipelead.controls.follower import ReleaseFollower
@@ -10,10 +8,7 @@
 from snipelead.controls.polling import ControlPoller
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
-from snipelead.messages import CertifyReply
-from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
-from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
 from snipelead.messages import SyncRequest
@@ -21,6 +16,11 @@
 from snipelead.types import ControlRole
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
+from snipelead.types import NoteId
+from snipelead.voters.history import History
+from snipelead.voters.messages import CertifyReply
+from snipelead.voters.messages import CertifyRequest
+from snipelead.voters.messages import OutcomesRequest
 
 __all__ = ['RelaySource']
 
@@ -28,8 +28,8 @@
 MISS_MS = 1_000
 CALL_TIMEOUT_S = 2.0
 CERTIFY_TIMEOUT_S = 0.8
-# Bases of deltas that are kept.
-MAX_RECENT = 512
+# A relay does not know which note made a release.
+NO_NOTE = NoteId('')
 
 
 class _VoterPoller(ControlPoller):
@@ -90,7 +90,7 @@
         )
         self.holder = ReleaseHolder()
         self.holder.observers.append(self._remember)
-        self.recent = OrderedDict()
+        self.history = History()
         self.poller = _VoterPoller(
             self.links, settings.control_id, self.holder
         )
@@ -112,11 +112,12 @@
             ClaimRequest: self._forward,
             SettleRequest: self._forward,
             CertifyRequest: self._answer_certify,
+            OutcomesRequest: self._forward,
         }
 
     def find(self, digest):
         """Return a recent release by digest, or None."""
-        return self.recent.get(digest)
+        return self.history.find(digest)
 
     async def wait_changed(self):
         """Wait until ``current`` changes."""
@@ -171,9 +172,7 @@
 
     async def _answer_certify(self, request):
         certified = await self.certify()
-        return CertifyReply(self.current.held, certified)
+        return CertifyReply(certified, self.current.held)
 
     def _remember(self, release):
-        self.recent[release.digest] = release
-        if len(self.recent) > MAX_RECENT:
-            self.recent.popitem(last=False)
+        self.history.push(release, NO_NOTE)
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -26,10 +26,9 @@
 from snipelead.messages import ExchangeRequest
 from snipelead.messages import FleetReply
 from snipelead.messages import FleetRequest
-from snipelead.messages import OutcomesReply
-from snipelead.messages import OutcomesRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
+from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.releases.packing import unpack_release
 from snipelead.types import Preference
 
@@ -65,12 +64,13 @@
         self.settings = settings
         self.source = source
         self.transport = transport
+        self.rng = rng or random.Random()
         self.sessions = NodeSessions()
         self.directory = ControlDirectory(self.sessions.wake)
         self.membership = Membership(
             settings.timings, self.sessions, self.directory
         )
-        self.gate = SnapshotGate(settings.max_snapshots, rng)
+        self.gate = SnapshotGate(settings.max_snapshots, self.rng)
         self.updates = UpdateMaker(source)
         self.certification = SharedCertification(source)
         peers = tuple(
@@ -83,9 +83,9 @@
             settings.zone,
             settings.control_id,
             transport,
-            rng or random.Random(),
+            self.rng,
         )
-        self.published = source.current
+        self.published = EMPTY_RELEASE
         self.offered = None
         self._published_changed = trio.Event()
 
@@ -108,7 +108,6 @@
             SyncRequest: self.sync,
             FleetRequest: self.answer_fleet,
             ExchangeRequest: self.exchange,
-            OutcomesRequest: self.answer_outcomes,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -121,7 +120,10 @@
                 nursery.start_soon(self._warm_up)
                 for link in self.links.links:
                     exchange = PeerExchange(
-                        self.settings.control_id, link, self.directory
+                        self.settings.control_id,
+                        link,
+                        self.directory,
+                        self.rng,
                     )
                     nursery.start_soon(exchange.run)
                 task_status.started()
@@ -161,10 +163,6 @@
                 await self.directory.wait_own_changed()
         return ExchangeReply()
 
-    async def answer_outcomes(self, request):
-        """Tell the durable outcomes of recent notes."""
-        return OutcomesReply(await self.source.outcomes())
-
     async def answer_fleet(self, request):
         """Return this control's own view of the fleet."""
         return FleetReply(
@@ -178,17 +176,29 @@
         )
 
     async def fleet(self):
+        """Return the views of all controls that answer, this one first.
+
+        Returns
+        -------
+        list of FleetReply
+        """
+        replies, _ = await self._collect_replies()
+        return replies
+
+    async def fleet_status(self):
         """Return the status of the whole fleet.
 
         Returns
         -------
         FleetStatus
         """
+        return merge_fleet(*await self._collect_replies())
+
+    async def _collect_replies(self):
         replies, unreachable = await collect_replies(self.links.links)
         certified = await self._certify()
         own = await self.answer_fleet(FleetRequest())
-        replies.append(replace(own, certified=certified))
-        return merge_fleet(replies, unreachable)
+        return [replace(own, certified=certified), *replies], unreachable
 
     async def _certify(self):
         with trio.move_on_after(CERTIFY_LIMIT_S):
@@ -283,6 +293,7 @@
 
     async def _publish_releases(self):
         window_s = self.settings.timings.batch_window_ms / MS_PER_S
+        self._publish()
         while True:
             if self.published.number >= self.newest.number:
                 await self.source.wait_changed()
--- a/snipelead/controls/sessions.py
+++ b/snipelead/controls/sessions.py
@@ -129,19 +129,20 @@
         self._unsubscribe(session)
         session.registration = registration
         for service in session.services:
-            self._subscribers.setdefault(service, set()).add(session)
+            subscribers = self._subscribers.setdefault(service, {})
+            subscribers[session.node_id] = session
 
     def wake(self, services=None):
         """Wake the polls of subscribers of some services, or all polls."""
         if services is None:
-            woken = set(self.by_node.values())
+            woken = self.by_node
         else:
-            woken = set().union(
-                *(self._subscribers.get(service, ()) for service in services)
-            )
-        for session in woken:
+            woken = {}
+            for service in sorted(services):
+                woken |= self._subscribers.get(service, {})
+        for session in woken.values():
             session.wake()
 
     def _unsubscribe(self, session):
         for service in session.services:
-            self._subscribers.get(service, set()).discard(session)
+            self._subscribers.get(service, {}).pop(session.node_id, None)
--- a/snipelead/controls/tests/mesh.py
+++ b/snipelead/controls/tests/mesh.py
@@ -15,12 +15,24 @@
 from snipelead.settings.schema import Peer
 from snipelead.targets.local import LocalTargets
 from snipelead.testing.network import MemoryNetwork
+from snipelead.testing.simulation import run_simulated
 from snipelead.testing.source import FakeSource
 from snipelead.types import ControlRole
 from snipelead.types import Incarnation
 from snipelead.types import TargetState
 
 POLL_S = 0.01
+LIMIT_S = 1_000
+
+
+def run_mesh(main, seed=0):
+    """Run a test in virtual time, for a bounded virtual time."""
+
+    async def run():
+        with trio.fail_after(LIMIT_S):
+            await main()
+
+    run_simulated(run, seed)
 
 
 async def wait_until(condition):
--- a/snipelead/controls/tests/test_fleet.py
+++ b/snipelead/controls/tests/test_fleet.py
@@ -3,8 +3,8 @@
 
 from snipelead.controls.fleet import FleetState
 from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
-from snipelead.testing.clock import run_in_virtual_time
 from snipelead.testing.releases import change_route
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
@@ -28,13 +28,13 @@
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
                 for control in controls:
-                    status = await control.service.fleet()
+                    status = await control.service.fleet_status()
                     self.assertIs(FleetState.IN_FORCE, status.state)
                     self.assertTrue(status.in_force)
                     self.assertEqual(2, status.release.number)
                     self.assertEqual((2, 2), (status.confirmed, status.total))
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_lagging_node_is_named(self):
         async def run():
@@ -44,14 +44,14 @@
                     mesh.network.cut(nodes[1].address, control.address)
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.SPREADING, status.state)
                 self.assertFalse(status.in_force)
                 self.assertEqual(
                     ['n1'], [node.node_id for node in status.lagging]
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_lost_node_is_named_and_not_counted_silently(self):
         async def run():
@@ -61,47 +61,47 @@
                 await trio.sleep(20)
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.IN_FORCE_ON_REACHABLE, status.state)
                 self.assertEqual((1, 1), (status.confirmed, status.total))
                 self.assertEqual(
                     ['n1'], [node.node_id for node in status.unreachable_nodes]
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_unknown_when_a_control_does_not_answer(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
                 _, controls, _ = await _start_pair(mesh)
                 mesh.network.cut(controls[0].address, controls[1].address)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertEqual(('c1',), status.unreachable_controls)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_unknown_when_not_certified(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
                 source, controls, _ = await _start_pair(mesh)
                 source.certifies = False
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertFalse(status.certified)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_unknown_while_a_control_is_warming(self):
         async def run():
             async with open_mesh() as mesh:
                 source = FakeSource(make_release())
                 control = await mesh.start_control(0, source)
-                status = await control.service.fleet()
+                status = await control.service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertEqual(('c0',), status.warming_controls)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_newest_report_of_a_node_counts(self):
         async def run():
@@ -112,9 +112,9 @@
                 await mesh.start_control(0, source)
                 source.publish(change_route(source.current))
                 await trio.sleep(60)
-                status = await controls[1].service.fleet()
+                status = await controls[1].service.fleet_status()
                 self.assertIs(FleetState.IN_FORCE, status.state)
                 self.assertEqual(2, status.total)
                 self.assertEqual(2, nodes[0].number)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
--- a/snipelead/controls/tests/test_random.py
+++ b/snipelead/controls/tests/test_random.py
@@ -1,5 +1,6 @@
 """Seeded runs over a network that loses, doubles and reorders messages."""
 
+from functools import partial
 import random
 
 from testtools import TestCase
@@ -7,9 +8,9 @@
 
 from snipelead.controls.fleet import FleetState
 from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
 from snipelead.releases.checks import check_release
-from snipelead.testing.clock import run_in_virtual_time
 from snipelead.testing.releases import change_route
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
@@ -141,14 +142,14 @@
         status = None
         while status is None or status.state is not FleetState.IN_FORCE:
             await trio.sleep(1)
-            status = await self.controls[0].service.fleet()
+            status = await self.controls[0].service.fleet_status()
         return status
 
 
 class RandomRunTest(TestCase):
     def test_invariants_hold_and_all_converge(self):
         for seed in SEEDS:
-            run_in_virtual_time(self.run_seed, seed)
+            run_mesh(partial(self.run_seed, seed), seed)
 
     async def run_seed(self, seed):
         network = {
--- a/snipelead/controls/tests/test_relay.py
+++ b/snipelead/controls/tests/test_relay.py
@@ -7,6 +7,7 @@
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SubmitRequest
@@ -14,7 +15,6 @@
 from snipelead.releases.note import Change
 from snipelead.releases.note import ReleaseNote
 from snipelead.settings.schema import ControlSettings
-from snipelead.testing.clock import run_in_virtual_time
 from snipelead.testing.releases import change_route
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
@@ -55,7 +55,7 @@
             async with open_mesh(ZONES, ROLES) as mesh:
                 await check(mesh, *await _start(mesh))
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_relay_follows_and_fans_out(self):
         async def check(mesh, source, voters, control, relay):
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -3,12 +3,12 @@
 import trio
 
 from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
 from snipelead.releases.document import Held
 from snipelead.settings.schema import ControlTimings
-from snipelead.testing.clock import run_in_virtual_time
 from snipelead.testing.releases import change_route
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
@@ -28,7 +28,7 @@
                 await wait_until(lambda: node.holder.ready)
                 self.assertEqual(make_release().held, node.holder.current.held)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_change_reaches_node_by_delta_at_once(self):
         async def run():
@@ -46,7 +46,7 @@
                 received = node.transport.stats.received_bytes - before
                 self.assertLess(received, 600)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_missed_changes_come_as_one_net_delta(self):
         async def run():
@@ -66,7 +66,7 @@
                 self.assertEqual([1, 501], node.numbers)
                 self.assertEqual(snapshots, control.service.gate.admissions)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_unknown_base_leads_to_snapshot(self):
         async def run():
@@ -80,7 +80,7 @@
                 await wait_until(lambda: node.number == 2)
                 self.assertEqual(2, control.service.gate.admissions)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_digest_mismatch_leads_to_snapshot(self):
         async def run():
@@ -103,7 +103,7 @@
                 self.assertEqual(newer.held, node.holder.current.held)
                 self.assertFalse(node.client.follower.needs_snapshot)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_node_never_obeys_a_control_that_is_behind(self):
         async def run():
@@ -126,7 +126,7 @@
                 self.assertEqual(2, second.service.newest.number)
                 self.assertEqual(2, first.service.newest.number)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_silent_link_is_replaced(self):
         async def run():
@@ -144,7 +144,7 @@
                 await wait_until(lambda: node.number == 2)
                 self.assertLess(trio.current_time() - began, 8)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_preference_for_bytes_batches(self):
         async def run():
@@ -163,7 +163,7 @@
                 await wait_until(lambda: node.number == 11)
                 self.assertEqual([1, 11], node.numbers)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_poll_older_than_the_newest_is_refused(self):
         async def run():
@@ -178,7 +178,7 @@
                     error = caught
                 self.assertEqual('SL2004', error.code)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
 
 class HerdTest(TestCase):
@@ -194,7 +194,7 @@
                 self.assertGreater(control.service.gate.refused, 0)
                 self.assertLess(trio.current_time() - began, 10)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_herd_shares_certifications(self):
         async def run():
@@ -206,7 +206,7 @@
                 await wait_until(lambda: all(n.holder.ready for n in nodes))
                 self.assertLess(source.certifications, 5)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
 
 class FloorTest(TestCase):
@@ -222,7 +222,7 @@
                 await wait_until(lambda: node.holder.ready)
                 self.assertEqual(2, node.number)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_without_certificate_highest_in_reach_after_the_limit(self):
         async def run():
@@ -241,7 +241,7 @@
                 self.assertGreaterEqual(waited, 10)
                 self.assertLess(waited, 15)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_floor_includes_release_of_live_nodes_after_control_restart(self):
         async def run():
@@ -262,4 +262,4 @@
                 await wait_until(lambda: restarted.holder.ready)
                 self.assertEqual(2, restarted.number)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
--- a/snipelead/controls/tests/test_targets.py
+++ b/snipelead/controls/tests/test_targets.py
@@ -2,8 +2,8 @@
 import trio
 
 from snipelead.controls.tests.mesh import open_mesh
+from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
-from snipelead.testing.clock import run_in_virtual_time
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
 from snipelead.types import TargetState
@@ -34,7 +34,7 @@
                 await _start_all(mesh, ('a', 'b', 'c'), 2)
                 self.assertLess(trio.current_time() - began, 2)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_change_of_state_propagates_at_once(self):
         async def run():
@@ -55,7 +55,7 @@
                 )
                 self.assertLess(trio.current_time() - began, 0.1)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_targets_of_other_services_are_not_sent(self):
         async def run():
@@ -71,7 +71,7 @@
                     lambda: nodes[1].target_ids('service-1') == {'other'}
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_target_withdrawn_by_its_node_is_gone(self):
         async def run():
@@ -84,7 +84,7 @@
                     lambda: nodes[1].target_ids() == {'t-n0', 't-n1'}
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_leaving_node_takes_its_targets_with_it(self):
         async def run():
@@ -94,11 +94,11 @@
                 self.assertTrue(await nodes[0].client.leave())
                 await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
                 self.assertLess(trio.current_time() - began, 0.1)
-                status = await controls[1].service.fleet()
+                status = await controls[1].service.fleet_status()
                 self.assertEqual(1, status.total)
                 self.assertEqual((), status.unreachable_nodes)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_targets_of_a_silent_node_end_with_its_lease(self):
         async def run():
@@ -110,7 +110,7 @@
                 waited = trio.current_time() - began
                 self.assertLess(waited, 13)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_target_of_a_node_that_comes_back_is_told_again(self):
         async def run():
@@ -123,7 +123,7 @@
                 mesh.network.heal()
                 await wait_until(lambda: nodes[1].target_ids() == every)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_restarted_control_does_not_empty_directories(self):
         async def run():
@@ -148,7 +148,7 @@
                 self.assertFalse(control.service.warming)
                 self.assertEqual([], shrunk)
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_node_lost_during_restart_of_control_is_dropped_when_warm(self):
         async def run():
@@ -160,7 +160,7 @@
                 await mesh.start_control(0, control.source)
                 await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_zone_that_is_cut_off_goes_on(self):
         async def run():
@@ -189,7 +189,7 @@
                     lambda: nodes[5].target_ids() == every - {'t-n0'}
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_entries_of_a_zone_out_of_reach_expire_after_retention(self):
         async def run():
@@ -201,7 +201,7 @@
                 self.assertEqual({'t-n0', 't-n1'}, nodes[1].target_ids())
                 await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
 
-        run_in_virtual_time(run)
+        run_mesh(run)
 
     def test_node_that_turned_to_another_control_is_not_shown_twice(self):
         async def run():
@@ -224,4 +224,4 @@
                     lambda: all(n.target_ids() == others for n in nodes[1:])
                 )
 
-        run_in_virtual_time(run)
+        run_mesh(run)
--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -4,16 +4,16 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
-from snipelead.messages import CertifyReply
-from snipelead.messages import CertifyRequest
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcTimeoutError
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.rpc.grpc import open_transport
+from snipelead.voters.messages import CertifyReply
+from snipelead.voters.messages import CertifyRequest
 
 TIMEOUT_S = 20.0
-REPLY = CertifyReply(EMPTY_RELEASE.held, True)
+REPLY = CertifyReply(True, EMPTY_RELEASE.held)
 
 
 def _free_address():
--- a/snipelead/testing/source.py
+++ b/snipelead/testing/source.py
@@ -6,8 +6,6 @@
 
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.source import ReleaseSource
-from snipelead.messages import CertifyReply
-from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimReply
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SettleReply
@@ -17,6 +15,10 @@
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.types import OutcomeKind
+from snipelead.voters.messages import CertifyReply
+from snipelead.voters.messages import CertifyRequest
+from snipelead.voters.messages import OutcomesReply
+from snipelead.voters.messages import OutcomesRequest
 
 __all__ = ['FakeSource']
 
@@ -54,6 +56,7 @@
         """Return the procedures of a voter that do not need consensus."""
         return {
             CertifyRequest: self._answer_certify,
+            OutcomesRequest: self._answer_outcomes,
             SubmitRequest: self._answer_submit,
             ClaimRequest: self.claim,
             SettleRequest: self.settle,
@@ -110,7 +113,10 @@
 
     async def _answer_certify(self, request):
         certified = await self.certify()
-        return CertifyReply(self.current.held, certified)
+        return CertifyReply(certified, self.current.held)
+
+    async def _answer_outcomes(self, request):
+        return OutcomesReply(dict(self.notes))
 
     async def _answer_submit(self, request):
         return await self.submit(request.note)
