End calls of a stopped server, give herds turns

Cause: a server that stopped in a process that goes on left its calls waiting and still ran new ones on open connections; a poll learned of it only after hold and miss.

Change: calls of a stopped server fail at once and none is run any more; a broken invariant in a handler ends the server's process.

--- a/snipelead/controls/snapshots.py
+++ b/snipelead/controls/snapshots.py
@@ -8,8 +8,7 @@
 
 # A node that does not acknowledge a snapshot for this long frees its place.
 HOLD_LIMIT_S = 5.0
-FIRST_SERVICE_TIME_S = 0.02
-MIN_RETRY_S = 0.05
+FIRST_SERVICE_TIME_S = 0.05
 MAX_RETRY_S = 10.0
 SERVICE_TIME_WEIGHT = 0.1
 
@@ -18,8 +17,8 @@
     """Admits a bounded number of snapshots and tells the rest when to return.
 
     A snapshot is under way from its admission until the node's next poll,
-    or until ``HOLD_LIMIT_S``. The delay told to the others grows with the
-    number that waits, by the measured time of a snapshot.
+    or until ``HOLD_LIMIT_S``. The others are given turns one after another,
+    spaced by the measured time of a snapshot.
 
     Parameters
     ----------
@@ -46,15 +45,14 @@
         self.admissions = 0
         self.service_time_s = FIRST_SERVICE_TIME_S
         self._admitted = {}
-        self._waiting = {}
+        self._next_turn = 0.0
 
     def admit(self, node_id):
         """Take a place; returns 0, or the milliseconds to come back in."""
         now = trio.current_time()
         self._forget(now)
         if node_id not in self._admitted and len(self._admitted) >= self.limit:
-            return self._refuse(node_id, now)
-        self._waiting.pop(node_id, None)
+            return self._refuse(now)
         self._admitted[node_id] = now
         self.admissions += 1
         self.peak = max(self.peak, len(self._admitted))
@@ -70,21 +68,18 @@
             took_s - self.service_time_s
         )
 
-    def _refuse(self, node_id, now):
+    def _refuse(self, now):
+        """Give the node a turn after all turns given before."""
         self.refused += 1
-        self._waiting[node_id] = now + MAX_RETRY_S
-        turns = len(self._waiting) / self.limit
-        # Jitter spreads the returns evenly over the time that all need.
-        delay_s = self.rng.uniform(0, 2 * turns * self.service_time_s)
-        delay_s = min(MAX_RETRY_S, MIN_RETRY_S + delay_s)
-        self._waiting[node_id] = now + 2 * delay_s
+        interval_s = self.service_time_s / self.limit
+        self._next_turn = max(self._next_turn, now) + interval_s
+        delay_s = min(MAX_RETRY_S, self._next_turn - now)
+        # Jitter of one turn of all places keeps returns from colliding.
+        delay_s += self.rng.uniform(0, self.service_time_s)
         return int(1_000 * delay_s) + 1
 
     def _forget(self, now):
-        """Drop places and waiters whose nodes did not come back."""
+        """Free the places of nodes that did not come back."""
         for node_id, admitted_at in list(self._admitted.items()):
             if admitted_at + HOLD_LIMIT_S <= now:
                 del self._admitted[node_id]
-        self._waiting = {
-            node_id: due for node_id, due in self._waiting.items() if due > now
-        }
--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -5,12 +5,14 @@
 inside :func:`open_transport`.
 """
 
+from asyncio import CancelledError
 from contextlib import asynccontextmanager
 
 from grpclib.client import Channel as GrpcClientChannel
 from grpclib.client import UnaryUnaryMethod
 from grpclib.const import Cardinality
 from grpclib.const import Handler
+from grpclib.const import Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
@@ -20,6 +22,7 @@
 from trio_asyncio import open_loop
 from trio_asyncio import trio_as_aio
 
+from snipelead.exceptions import InvariantError
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
@@ -111,10 +114,22 @@
 
 
 class _Service:
-    """Adapter from grpclib's server to trio handlers."""
+    """Adapter from grpclib's server to trio handlers.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether the server stops. Its connections stay open for a moment,
+        but calls on them are no longer run.
+    failure : InvariantError or None
+        Broken rule that has to stop the process.
+    """
 
     def __init__(self, handlers):
         self.handlers = handlers
+        self.closing = False
+        self.failure = None
+        self.failed = trio.Event()
 
     def __mapping__(self):
         return {
@@ -132,13 +147,24 @@
             payload = await stream.recv_message()
             if payload is None:
                 return
-            answer = await trio_as_aio(dispatch)(
-                self.handlers, method, payload
-            )
-            await stream.send_message(answer)
+            await stream.send_message(await self._run(method, payload))
 
         return handle
 
+    async def _run(self, method, payload):
+        if self.closing:
+            raise GRPCError(Status.UNAVAILABLE, 'the server stopped')
+        try:
+            return await trio_as_aio(dispatch)(self.handlers, method, payload)
+        except CancelledError:
+            if not self.closing:
+                raise
+            raise GRPCError(Status.UNAVAILABLE, 'the server stopped') from None
+        except InvariantError as error:
+            self.failure = error
+            self.failed.set()
+            raise GRPCError(Status.INTERNAL, str(error)) from error
+
 
 class GrpcTransport(Transport):
     """Transport over gRPC."""
@@ -151,13 +177,16 @@
         self, address, handlers, *, task_status=trio.TASK_STATUS_IGNORED
     ):
         """Serve handlers until cancelled."""
-        server = Server([_Service(handlers)], codec=_BytesCodec())
+        service = _Service(handlers)
+        server = Server([service], codec=_BytesCodec())
         host, port = _split_address(address)
         await aio_as_trio(server.start)(host, port)
         try:
             task_status.started(address)
-            await trio.sleep_forever()
+            await service.failed.wait()
+            raise service.failure
         finally:
+            service.closing = True
             server.close()
 
 
--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
+from snipelead.exceptions import InvariantError
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcTimeoutError
@@ -122,6 +123,55 @@
 
         self.run_with(hold, check)
 
+    def test_stopped_server_ends_its_calls_and_runs_no_more(self):
+        address = _free_address()
+
+        async def run():
+            began = trio.Event()
+
+            async def hold(request):
+                began.set()
+                await trio.sleep_forever()
+
+            async with open_transport() as transport:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(
+                        transport.serve, address, {CertifyRequest: hold}
+                    )
+                    channel = transport.connect(address)
+                    async with trio.open_nursery() as calls:
+                        calls.start_soon(self.expect_unreachable, channel)
+                        await began.wait()
+                        nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def expect_unreachable(self, channel):
+        error = None
+        with trio.CancelScope(shield=True), trio.fail_after(TIMEOUT_S):
+            try:
+                await channel.call(CertifyRequest(), 2 * TIMEOUT_S)
+            except RpcUnreachableError as caught:
+                error = caught
+        self.assertIsNotNone(error)
+
+    def test_broken_invariant_stops_the_server(self):
+        async def fail(request):
+            raise InvariantError('broken')
+
+        async def check(channel):
+            try:
+                await channel.call(CertifyRequest(), TIMEOUT_S)
+            except RpcUnreachableError:
+                await trio.sleep_forever()
+
+        found = []
+        try:
+            self.run_with(fail, check)
+        except* InvariantError as group:
+            found = group.exceptions
+        self.assertEqual(1, len(found))
+
     def test_call_to_nobody_was_not_sent(self):
         async def run():
             async with open_transport() as transport:
