Hear again of a node whose clock was set back

Cause: a control drops polls of an earlier incarnation, so a node that restarted after its clock was set back would have been refused until the control forgot it, ten minutes later. grpclib wrote tracebacks of lost connections to standard error.

Change: such a node takes a later incarnation than the one known. Unforeseen failures of procedures are logged by number; what grpclib says besides is left out. A poll waits for a certification only when it asks for one, so a silent connection is noticed after hold_ms and miss_ms.

--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -4,6 +4,8 @@
 
 from snipelead.controls.events import FLOOR_CERTIFIED
 from snipelead.controls.events import FLOOR_UNCERTIFIED
+from snipelead.controls.events import INCARNATION_RAISED
+from snipelead.controls.exceptions import StaleRequestError
 from snipelead.controls.follower import ReleaseFollower
 from snipelead.controls.forwarding import forward
 from snipelead.controls.links import ControlLinks
@@ -15,6 +17,7 @@
 from snipelead.messages import Snapshot
 from snipelead.messages import SyncRequest
 from snipelead.releases.packing import pack
+from snipelead.types import Incarnation
 from snipelead.utils.backoff import Backoff
 
 __all__ = ['SyncClient']
@@ -160,6 +163,20 @@
         early = request.hold_ms and polled_for_s < EMPTY_PAUSE_S
         return EMPTY_PAUSE_S if empty and early else 0.0
 
+    def take_failure(self, link, error):
+        """Record a failed poll; returns the seconds to wait.
+
+        A control that knows a later incarnation of this node refuses each
+        poll: the clock was set back between two starts, or another process
+        uses the same id. This process then takes a later incarnation yet.
+        """
+        if isinstance(error, StaleRequestError):
+            known = Incarnation(int(error.details['incarnation']))
+            if known > self.local.incarnation:
+                log_event(INCARNATION_RAISED, known=known)
+                self.local.restart(Incarnation(known + 1))
+        return super().take_failure(link, error)
+
     def _seek_floor(self, link, reply):
         """Decide whether the node may serve; returns seconds to wait."""
         if reply.certified:
--- a/snipelead/controls/events.py
+++ b/snipelead/controls/events.py
@@ -9,6 +9,7 @@
     'DELTA_REFUSED',
     'FLOOR_CERTIFIED',
     'FLOOR_UNCERTIFIED',
+    'INCARNATION_RAISED',
     'NODE_JOINED',
     'NODE_LEFT',
     'NODE_LOST',
@@ -105,3 +106,10 @@
     'warning',
     'A voter does not answer this relay, which turns to another.',
 )
+INCARNATION_RAISED = Event(
+    2017,
+    'incarnation_raised',
+    'warning',
+    'A control knows a later incarnation of this node. The clock was set'
+    ' back; if this repeats, two processes use the same node id.',
+)
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -68,13 +68,15 @@
         # A control that did not answer lately is asked for a quick answer.
         hold_ms = self.hold_ms if link.proven else 0
         request = self.make_request(link, hold_ms)
-        timeout_s = (hold_ms + self.miss_ms) / MS_PER_S + CERTIFY_LIMIT_S
+        timeout_s = (hold_ms + self.miss_ms) / MS_PER_S
+        if request.wants_certified:
+            timeout_s += CERTIFY_LIMIT_S
         try:
             reply = await self._call(link, request, timeout_s)
         except InvariantError:
             raise
         except SnipeleadError as error:
-            return self._fail(link, error)
+            return self.take_failure(link, error)
         if reply is None:
             return 0.0
         if not link.proven:
@@ -105,7 +107,8 @@
             raise failures[0]
         return replies[0] if replies else None
 
-    def _fail(self, link, error):
+    def take_failure(self, link, error):
+        """Record a failed poll; returns the seconds to wait."""
         # The first failure may be that of the connection alone.
         if not link.proven:
             self.links.defer(link)
--- a/snipelead/controls/sessions.py
+++ b/snipelead/controls/sessions.py
@@ -72,7 +72,8 @@
         order = (request.incarnation, request.sequence)
         if order < self.order:
             raise StaleRequestError(
-                f'poll {order} of {self.node_id} came after {self.order}'
+                f'poll {order} of {self.node_id} came after {self.order}',
+                incarnation=self.order[0],
             )
         if request.incarnation != self.order[0]:
             self.left = False
--- a/snipelead/controls/tests/test_targets.py
+++ b/snipelead/controls/tests/test_targets.py
@@ -225,3 +225,25 @@
                 )
 
         run_mesh(run)
+
+    def test_node_whose_clock_was_set_back_is_heard_again(self):
+        async def run():
+            async with open_mesh() as mesh:
+                _, nodes = await _start_all(mesh, ('a',), 2)
+                nodes[0].scope.cancel()
+                again = await mesh.start_node(0, incarnation=0)
+                again.announce(state=TargetState.STARTING)
+                await wait_until(
+                    lambda: (
+                        TargetState.STARTING
+                        in {
+                            entry.state
+                            for entry in nodes[1].directory.targets(
+                                'service-0'
+                            )
+                        }
+                    )
+                )
+                self.assertEqual(2, again.local.incarnation)
+
+        run_mesh(run)
--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -7,6 +7,7 @@
 
 from asyncio import CancelledError
 from contextlib import asynccontextmanager
+import logging
 
 from grpclib.client import Channel as GrpcClientChannel
 from grpclib.client import UnaryUnaryMethod
@@ -23,9 +24,11 @@
 from trio_asyncio import trio_as_aio
 
 from snipelead.exceptions import InvariantError
+from snipelead.logs import log_event
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
+from snipelead.rpc.events import PROCEDURE_FAILED
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
 
@@ -33,6 +36,10 @@
 
 SERVICE_PATH = '/s'
 
+# What grpclib says there is either logged by number here, or is the loss of
+# a connection, which the other end notices.
+logging.getLogger('grpclib.server').setLevel(logging.CRITICAL)
+
 
 class _BytesCodec(CodecBase):
     __content_subtype__ = 'msgpack'
@@ -164,6 +171,14 @@
             self.failure = error
             self.failed.set()
             raise GRPCError(Status.INTERNAL, str(error)) from error
+        except Exception as error:
+            log_event(
+                PROCEDURE_FAILED,
+                method=method,
+                error=repr(error),
+                exc_info=True,
+            )
+            raise GRPCError(Status.INTERNAL, repr(error)) from error
 
 
 class GrpcTransport(Transport):
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -2,6 +2,7 @@
 
 import time
 
+from msgspec.structs import replace
 import trio
 
 from snipelead.messages import TargetEntry
@@ -56,6 +57,13 @@
         """Return the entries of all targets that are not gone."""
         return tuple(target.entry for target in self.targets.values())
 
+    def restart(self, incarnation):
+        """Take a later incarnation and announce all targets anew."""
+        self.incarnation = incarnation
+        for target in self.targets.values():
+            target.entry = replace(target.entry, incarnation=incarnation)
+        self._notify()
+
     def announce(
         self, target_id, service, target_address, slots, connections, state
     ):
