Prove the gate, claims, fences, choice of target and drain by tests

Cause: the call path had tests of its ordinary course only.

Change: tests with stand-ins for target, control and a link that goes silent: slots never exceeded, fair places in the queue, leaving, cancellation, doubled attempts, fences over a fresh connection, each outcome of a claim, ejection with one probe, ramp, retry budget, drain.

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -48,7 +48,7 @@
     ----------
     connections : int
         Connections open.
-    busy : int
+    active : dict of Connection to Request
         Requests being answered.
     draining : bool
         Whether connections are closed after their current request.
@@ -61,7 +61,7 @@
         self.idle_s = idle_s
         self.max_connections = max_connections
         self.connections = 0
-        self.busy = 0
+        self.active = {}
         self.draining = False
         self.idle_scopes = set()
         self.accept_scope = trio.CancelScope()
@@ -102,6 +102,14 @@
         deadline = trio.current_time() + DRAIN_IDLE_S
         for scope in self.idle_scopes:
             scope.deadline = min(scope.deadline, deadline)
+        for request in self.active.values():
+            self.end_keep_alive(request)
+
+    def end_keep_alive(self, request):
+        """Let a request be the last of its connection, unless more came."""
+        reader = request.reader
+        if not reader.ready and reader.connection.is_silent():
+            request.keep_alive = False
 
     async def serve(self, connection):
         """Serve one connection until it closes."""
@@ -130,17 +138,18 @@
             return False
         if request is None:
             return False
-        request.keep_alive = request.keep_alive and not self.draining
+        if self.draining:
+            self.end_keep_alive(request)
         await self._answer(connection, request)
         if connection.closed:
             return False
         if not request.keep_alive or not request.complete:
             await connection.finish()
             return False
-        return not (self.draining and not reader.ready)
+        return True
 
     async def _answer(self, connection, request):
-        self.busy += 1
+        self.active[connection] = request
         try:
             await self.handle(connection, request)
         except CallError as error:
@@ -152,7 +161,7 @@
             log_event(CALL_FAILED, error=repr(error))
             connection.abort()
         finally:
-            self.busy -= 1
+            del self.active[connection]
 
     async def _next_request(self, reader):
         if reader.ready:
--- a/snipelead/callers/path.py
+++ b/snipelead/callers/path.py
@@ -160,7 +160,7 @@
     @property
     def in_flight(self):
         """Requests being answered and settlements under way."""
-        busy = sum(server.busy for server in self.servers)
+        busy = sum(len(server.active) for server in self.servers)
         return busy + self.keeper.unsettled
 
     async def drain(self):
--- a/snipelead/callers/tests/fakes.py
+++ b/snipelead/callers/tests/fakes.py
@@ -145,17 +145,16 @@
 class FakeNode:
     """A call path with a target beside it."""
 
-    def __init__(self, name, zone='a', slots=20, limits=None, **settings):
-        settings.setdefault('caller_address', ANY_PORT)
-        settings.setdefault('address', ANY_PORT)
+    def __init__(self, name, zone='a', slots=20, limits=None, grace_ms=5_000):
         self.settings = NodeSettings(
             node_id=name,
             zone=zone,
+            caller_address=ANY_PORT,
+            address=ANY_PORT,
             admin_address=ANY_PORT,
             controls=(),
             limits=limits or NodeLimits(),
-            timings=NodeTimings(grace_ms=5_000),
-            **settings,
+            timings=NodeTimings(grace_ms=grace_ms),
         )
         self.holder = ReleaseHolder()
         self.holder.swap(RELEASE)
--- /dev/null
+++ b/snipelead/callers/tests/test_claims.py
@@ -0,0 +1,119 @@
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.callers.tests.fakes import FakeNode
+from snipelead.callers.tests.fakes import refusal_of
+from snipelead.callers.tests.fakes import until
+from snipelead.controls.exceptions import NoControlError
+from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.rpc.exceptions import RpcTimeoutError
+from snipelead.types import Ran
+from snipelead.types import TargetState
+
+
+class ClaimsTest(CallPathTestCase):
+    def setUp(self):
+        super().setUp()
+        self.node = FakeNode('n1')
+
+    async def call(self, path='/orders/1', body=b'drum', key='k1'):
+        caller = await Caller.open(self.node.path.caller_address)
+        return await caller.call(path, 'POST', body, Idempotency_Key=key)
+
+    def settled(self):
+        return [(s.ran, s.status) for s in self.node.claims.settled]
+
+    def test_granted_claim_is_settled_with_its_status(self):
+        async def test(nursery):
+            response, body = await self.call()
+            self.assertEqual((200, b'drum'), (response.status, body))
+            await until(self.settled)
+            self.assertEqual([(Ran.YES, 200)], self.settled())
+
+        self.run_nodes(test, self.node)
+
+    def test_resend_is_not_run_again(self):
+        async def test(nursery):
+            await self.call()
+            answer = await self.call()
+            self.assertEqual(409, answer[0].status)
+            self.assertEqual('SL3014', refusal_of(answer)[0])
+            self.assertIn(b'x-retry-after-ms', answer[0].fields)
+            self.assertEqual(['/orders/1'], self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_key_of_another_request_is_refused(self):
+        async def test(nursery):
+            await self.call()
+            answer = await self.call(body=b'tanker')
+            self.assertEqual(422, answer[0].status)
+            self.assertEqual(('SL3015', 'no'), refusal_of(answer)[:2])
+
+        self.run_nodes(test, self.node)
+
+    def test_claim_that_cannot_be_made_refuses_the_call(self):
+        async def test(nursery):
+            for error in (NoQuorumError('cut off'), NoControlError('none')):
+                self.node.claims.error = error
+                answer = await self.call()
+                self.assertEqual(503, answer[0].status)
+                self.assertEqual(('SL3016', 'no'), refusal_of(answer)[:2])
+            self.assertEqual([], self.node.target.runs)
+            self.assertEqual([], self.settled())
+
+        self.run_nodes(test, self.node)
+
+    def test_unknown_claim_refuses_the_call_and_is_given_back(self):
+        async def test(nursery):
+            for error in (
+                OutcomeUnknownError('lost'),
+                RpcTimeoutError('late'),
+            ):
+                self.node.claims.error = error
+                answer = await self.call()
+                code, ran, told = refusal_of(answer)
+                self.assertEqual(('SL3017', 'no'), (code, ran))
+                self.assertEqual('unknown', told['details']['key_state'])
+            self.assertEqual([], self.node.target.runs)
+            await until(lambda: len(self.settled()) == 2)
+            self.assertEqual([(Ran.NO, 0)] * 2, self.settled())
+
+        self.run_nodes(test, self.node)
+
+    def test_claim_of_a_request_that_did_not_run_is_given_back(self):
+        async def test(nursery):
+            self.node.announce(TargetState.LEAVING)
+            answer = await self.call()
+            self.assertEqual('no', refusal_of(answer)[1])
+            await until(self.settled)
+            self.assertEqual([(Ran.NO, 0)], self.settled())
+
+        self.run_nodes(test, self.node)
+
+    def test_claim_of_a_request_that_may_have_run_is_kept(self):
+        async def close(connection, request, body):
+            connection.close()
+
+        async def test(nursery):
+            self.node.target.answer = close
+            answer = await self.call()
+            self.assertEqual('unknown', refusal_of(answer)[1])
+            self.assertEqual([], self.settled())
+
+        self.run_nodes(test, self.node)
+
+    def test_repeatable_requests_need_no_claim(self):
+        async def test(nursery):
+            self.node.claims.error = NoQuorumError('cut off')
+            response, _ = await self.call('/reads/1')
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.node)
+
+    def test_bad_key_is_refused(self):
+        async def test(nursery):
+            answer = await self.call(key='x' * 201)
+            self.assertEqual(('SL3001', 'no'), refusal_of(answer)[:2])
+
+        self.run_nodes(test, self.node)
--- /dev/null
+++ b/snipelead/callers/tests/test_drain.py
@@ -0,0 +1,88 @@
+from testtools import ExpectedException
+import trio
+
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.callers.tests.fakes import FakeNode
+from snipelead.callers.tests.fakes import refusal_of
+from snipelead.callers.tests.fakes import until
+from snipelead.http.exceptions import ConnectFailedError
+from snipelead.types import TargetState
+
+
+class DrainTest(CallPathTestCase):
+    def setUp(self):
+        super().setUp()
+        self.node = FakeNode('n1')
+        self.other = FakeNode('n2', zone='b')
+
+    async def start_call(self, path='/orders/1'):
+        caller = await Caller.open(self.node.path.caller_address)
+        await caller.send(path, 'POST')
+        return caller
+
+    def test_call_in_flight_is_answered(self):
+        async def test(nursery):
+            hold = self.node.target.hold = trio.Event()
+            caller = await self.start_call()
+            await until(lambda: self.node.target.running == 1)
+            nursery.start_soon(self.node.path.drain)
+            await until(lambda: self.node.path.gates.stopping)
+            hold.set()
+            response, body = await caller.receive()
+            self.assertEqual((200, b'/orders/1'), (response.status, body))
+            self.assertFalse(response.keep_alive)
+            await until(lambda: self.node.path.scope.cancelled_caught)
+
+        self.run_nodes(test, self.node)
+
+    def test_idle_connection_may_send_a_last_request(self):
+        async def test(nursery):
+            caller = await Caller.open(self.node.path.caller_address)
+            await caller.call('/reads/1')
+            nursery.start_soon(self.node.path.drain)
+            await until(lambda: self.node.path.gates.stopping)
+            response, _ = await caller.call('/reads/2')
+            self.assertEqual(200, response.status)
+            self.assertFalse(response.keep_alive)
+
+        self.run_nodes(test, self.node, self.other)
+
+    def test_no_new_connections(self):
+        async def test(nursery):
+            await self.node.path.drain()
+            with ExpectedException(ConnectFailedError):
+                await Caller.open(self.node.path.caller_address)
+
+        self.run_nodes(test, self.node)
+
+    def test_peers_are_refused_and_go_elsewhere(self):
+        async def test(nursery):
+            hold = self.node.target.hold = trio.Event()
+            await self.start_call()
+            await until(lambda: self.node.target.running == 1)
+            # A peer that already holds a connection to the draining node.
+            self.other.announce(TargetState.LEAVING)
+            self.other.directory.merge(self.other.entry)
+            caller = await Caller.open(self.other.path.caller_address)
+            self.node.target.hold = None
+            await caller.call('/reads/1')
+            nursery.start_soon(self.node.path.drain)
+            await until(lambda: self.node.path.gates.stopping)
+            answer = await caller.call('/orders/2', 'POST')
+            self.assertEqual('no', refusal_of(answer)[1])
+            self.assertNotIn('/orders/2', self.node.target.runs)
+            hold.set()
+
+        self.run_nodes(test, self.node, self.other)
+
+    def test_what_exceeds_the_grace_period_is_cut(self):
+        async def test(nursery):
+            self.node.target.hold = trio.Event()
+            await self.start_call()
+            await until(lambda: self.node.target.running == 1)
+            await self.node.path.drain()
+            self.assertTrue(self.node.path.scope.cancel_called)
+
+        self.node = FakeNode('n1', grace_ms=50)
+        self.run_nodes(test, self.node)
--- /dev/null
+++ b/snipelead/callers/tests/test_forwarding.py
@@ -0,0 +1,198 @@
+from functools import partial
+
+import msgspec
+import trio
+
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.callers.tests.fakes import FakeNode
+from snipelead.callers.tests.fakes import refusal_of
+from snipelead.callers.tests.fakes import until
+from snipelead.callers.tests.links import SilentLink
+from snipelead.types import Ran
+from snipelead.types import TargetState
+
+
+class ForwardingTest(CallPathTestCase):
+    """Calls from n1 to the target of n2, over a link that fails."""
+
+    def setUp(self):
+        super().setUp()
+        self.near = FakeNode('n1')
+        self.far = FakeNode('n2')
+
+    async def start_link(self, nursery):
+        """Put a link between the nodes; the far target is the only one."""
+        self.near.announce(TargetState.LEAVING)
+        self.near.directory.merge(self.near.entry)
+        link = SilentLink(self.far.path.address)
+        await nursery.start(link.run)
+        self.merge_far(address=link.address)
+        return link
+
+    def merge_far(self, **changes):
+        entry = self.far.entry
+        changes.setdefault('sequence', entry.sequence + 1)
+        self.near.directory.merge(msgspec.structs.replace(entry, **changes))
+
+    async def call(self, path='/orders/1', method='POST', **fields):
+        caller = await Caller.open(self.near.path.caller_address)
+        return await caller.call(path, method, **fields)
+
+    def test_request_lost_on_a_silent_connection_is_proved_not_run(self):
+        async def test(nursery):
+            link = await self.start_link(nursery)
+            response, _ = await self.call('/reads/1', 'GET')
+            self.assertEqual(200, response.status)
+            link.lose_requests.add(0)
+            answer = await self.call()
+            self.assertEqual(('SL3012', 'no'), refusal_of(answer)[:2])
+            self.assertEqual(['/reads/1'], self.far.target.runs)
+            # The next request takes a fresh connection.
+            response, _ = await self.call()
+            self.assertEqual(200, response.status)
+            self.assertEqual(['/reads/1', '/orders/1'], self.far.target.runs)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_lost_request_goes_to_another_target_once(self):
+        third = FakeNode('n3', zone='b')
+
+        async def test(nursery):
+            third.announce(TargetState.LEAVING)
+            self.near.directory.merge(third.entry)
+            link = await self.start_link(nursery)
+            await self.call('/reads/1', 'GET')
+            link.lose_requests.add(0)
+            third.announce(TargetState.SERVING)
+            self.near.directory.merge(third.entry)
+            response, _ = await self.call()
+            self.assertEqual(200, response.status)
+            self.assertEqual(['/orders/1'], third.target.runs)
+            self.assertEqual(['/reads/1'], self.far.target.runs)
+
+        self.run_nodes(test, self.near, self.far, third)
+
+    def test_lost_answer_is_not_run_again(self):
+        third = FakeNode('n3', zone='b')
+
+        async def test(nursery):
+            link = await self.start_link(nursery)
+            await self.call('/reads/1', 'GET')
+            link.lose_answers.add(0)
+            answer = await self.call()
+            self.assertEqual(('SL3012', 'yes'), refusal_of(answer)[:2])
+            self.assertEqual(['/reads/1', '/orders/1'], self.far.target.runs)
+            self.assertEqual([], third.target.runs)
+
+        self.run_nodes(test, self.near, self.far, third)
+
+    def test_lost_answer_of_a_running_request_is_unknown(self):
+        async def test(nursery):
+            link = await self.start_link(nursery)
+            link.lose_answers.add(0)
+            self.far.target.hold = trio.Event()
+            answer = await self.call()
+            self.assertEqual('unknown', refusal_of(answer)[1])
+            self.assertEqual(['/orders/1'], self.far.target.runs)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_fence_of_another_life_proves_nothing(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            entry = self.far.entry
+            forwarder = self.near.path.forwarder
+            self.assertIs(Ran.NO, await forwarder.fence(entry, 'a1'))
+            later = msgspec.structs.replace(
+                entry, incarnation=entry.incarnation + 1
+            )
+            self.assertIs(Ran.UNKNOWN, await forwarder.fence(later, 'a2'))
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_fence_that_gets_no_answer_proves_nothing(self):
+        async def test(nursery):
+            link = await self.start_link(nursery)
+            link.lose_requests.update(range(10))
+            answer = await self.call()
+            self.assertEqual(('SL3012', 'unknown'), refusal_of(answer)[:2])
+            self.assertEqual([], self.far.target.runs)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_request_for_another_life_of_the_node_is_refused(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            self.merge_far(incarnation=self.far.entry.incarnation + 1)
+            answer = await self.call()
+            self.assertEqual(('SL3008', 'no'), refusal_of(answer)[:2])
+            self.assertEqual([], self.far.target.runs)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_long_request_outlives_the_silence_limit(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            hold = self.far.target.hold = trio.Event()
+            caller = await Caller.open(self.near.path.caller_address)
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: self.far.target.running == 1)
+            await until_later(1.5)
+            hold.set()
+            response, _ = await caller.receive()
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_leaving_refusal_is_retried_elsewhere(self):
+        third = FakeNode('n3', zone='b')
+
+        async def test(nursery):
+            await self.start_link(nursery)
+            # The directory of the near node lags.
+            self.far.announce(TargetState.LEAVING)
+            for _ in range(3):
+                response, _ = await self.call()
+                self.assertEqual(200, response.status)
+            self.assertEqual([], self.far.target.runs)
+            self.assertEqual(3, len(third.target.runs))
+
+        self.run_nodes(test, self.near, self.far, third)
+
+    def test_refused_body_leaves_the_connection_usable(self):
+        body = b'x' * 500_000
+
+        async def test(nursery):
+            await self.start_link(nursery)
+            self.far.announce(TargetState.LEAVING)
+            answer = await self.call(body=body)
+            self.assertEqual('no', refusal_of(answer)[1])
+            self.far.announce(TargetState.SERVING)
+            self.merge_far(sequence=100)
+            _, echoed = await self.call(body=body)
+            self.assertEqual(body, echoed)
+
+        self.run_nodes(test, self.near, self.far)
+
+    def test_peer_refusals_carry_when_to_come_back(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            self.far.local.targets[
+                self.far.target_id
+            ].entry = msgspec.structs.replace(self.far.entry, slots=0)
+            response, _ = await self.call()
+            self.assertEqual(503, response.status)
+            self.assertIn(b'x-retry-after-ms', response.fields)
+
+        self.run_nodes(test, self.near, self.far)
+
+
+async def until_later(seconds):
+    """Wait until the clock has moved on by some seconds."""
+    start = trio.current_time()
+    await until(partial(_has_passed, start + seconds))
+
+
+def _has_passed(moment):
+    return trio.current_time() >= moment
--- /dev/null
+++ b/snipelead/callers/tests/test_gate.py
@@ -0,0 +1,275 @@
+from testtools import ExpectedException
+import trio
+
+from snipelead.callers.call import Call
+from snipelead.callers.exceptions import AttemptFencedError
+from snipelead.callers.exceptions import AttemptSeenError
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.callers.tests.fakes import FakeNode
+from snipelead.callers.tests.fakes import refusal_of
+from snipelead.callers.tests.fakes import until
+from snipelead.exceptions import InvariantError
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.settings.schema import NodeLimits
+from snipelead.types import Ran
+from snipelead.types import RequestClass
+from snipelead.types import TargetState
+
+
+class GateTest(CallPathTestCase):
+    def setUp(self):
+        super().setUp()
+        self.limits = NodeLimits(queue_wait_ms=5_000)
+        self.node = FakeNode('n1', slots=4, limits=self.limits)
+
+    async def open(self):
+        return await Caller.open(self.node.path.caller_address)
+
+    def hold(self):
+        self.node.target.hold = trio.Event()
+        return self.node.target.hold
+
+    async def send_all(self, path, count, **fields):
+        callers = [await self.open() for _ in range(count)]
+        for caller in callers:
+            await caller.send(path, **fields)
+        return callers
+
+    def test_slots_are_never_exceeded(self):
+        async def test(nursery):
+            hold = self.hold()
+            callers = await self.send_all('/reads/1', 8)
+            gate = self.node.gate
+            await until(lambda: len(gate.queue) == 4)
+            await until(lambda: self.node.target.running == 4)
+            hold.set()
+            for caller in callers:
+                response, _ = await caller.receive()
+                self.assertEqual(200, response.status)
+            self.assertEqual(4, self.node.target.most_running)
+            await until(lambda: gate.in_flight == 0)
+
+        self.run_nodes(test, self.node)
+
+    def test_slot_above_the_limit_breaks_the_invariant(self):
+        async def test(nursery):
+            for _ in range(4):
+                self.node.gate.enter(RequestClass.ONCE)
+            self.assertRaises(
+                InvariantError, self.node.gate.enter, RequestClass.ONCE
+            )
+
+        self.run_nodes(test, self.node)
+
+    def test_full_queue_refuses_at_once(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reads/1', 8)
+            await until(lambda: len(self.node.gate.queue) == 4)
+            caller = await self.open()
+            response, body = await caller.call('/reads/late')
+            self.assertEqual(503, response.status)
+            code, ran, _ = refusal_of((response, body))
+            self.assertEqual(('SL3006', 'no'), (code, ran))
+            self.assertIn(b'x-retry-after-ms', response.fields)
+            self.assertNotIn('/reads/late', self.node.target.runs)
+            hold.set()
+
+        self.run_nodes(test, self.node)
+
+    def test_wait_beyond_the_deadline_is_refused_at_once(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reads/1', 4)
+            await until(lambda: self.node.target.running == 4)
+            self.node.gate.service_s = 2.0
+            caller = await self.open()
+            answer = await caller.call('/reads/2', X_Deadline_Ms=1_000)
+            self.assertEqual('SL3006', refusal_of(answer)[0])
+            hold.set()
+
+        self.run_nodes(test, self.node)
+
+    def test_batch_leaves_slots_to_others(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reports/1', 5)
+            await until(lambda: len(self.node.gate.queue) == 2)
+            await until(lambda: self.node.target.running == 3)
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: '/orders/1' in self.node.target.runs)
+            hold.set()
+
+        self.run_nodes(test, self.node)
+
+    def test_small_tenant_takes_the_place_of_a_large_one(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reads/1', 8, X_Tenant='large')
+            await until(lambda: len(self.node.gate.queue) == 4)
+            caller = await self.open()
+            await caller.send('/reads/small', X_Tenant='small')
+            queue = self.node.gate.queue
+            await until(lambda: queue.levels[0].counts().get('small') == 1)
+            self.assertEqual(
+                {'large': 3, 'small': 1}, queue.levels[0].counts()
+            )
+            hold.set()
+            response, _ = await caller.receive()
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.node)
+
+    def test_leaving_target_gets_no_new_work(self):
+        async def test(nursery):
+            hold = self.hold()
+            first = await self.open()
+            await first.send('/orders/1', 'POST')
+            await until(lambda: self.node.target.running == 1)
+            self.node.announce(TargetState.LEAVING)
+            caller = await self.open()
+            answer = await caller.call('/orders/2', 'POST')
+            code, ran, _ = refusal_of(answer)
+            self.assertEqual(('SL3007', 'no'), (code, ran))
+            hold.set()
+            response, _ = await first.receive()
+            self.assertEqual(200, response.status)
+            self.assertEqual(['/orders/1'], self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_leaving_while_it_waits_is_not_run(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reads/1', 4)
+            await until(lambda: self.node.target.running == 4)
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: len(self.node.gate.queue) == 1)
+            self.node.announce(TargetState.LEAVING)
+            hold.set()
+            self.assertEqual('no', refusal_of(await caller.receive())[1])
+            self.assertNotIn('/orders/1', self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_caller_that_goes_away_leaves_the_queue(self):
+        async def test(nursery):
+            hold = self.hold()
+            callers = await self.send_all('/reads/1', 4)
+            await until(lambda: self.node.target.running == 4)
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: len(self.node.gate.queue) == 1)
+            caller.connection.close()
+            await until(lambda: not len(self.node.gate.queue))
+            hold.set()
+            for other in callers:
+                await other.receive()
+            self.assertNotIn('/orders/1', self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_caller_that_goes_away_cancels_at_the_target(self):
+        other = FakeNode('n2', zone='b')
+
+        async def test(nursery):
+            for node in (self.node, other):
+                caller = await Caller.open(self.node.path.caller_address)
+                node.target.hold = trio.Event()
+                await caller.send('/orders/1', 'POST')
+                await until(lambda node=node: node.target.running == 1)
+                caller.connection.close()
+                await until(lambda node=node: node.target.cancelled == 1)
+                await until(lambda node=node: node.gate.in_flight == 0)
+                self.assertEqual(['/orders/1'], node.target.runs)
+                node.announce(TargetState.LEAVING)
+                self.node.directory.merge(node.entry)
+
+        self.run_nodes(test, self.node, other)
+
+    def test_deadline_passes_while_the_target_works(self):
+        async def test(nursery):
+            self.hold()
+            caller = await self.open()
+            answer = await caller.call('/orders/1', 'POST', X_Deadline_Ms='50')
+            self.assertEqual(504, answer[0].status)
+            self.assertEqual(('SL3013', 'unknown'), refusal_of(answer)[:2])
+            await until(lambda: self.node.gate.in_flight == 0)
+
+        self.run_nodes(test, self.node)
+
+    def test_doubled_attempt_is_refused(self):
+        async def test(nursery):
+            caller = await self.open()
+            await caller.call('/orders/1', 'POST')
+            gate = self.node.gate
+            call = Call(RequestClass.ONCE, 'a', True, 1_000)
+            seen = next(iter(gate.attempts.recent))
+            with ExpectedException(AttemptSeenError):
+                await gate.send(call, None, seen, self.node.entry.incarnation)
+            self.assertEqual(['/orders/1'], self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_fence_while_the_attempt_waits(self):
+        async def test(nursery):
+            hold = self.hold()
+            await self.send_all('/reads/1', 4)
+            await until(lambda: self.node.target.running == 4)
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: len(self.node.gate.queue) == 1)
+            attempts = self.node.gate.attempts
+            waiting = next(iter(attempts.recent))
+            self.assertIs(Ran.NO, attempts.fence(waiting))
+            hold.set()
+            code, ran, _ = refusal_of(await caller.receive())
+            self.assertEqual((AttemptFencedError.code, 'no'), (code, ran))
+            self.assertNotIn('/orders/1', self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_refused_connection_is_not_run(self):
+        async def test(nursery):
+            self.node.target.address = '127.0.0.1:1'
+            self.node.announce(TargetState.SERVING)
+            caller = await self.open()
+            answer = await caller.call('/orders/1', 'POST')
+            self.assertEqual(('SL3011', 'no'), refusal_of(answer)[:2])
+            self.assertEqual(0, self.node.gate.in_flight)
+
+        self.run_nodes(test, self.node)
+
+    def test_target_that_closes_without_an_answer_may_have_run(self):
+        async def close(connection, request, body):
+            connection.close()
+
+        async def test(nursery):
+            self.node.target.answer = close
+            caller = await self.open()
+            answer = await caller.call('/orders/1', 'POST')
+            self.assertEqual(('SL3012', 'unknown'), refusal_of(answer)[:2])
+            self.assertEqual(['/orders/1'], self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
+    def test_answer_cut_short_is_not_passed_on_as_whole(self):
+        async def cut(connection, request, body):
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc'
+            )
+            connection.close()
+
+        async def test(nursery):
+            self.node.target.answer = cut
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            response = await caller.reader.next_response()
+            with ExpectedException(ConnectionLostError):
+                while await response.read():
+                    pass
+
+        self.run_nodes(test, self.node)
