--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -1,5 +1,7 @@
 """Schema of the settings of each process."""
 
+from enum import Enum
+
 from msgspec import field
 from msgspec import Struct
 
@@ -22,6 +24,7 @@
     'NodeSettings',
     'NodeTimings',
     'Peer',
+    'ServiceTimes',
     'Settings',
     'TargetSettings',
 ]
@@ -32,7 +35,15 @@
 
 
 class LogSettings(_Strict):
-    """How a process writes its log."""
+    """How a process writes its log.
+
+    Parameters
+    ----------
+    format : LogFormat
+        Rendering of lines.
+    level : str
+        Least severe level that is written.
+    """
 
     format: LogFormat = LogFormat.JSON
     level: str = 'info'
@@ -89,7 +100,37 @@
 
 
 class ControlSettings(_Strict, tag_field='kind', tag='control'):
-    """Settings of a control process."""
+    """Settings of a control process.
+
+    Parameters
+    ----------
+    control_id : ControlId
+        Unique id.
+    zone : ZoneName
+        Availability zone.
+    address : Address
+        Where controls and nodes call.
+    operator_address : Address
+        Where operators and readers of metrics connect.
+    data_dir : str
+        Folder of the control's own files; made when missing.
+    peers : tuple of Peer
+        All controls, this one included; the same on each.
+    region : RegionName
+        Region of the availability zone.
+    role : ControlRole
+        Whether this control votes or only relays.
+    preference : Preference
+        What is weighed more when releases are distributed.
+    max_snapshots : int
+        Whole snapshots that are sent at a time; other nodes come back.
+    snapshot_entries : int
+        Log entries after which the log is compacted.
+    timings : ControlTimings
+        Timings.
+    log : LogSettings
+        Log.
+    """
 
     control_id: ControlId
     zone: ZoneName
@@ -170,8 +211,19 @@
         Where other nodes forward requests to.
     admin_address : Address
         Where the own target announces itself, and of metrics.
+    advertised_address : Address or None
+        Where other nodes reach ``address`` when that is not the same, such
+        as behind a relay.
     controls : tuple of Peer
         All controls; those of the own zone are tried first.
+    region : RegionName
+        Region of the availability zone.
+    timings : NodeTimings
+        Timings.
+    limits : NodeLimits
+        Limits.
+    log : LogSettings
+        Log.
     """
 
     node_id: NodeId
@@ -180,12 +232,20 @@
     address: Address
     admin_address: Address
     controls: tuple[Peer, ...]
+    advertised_address: Address | None = None
     region: RegionName = RegionName('local')
     timings: NodeTimings = field(default_factory=NodeTimings)
     limits: NodeLimits = field(default_factory=NodeLimits)
     log: LogSettings = field(default_factory=LogSettings)
 
 
+class ServiceTimes(Enum):
+    """Distribution of the time that a request takes at a target."""
+
+    EXPONENTIAL = 'exponential'
+    FIXED = 'fixed'
+
+
 class TargetSettings(_Strict, tag_field='kind', tag='target'):
     """Settings of a stand-in target (emulator).
 
@@ -203,6 +263,8 @@
         Limits that it announces and keeps.
     service_time_ms : float
         Mean time that a request takes.
+    service_times : ServiceTimes
+        Distribution of those times.
     cold_start_ms : int
         Time after start during which requests are slower.
     sheds : bool
@@ -211,6 +273,10 @@
         What the health endpoint claims.
     run_log : str or None
         File that gets a line for each request that ran.
+    seed : int
+        Seed of the randomised service times.
+    log : LogSettings
+        Log.
     """
 
     target_id: TargetId
@@ -220,6 +286,7 @@
     slots: int = 20
     connections: int = 130
     service_time_ms: float = 2.0
+    service_times: ServiceTimes = ServiceTimes.EXPONENTIAL
     cold_start_ms: int = 0
     sheds: bool = True
     health: str = 'honest'
--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -7,6 +7,7 @@
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
+from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
 
 __all__ = ['MemoryNetwork', 'MemoryTransport']
@@ -42,6 +43,7 @@
         self.duplication = duplication
         self.servers = {}
         self.silent = set()
+        self.frozen = {}
 
     def transport(self, address):
         """Return the transport of the process at an address."""
@@ -56,15 +58,34 @@
         for other in others:
             self.cut(address, other)
 
+    def freeze(self, address):
+        """Hold all messages from and to an address until it is thawed."""
+        self.frozen.setdefault(address, trio.Event())
+
+    def thaw(self, address):
+        """Deliver the messages that a freeze held."""
+        frozen = self.frozen.pop(address, None)
+        if frozen is not None:
+            frozen.set()
+
     def heal(self):
-        """Remove all cuts."""
+        """Remove all cuts and freezes."""
         self.silent.clear()
+        for address in list(self.frozen):
+            self.thaw(address)
+
+    async def wait_thawed(self, *addresses):
+        """Wait until none of the addresses is frozen."""
+        for address in addresses:
+            while address in self.frozen:
+                await self.frozen[address].wait()
 
     async def carry(self, source, destination):
         """Deliver one message: delay it, or wait forever if it is lost."""
         delay_s = self.random.uniform(self.min_delay_s, self.max_delay_s)
         lost = self.random.random() < self.loss
         await trio.sleep(delay_s)
+        await self.wait_thawed(source, destination)
         if lost or (source, destination) in self.silent:
             await trio.sleep_forever()
 
@@ -82,7 +103,7 @@
         await self.network.carry(self.source, self.address)
         server = self.network.servers.get(self.address)
         if server is None:
-            raise RpcUnreachableError(f'nothing listens on {self.address}')
+            raise RpcNotSentError(f'nothing listens on {self.address}')
         if self.network.random.random() < self.network.duplication:
             server.deliver(method, payload)
         answer = await server.run(method, payload)
