Use one cancel scope for all requests of a connection

Cause: the profile put about a fifth of a node's processor time into entering and leaving cancel scopes: idle limit, deadline, connect and silence each had one for each call.

Change: a connection has one scope; a task that runs every 50 ms closes idle connections, sets the deadline of calls that take long, cancels those whose caller left and closes connections whose peer is silent. Deadlines up to 100 ms are still set at once. A drain now closes its listener before it returns, which a test had shown it did not.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -14,6 +14,9 @@
 
 # Longest deadline that is accepted, in milliseconds.
 MAX_DEADLINE_MS = 60_000
+# Shorter deadlines are set at once; twice the time between two looks of the
+# watcher, in seconds.
+SHORT_DEADLINE_S = 0.1
 _CERTAINTY = {Ran.NO: 0, Ran.UNKNOWN: 1, Ran.YES: 2}
 
 
@@ -60,7 +63,7 @@
         Whether at most one attempt may reach a target.
     deadline : float
         When the answer must be there, in seconds of trio's clock.
-    scope : trio.CancelScope
+    scope : trio.CancelScope or None
         Cancelled at the deadline or when the caller goes away.
     ran : Ran
         What is known of the current attempt; NO until it is sent.
@@ -101,7 +104,7 @@
         self.once = once
         self.started_at = trio.current_time()
         self.deadline = self.started_at + deadline_ms / 1_000
-        self.scope = trio.CancelScope(deadline=self.deadline)
+        self.scope = None
         self.ran = Ran.NO
         self.earlier_ran = Ran.NO
         self.gone = False
@@ -122,6 +125,20 @@
         self.ran = Ran.NO
         self.attempts += 1
 
+    def enter(self, scope):
+        """Run in a cancel scope from here on.
+
+        Changing the deadline of a scope costs time, so only short ones are
+        set here; the watcher sets that of a call that takes long.
+        """
+        self.scope = scope
+        if self.deadline - self.started_at <= SHORT_DEADLINE_S:
+            self.set_deadline()
+
+    def set_deadline(self):
+        """Let the scope be cancelled at the deadline."""
+        self.scope.deadline = self.deadline
+
     def remaining_ms(self):
         """Return the time left in whole milliseconds, at least 0."""
         return max(0, int((self.deadline - trio.current_time()) * 1_000))
--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -1,5 +1,7 @@
 """One task for each connection: requests are answered in their order."""
 
+from math import inf
+
 import trio
 
 from snipelead.callers.events import CALL_FAILED
@@ -8,6 +10,7 @@
 from snipelead.callers.exceptions import HeadRefusedError
 from snipelead.callers.exceptions import TooManyConnectionsError
 from snipelead.callers.exceptions import UpgradeUnsupportedError
+from snipelead.callers.execution import end_cancelled
 from snipelead.callers.execution import send_refusal
 from snipelead.callers.request import CallerReader
 from snipelead.callers.request import Request
@@ -31,6 +34,10 @@
 class ConnectionServer:
     """Accepts connections and serves each in a task of its own.
 
+    A cancel scope and a time limit for each request would cost more than
+    the rest of the handling. So one scope serves all requests of a
+    connection, and :meth:`tick` looks for idle connections.
+
     Parameters
     ----------
     listener : socket.socket
@@ -46,7 +53,7 @@
 
     Attributes
     ----------
-    connections : int
+    connections : set of Connection
         Connections open.
     active : dict of Connection to Request
         Requests being answered.
@@ -60,17 +67,21 @@
         self.limits = limits
         self.idle_s = idle_s
         self.max_connections = max_connections
-        self.connections = 0
+        self.connections = set()
         self.active = {}
         self.draining = False
-        self.idle_scopes = set()
-        self.accept_scope = trio.CancelScope()
+        # Time of the last tick; precise enough to tell idle connections.
+        self.now = 0.0
 
     async def run(self, nursery):
         """Accept connections until draining."""
-        with self.listener, self.accept_scope:
-            while True:
-                await trio.lowlevel.wait_readable(self.listener)
+        self.now = trio.current_time()
+        with self.listener:
+            while not self.draining:
+                try:
+                    await trio.lowlevel.wait_readable(self.listener)
+                except trio.ClosedResourceError:
+                    return
                 if not self.accept_pending(nursery):
                     await trio.sleep(ACCEPT_PAUSE_S)
 
@@ -91,17 +102,27 @@
                 continue
             except OSError:
                 return False
-            self.connections += 1
-            nursery.start_soon(self.serve, Connection(sock))
+            connection = Connection(sock)
+            self.connections.add(connection)
+            nursery.start_soon(self.serve, connection)
+
+    def tick(self, now):
+        """Close connections that have been idle for too long."""
+        self.now = now
+        for connection in tuple(self.connections):
+            idle_s = now - connection.used_at
+            if idle_s > self.idle_s and connection not in self.active:
+                connection.close()
 
     def drain(self, nursery):
         """Accept no more; close connections after their current request."""
         self.accept_pending(nursery)
-        self.accept_scope.cancel()
+        trio.lowlevel.notify_closing(self.listener)
+        self.listener.close()
         self.draining = True
-        deadline = trio.current_time() + DRAIN_IDLE_S
-        for scope in self.idle_scopes:
-            scope.deadline = min(scope.deadline, deadline)
+        self.idle_s = DRAIN_IDLE_S
+        for connection in self.connections:
+            connection.used_at = self.now
         for request in self.active.values():
             self.end_keep_alive(request)
 
@@ -113,6 +134,7 @@
 
     async def serve(self, connection):
         """Serve one connection until it closes."""
+        connection.used_at = self.now
         reader = CallerReader(connection, self.limits)
         try:
             with connection:
@@ -120,14 +142,28 @@
                     error = TooManyConnectionsError('too many connections')
                     await self._refuse(connection, reader, error)
                     return
-                while await self._serve_next(connection, reader):
+                while await self._serve_scope(connection, reader):
                     pass
         finally:
-            self.connections -= 1
+            self.connections.discard(connection)
+            self.active.pop(connection, None)
 
     def _is_full(self):
         limit = self.max_connections
-        return limit is not None and self.connections > limit
+        return limit is not None and len(self.connections) > limit
+
+    async def _serve_scope(self, connection, reader):
+        """Serve requests until the connection ends or one is cancelled."""
+        with trio.CancelScope() as connection.scope:
+            while await self._serve_next(connection, reader):
+                pass
+            return False
+        request = self.active.pop(connection, None)
+        if request is None:
+            # It was cancelled just as its answer had been sent.
+            return not connection.closed
+        await end_cancelled(connection, request)
+        return await self._may_go_on(connection, request)
 
     async def _serve_next(self, connection, reader):
         """Answer one request; returns whether another may follow."""
@@ -141,6 +177,10 @@
         if self.draining:
             self.end_keep_alive(request)
         await self._answer(connection, request)
+        return await self._may_go_on(connection, request)
+
+    async def _may_go_on(self, connection, request):
+        connection.used_at = self.now
         if connection.closed:
             return False
         if not request.keep_alive or not request.complete:
@@ -160,26 +200,22 @@
             # One request must not end the calls of all others.
             log_event(CALL_FAILED, error=repr(error))
             connection.abort()
-        finally:
-            del self.active[connection]
+        # After a cancellation the entry stays for end_cancelled.
+        del self.active[connection]
+        if connection.scope.deadline != inf:
+            connection.scope.deadline = inf
 
     async def _next_request(self, reader):
         if reader.ready:
             return reader.ready.popleft()
-        idle_s = DRAIN_IDLE_S if self.draining else self.idle_s
-        with trio.move_on_after(idle_s) as scope:
-            self.idle_scopes.add(scope)
-            try:
-                return await reader.next_request()
-            except HeadTooLargeError as error:
-                raise HeadRefusedError(error.message) from error
-            except UpgradeRefusedError as error:
-                raise UpgradeUnsupportedError(error.message) from error
-            except MalformedMessageError as error:
-                raise BadRequestError(error.message) from error
-            finally:
-                self.idle_scopes.discard(scope)
-        return None
+        try:
+            return await reader.next_request()
+        except HeadTooLargeError as error:
+            raise HeadRefusedError(error.message) from error
+        except UpgradeRefusedError as error:
+            raise UpgradeUnsupportedError(error.message) from error
+        except MalformedMessageError as error:
+            raise BadRequestError(error.message) from error
 
     async def _refuse(self, connection, reader, error):
         """Answer what is no request, or none that is wanted, and close."""
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -60,8 +60,6 @@
         Chooses targets.
     keeper : ClaimKeeper
         Claims idempotency keys.
-    watcher : CallWatcher
-        Notices callers that go away.
     metrics : NodeMetrics
         Histograms.
     """
@@ -75,7 +73,6 @@
         forwarder,
         balancer,
         keeper,
-        watcher,
         metrics,
     ):
         self.node_id = node_id
@@ -85,7 +82,6 @@
         self.forwarder = forwarder
         self.balancer = balancer
         self.keeper = keeper
-        self.watcher = watcher
         self.metrics = metrics
         self.table = RouteTable(holder.current)
         self.asked_at = {}
@@ -108,8 +104,7 @@
         except CallError as error:
             await send_refusal(connection, request, error, Ran.NO)
             return
-        watch = self.watcher.watch(connection, call)
-        await run_call(connection, request, call, watch, self._run, route)
+        await run_call(connection, request, call, self._run, route)
         self.metrics.observe_call(call)
 
     def match(self, request):
--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -5,12 +5,15 @@
 from snipelead.callers.exceptions import DeadlineError
 from snipelead.callers.relay import LOST_ERRORS
 
-__all__ = ['run_call', 'send_refusal']
+__all__ = ['end_cancelled', 'run_call', 'send_refusal']
 
 
-async def run_call(connection, request, call, watch, work, *args):
+async def run_call(connection, request, call, work, *args):
     """Run the work of a call; its connection gets one answer or is reset.
 
+    The call runs in the cancel scope of its connection. When that is
+    cancelled, :func:`end_cancelled` has to follow.
+
     Parameters
     ----------
     connection : Connection
@@ -18,30 +21,33 @@
     request : Request
         The request.
     call : Call
-        The call; its scope bounds the work.
-    watch : context manager
-        Notices when the caller goes away.
+        The call.
     work : callable
         Coroutine function of connection, request, call and ``args`` that
         sends the answer.
     """
-    refusal = None
+    request.call = call
+    call.enter(connection.scope)
     try:
-        with watch, call.scope:
-            await work(connection, request, call, *args)
-            return
+        await work(connection, request, call, *args)
     except CallError as error:
-        refusal = error
+        if call.answering:
+            connection.abort()
+        else:
+            await send_refusal(connection, request, error, call.outcome)
     except LOST_ERRORS:
         # Either end was lost in the middle of the answer.
         connection.abort()
-        return
-    if call.gone or call.answering:
+
+
+async def end_cancelled(connection, request):
+    """End a call that was cancelled: its caller left or time is up."""
+    call = request.call
+    if call is None or call.gone or call.answering:
         connection.abort()
         return
-    if refusal is None:
-        refusal = DeadlineError('the deadline has passed')
-    await send_refusal(connection, request, refusal, call.outcome)
+    error = DeadlineError('the deadline has passed')
+    await send_refusal(connection, request, error, call.outcome)
 
 
 async def send_refusal(connection, request, error, ran):
--- a/snipelead/callers/path.py
+++ b/snipelead/callers/path.py
@@ -100,7 +100,6 @@
     def _build(self):
         settings = self.settings
         limits = settings.limits
-        self.watcher = CallWatcher()
         self.sender = TargetSender()
         self.forwarder = Forwarder()
         self.gates = Gates(self.local, self.sender, limits, TICK_S)
@@ -120,16 +119,16 @@
             self.forwarder,
             self.balancer,
             self.keeper,
-            self.watcher,
             self.metrics,
         )
         self.servers = self._make_servers(limits)
+        self.watcher = CallWatcher(*(s.active for s in self.servers))
 
     def _make_claim_id(self):
         return f'c-{self.dispatcher.make_attempt_id()}'
 
     def _make_servers(self, limits):
-        peers = PeerService(self.gates, self.watcher)
+        peers = PeerService(self.gates)
         callers = listen(self.settings.caller_address)
         nodes = listen(self.settings.address)
         self.caller_address = _bound_address(callers)
@@ -150,8 +149,12 @@
         while True:
             await trio.sleep(TICK_S)
             ticks += 1
-            self.watcher.tick()
+            now = trio.current_time()
+            self.watcher.tick(now)
+            self.forwarder.tick(now)
             self.gates.tick()
+            for server in self.servers:
+                server.tick(now)
             if ticks % _TICKS_PER_SWEEP == 0:
                 self.sender.pool.close_expired()
                 self.forwarder.pool.close_expired()
@@ -179,7 +182,7 @@
         self.scope.cancel()
 
     def _open_connections(self):
-        return sum(server.connections for server in self.servers)
+        return sum(len(server.connections) for server in self.servers)
 
 
 def _bound_address(listener):
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -23,14 +23,17 @@
         Largest body.
     body_size : int
         Bytes of the body read so far.
+    call : Call or None
+        The call that the request began.
     """
 
-    __slots__ = ('body_bytes', 'body_size', 'continued')
+    __slots__ = ('body_bytes', 'body_size', 'call', 'continued')
 
     def __init__(self, reader):
         super().__init__(reader)
         self.body_bytes = reader.body_bytes
         self.body_size = 0
+        self.call = None
         self.continued = False
 
     @property
--- a/snipelead/callers/watcher.py
+++ b/snipelead/callers/watcher.py
@@ -6,8 +6,6 @@
 
 import select
 
-import trio
-
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.writing import encode_head
 from snipelead.nodes.peer_messages import SIGN_OF_LIFE_S
@@ -19,73 +17,57 @@
 _HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
-class _Watch:
-    """Registers a call for the time that it is handled."""
-
-    __slots__ = ('call', 'calls', 'connection')
-
-    def __init__(self, calls, connection, call):
-        self.calls = calls
-        self.connection = connection
-        self.call = call
-
-    def __enter__(self):
-        self.calls[self.connection] = self.call
-
-    def __exit__(self, *exc_info):
-        del self.calls[self.connection]
-
-
 class CallWatcher:
-    """Cancels calls whose connection hung up; gives peers signs of life.
+    """Looks after calls that take long.
 
-    Attributes
+    It cancels those whose connection hung up or whose deadline is near, and
+    gives peers signs of life.
+
+    Parameters
     ----------
-    calls : dict of Connection to Call
-        Calls of callers in progress.
-    peer_calls : dict of Connection to Call
-        Calls of other nodes in progress.
+    callers, peers : dict of Connection to Request
+        Requests in progress, of callers and of other nodes.
     """
 
-    def __init__(self):
-        self.calls = {}
-        self.peer_calls = {}
+    def __init__(self, callers, peers):
+        self.callers = callers
+        self.peers = peers
         self.signed_at = 0.0
 
-    def watch(self, connection, call):
-        """Return a context manager around the handling of a call."""
-        return _Watch(self.calls, connection, call)
-
-    def watch_peer(self, connection, call):
-        """Return a context manager around a call of another node."""
-        return _Watch(self.peer_calls, connection, call)
-
-    def tick(self):
+    def tick(self, now):
         """Look at all calls that have been in progress for a tick."""
-        now = trio.current_time()
-        for calls in (self.calls, self.peer_calls):
-            self._abandon_hung_up(calls, now - TICK_S)
-        if now - self.signed_at >= SIGN_OF_LIFE_S:
+        started_before = now - TICK_S
+        gives_signs = now - self.signed_at >= SIGN_OF_LIFE_S
+        if gives_signs:
             self.signed_at = now
-            self._give_signs(now - TICK_S)
-
-    def _abandon_hung_up(self, calls, started_before):
+        for active in (self.callers, self.peers):
+            calls = _find_long(active, started_before)
+            self._abandon_hung_up(calls)
+            self._set_deadlines(calls)
+            if gives_signs and active is self.peers:
+                self._give_signs(calls)
+
+    def _set_deadlines(self, calls):
+        for _, call in calls:
+            if not call.answering:
+                call.set_deadline()
+
+    def _abandon_hung_up(self, calls):
         poll = select.poll()
         by_descriptor = {}
-        for connection, call in calls.items():
-            if call.started_at <= started_before and not connection.closed:
-                descriptor = connection.sock.fileno()
-                by_descriptor[descriptor] = call
-                poll.register(descriptor, select.POLLRDHUP)
+        for connection, call in calls:
+            descriptor = connection.sock.fileno()
+            by_descriptor[descriptor] = call
+            poll.register(descriptor, select.POLLRDHUP)
         if not by_descriptor:
             return
         for descriptor, flags in poll.poll(0):
             if flags & _HANGUP:
                 by_descriptor[descriptor].abandon()
 
-    def _give_signs(self, started_before):
-        for connection, call in tuple(self.peer_calls.items()):
-            if call.answering or call.started_at > started_before:
+    def _give_signs(self, calls):
+        for connection, call in calls:
+            if call.answering or call.gone:
                 continue
             try:
                 sent = connection.send_now(PROCESSING)
@@ -93,3 +75,14 @@
                 sent = 0
             if sent < len(PROCESSING):
                 call.abandon()
+
+
+def _find_long(active, started_before):
+    """Return connections and calls that began before a time."""
+    return [
+        (connection, request.call)
+        for connection, request in active.items()
+        if request.call is not None
+        and request.call.started_at <= started_before
+        and not connection.closed
+    ]
--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -45,6 +45,8 @@
     ----------
     used_at : float
         Time of the last use, in seconds of trio's clock.
+    scope : trio.CancelScope or None
+        Scope that the serving task runs in.
     """
 
     def __init__(self, sock):
@@ -53,6 +55,7 @@
         self.sock = sock
         self.used_at = 0.0
         self.closed = False
+        self.scope = None
 
     def __enter__(self):
         return self
--- a/snipelead/http/exceptions.py
+++ b/snipelead/http/exceptions.py
@@ -8,7 +8,6 @@
     'HeadTooLargeError',
     'MalformedMessageError',
     'SendFailedError',
-    'SilentConnectionError',
     'UpgradeRefusedError',
 ]
 
@@ -47,9 +46,3 @@
     """The other end no longer takes bytes."""
 
     code = 'SL3106'
-
-
-class SilentConnectionError(ConnectionLostError):
-    """The other end gave no sign of life in time."""
-
-    code = 'SL3107'
--- a/snipelead/http/pool.py
+++ b/snipelead/http/pool.py
@@ -33,15 +33,11 @@
         for address in tuple(self.idle):
             self.drop(address)
 
-    async def acquire(self, address):
-        """Return a reader of a usable connection, pooled or fresh.
-
-        Raises
-        ------
-        ConnectFailedError
-            If the address refuses.
-        """
+    def take(self, address):
+        """Return a reader of a pooled connection, or None."""
         readers = self.idle.get(address)
+        if not readers:
+            return None
         oldest = trio.current_time() - self.idle_s
         while readers:
             reader = readers.pop()
@@ -49,10 +45,16 @@
             if connection.used_at > oldest and connection.is_silent():
                 return reader
             connection.close()
-        return await self.open(address)
+        return None
 
     async def open(self, address):
-        """Return a reader of a fresh connection."""
+        """Return a reader of a fresh connection.
+
+        Raises
+        ------
+        ConnectFailedError
+            If the address refuses.
+        """
         return ResponseReader(await connect(address))
 
     def release(self, address, reader):
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -1,5 +1,7 @@
 """Requests that a node forwards to the node beside a target."""
 
+from math import inf
+
 import msgspec
 import trio
 
@@ -13,7 +15,6 @@
 from snipelead.http.exceptions import HeadTooLargeError
 from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.exceptions import SendFailedError
-from snipelead.http.exceptions import SilentConnectionError
 from snipelead.http.pool import ConnectionPool
 from snipelead.http.writing import encode_head
 from snipelead.http.writing import frame_body
@@ -82,10 +83,18 @@
 
 
 class Forwarder:
-    """Connections to other nodes; closes them on exit."""
+    """Connections to other nodes; closes them on exit.
+
+    Attributes
+    ----------
+    heard_at : dict of ResponseReader to float
+        When the peer last gave a sign of life, for each request that waits
+        for an answer.
+    """
 
     def __init__(self):
         self.pool = ConnectionPool(IDLE_S, MAX_IDLE)
+        self.heard_at = {}
 
     def __enter__(self):
         return self
@@ -117,7 +126,9 @@
         CallError
             If the request was refused or its answer was lost.
         """
-        reader = await self._acquire(entry.address)
+        reader = self.pool.take(entry.address)
+        if reader is None:
+            reader = await self._open(entry.address)
         call.ran = Ran.UNKNOWN
         try:
             response = await self._exchange(
@@ -142,11 +153,10 @@
         call.ran = Ran.YES
         return answer
 
-    async def _acquire(self, address, fresh=False):
-        take = self.pool.open if fresh else self.pool.acquire
+    async def _open(self, address):
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
-                return await take(address)
+                return await self.pool.open(address)
             except ConnectFailedError as error:
                 raise TargetUnreachableError(error.message) from error
         raise TargetUnreachableError(
@@ -157,16 +167,17 @@
         info = call.info(entry, attempt_id, DEADLINE_MARGIN_MS)
         lines = [*request.lines, encode_field(CALL_FIELD, info)]
         line = b'%b %b HTTP/1.1' % (request.method, request.url)
-        with trio.CancelScope() as silence:
-            silence.deadline = trio.current_time() + SILENCE_S
+        self.heard_at[reader] = trio.current_time()
+        try:
             if request.complete:
                 await send_message(reader.connection, line, lines, request)
             else:
-                await self._offer_body(reader, line, lines, request, silence)
-            return await self._next_final(reader, request, silence)
-        raise SilentConnectionError(f'no sign of life for {SILENCE_S} s')
+                await self._offer_body(reader, line, lines, request)
+            return await self._next_final(reader, request)
+        finally:
+            del self.heard_at[reader]
 
-    async def _offer_body(self, reader, line, lines, request, silence):
+    async def _offer_body(self, reader, line, lines, request):
         """Send a body that is still arriving once the peer admits it."""
         framing, chunked = frame_body(request)
         lines += (framing, b'Expect: 100-continue')
@@ -178,22 +189,29 @@
                 reader.ready.popleft()
             else:
                 await reader.receive()
-            silence.deadline = trio.current_time() + SILENCE_S
-        silence.deadline = float('inf')
+            self.heard_at[reader] = trio.current_time()
+        # The peer may have nothing to say until it has the whole body.
+        self.heard_at[reader] = inf
         try:
             await send_rest(reader.connection, request, chunked)
         except SendFailedError:
             # The peer may answer early and close; its answer counts.
             return
         finally:
-            silence.deadline = trio.current_time() + SILENCE_S
+            self.heard_at[reader] = trio.current_time()
 
-    async def _next_final(self, reader, request, silence):
+    async def _next_final(self, reader, request):
         while True:
             response = await reader.next_response(request.method == b'HEAD')
             if response.status not in _INTERIM_STATUS:
                 return response
-            silence.deadline = trio.current_time() + SILENCE_S
+            self.heard_at[reader] = trio.current_time()
+
+    def tick(self, now):
+        """Close connections whose peer gives no sign of life."""
+        for reader, heard_at in tuple(self.heard_at.items()):
+            if now - heard_at > SILENCE_S:
+                reader.connection.close()
 
     async def _handle_loss(self, entry, call, attempt_id):
         """Find out about a request whose connection was lost.
@@ -221,7 +239,7 @@
         )
         with trio.move_on_after(FENCE_TIMEOUT_S):
             try:
-                reader = await self._acquire(entry.address, fresh=True)
+                reader = await self._open(entry.address)
                 with reader.connection as connection:
                     head = encode_head(b'POST /fence HTTP/1.1', lines)
                     await connection.send(head)
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -31,13 +31,10 @@
     ----------
     gates : Gates
         Gates of the targets beside this node.
-    watcher : CallWatcher
-        Watches calls whose sender may go away.
     """
 
-    def __init__(self, gates, watcher):
+    def __init__(self, gates):
         self.gates = gates
-        self.watcher = watcher
 
     async def handle(self, connection, request):
         """Answer one request on a connection."""
@@ -53,8 +50,7 @@
         call = Call(
             info.request_class, info.tenant, info.once, info.deadline_ms
         )
-        watch = self.watcher.watch_peer(connection, call)
-        await run_call(connection, request, call, watch, self._send, info)
+        await run_call(connection, request, call, self._send, info)
 
     async def _send(self, connection, request, call, info):
         if self.gates.stopping:
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -47,8 +47,11 @@
         TargetUnreachableError
             If the target refuses connections; nothing was sent.
         """
+        reader = self.pool.take(address)
+        if reader is not None:
+            return reader
         try:
-            return await self.pool.acquire(address)
+            return await self.pool.open(address)
         except ConnectFailedError as error:
             raise TargetUnreachableError(error.message) from error
 
