--- a/snipelead/bench/hotpath.py
+++ b/snipelead/bench/hotpath.py
@@ -13,8 +13,8 @@
 import random
 
 from hdrh.histogram import HdrHistogram
+import msgspec
 from msgspec import Struct
-from msgspec.json import encode
 import trio
 
 from snipelead.bench.hotpath_processes import BenchProcess
@@ -254,7 +254,7 @@
     options = make_parser().parse_args(arguments)
     rows = run_hotpath(options)
     if options.json:
-        print(encode(rows).decode())
+        print(msgspec.json.encode(rows).decode())
     else:
         print_rows(rows)
 
