Avoid targets that answer with errors or slowly, wherever they are

Cause: a target that answers 500 to all was never avoided, since only lost answers counted as failures, and its quick errors even made it look fast. Own zone was preferred by load alone, so that a slow target of the own zone kept its share. A latency seen once never faded.

Change: the share of server errors, by own observation or as told by the target's node with each answer, raises the cost of a target; errors do not count as latencies; both fade, and for requests that may not be repeated they fade later, so that reads try a bad target first. Own zone goes first while it is neither loaded nor 1.5 times slower. A server error of a repeatable request is tried elsewhere within the retry budget. A lost connection to a node is reset before the fence, so that its kernel sends nothing later. Attempts have a module of their own.

Ruled out: refusing at the gate of a failing target; when a whole service fails, callers would lose the answers that tell them why.

--- /dev/null
+++ b/snipelead/callers/attempts.py
@@ -0,0 +1,191 @@
+"""Attempts to get a request answered by a target."""
+
+from collections import deque
+
+import trio
+
+from snipelead.callers.exceptions import CallError
+from snipelead.callers.exceptions import NoTargetError
+from snipelead.callers.exceptions import StoppingError
+from snipelead.callers.exceptions import TargetLeavingError
+from snipelead.callers.exceptions import WrongIncarnationError
+from snipelead.callers.relay import LOST_ERRORS
+from snipelead.callers.relay import relay_answer
+from snipelead.http.exceptions import SendFailedError
+from snipelead.types import AttemptId
+from snipelead.types import Ran
+from snipelead.types import RequestClass
+
+__all__ = ['AttemptRunner']
+
+MAX_ATTEMPTS = 3
+# Time that the first answer of the directory about a service may take.
+FIRST_DIRECTORY_S = 1.0
+# Retry tokens that batch requests leave for the others.
+BATCH_RESERVE = 5.0
+_FIRST_ERROR_STATUS = 500
+# Refusals that each target gives at most once, so that retries after them
+# need no budget.
+_FREE_RETRY = (TargetLeavingError, StoppingError, WrongIncarnationError)
+
+
+class AttemptRunner:
+    """Chooses targets and sends requests to them.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        This node.
+    directory : TargetDirectory
+        Known targets.
+    gates : Gates
+        Gates of the targets beside this node.
+    forwarder : Forwarder
+        Connections to other nodes.
+    balancer : Balancer
+        Chooses targets.
+    """
+
+    def __init__(self, node_id, directory, gates, forwarder, balancer):
+        self.node_id = node_id
+        self.directory = directory
+        self.gates = gates
+        self.forwarder = forwarder
+        self.balancer = balancer
+        self.asked_at = {}
+        self.count = 0
+
+    def make_id(self):
+        """Return an id that no other attempt of any node has."""
+        self.count += 1
+        incarnation = self.gates.local.incarnation
+        return AttemptId(f'{self.node_id}-{incarnation:x}-{self.count:x}')
+
+    async def run(self, connection, request, call, route):
+        """Try targets until one answers or no more may be tried.
+
+        Raises
+        ------
+        CallError
+            The last failure.
+        """
+        if not self.directory.targets(route.service):
+            await self._ask_directory(route.service)
+        self.balancer.budget(route).earn()
+        body = request.take_received() if request.complete else None
+        tried = set()
+        failure = None
+        while True:
+            observation = self._choose(call, route, tried, failure)
+            tried.add(observation.entry.target_id)
+            if body:
+                request.chunks = deque((body,))
+            try:
+                if await self._attempt(
+                    connection, request, call, route, observation, tried
+                ):
+                    return
+            except CallError as error:
+                if not self._may_retry(request, call, route, error):
+                    raise
+                failure = error
+
+    def _choose(self, call, route, tried, failure):
+        try:
+            return self.balancer.choose(route.service, tried, call.once)
+        except NoTargetError:
+            if failure is None:
+                raise
+            raise failure from None
+
+    def _may_retry(self, request, call, route, error):
+        """Tell whether a failed request may be sent to another target."""
+        allowed = (
+            error.elsewhere
+            and not call.answering
+            and (call.ran is Ran.NO or not call.once)
+            and (request.complete or request.body_size == 0)
+        )
+        if not allowed:
+            return False
+        return isinstance(error, _FREE_RETRY) or self._spend(call, route)
+
+    def _spend(self, call, route):
+        if call.attempts >= MAX_ATTEMPTS:
+            return False
+        is_batch = call.request_class is RequestClass.BATCH
+        budget = self.balancer.budget(route)
+        return budget.spend(BATCH_RESERVE if is_batch else 0.0)
+
+    def _may_drop(self, response, request, call, route, tried):
+        """Tell whether an error of a target is worth another attempt."""
+        return (
+            response.status >= _FIRST_ERROR_STATUS
+            and not call.once
+            and request.complete
+            and self.balancer.has_other(route.service, tried)
+            and self._spend(call, route)
+        )
+
+    async def _attempt(
+        self, connection, request, call, route, observation, tried
+    ):
+        """Send a request to one target and pass its answer on.
+
+        Returns
+        -------
+        bool
+            False when the answer was dropped in favour of another attempt.
+        """
+        started_at = trio.current_time()
+        call.begin_attempt()
+        observation.begin(started_at)
+        try:
+            answer = await self._send(observation.entry, call, request)
+            try:
+                self._observe(observation, call, answer, started_at)
+                if self._may_drop(
+                    answer.response, request, call, route, tried
+                ):
+                    return False
+                await relay_answer(connection, request, call, answer)
+            finally:
+                answer.close()
+        except CallError as error:
+            self.balancer.record_error(observation, error)
+            raise
+        except LOST_ERRORS as error:
+            if not isinstance(error, SendFailedError):
+                self.balancer.record_failure(observation, trio.current_time())
+            raise
+        finally:
+            observation.end()
+        return True
+
+    def _observe(self, observation, call, answer, started_at):
+        now = trio.current_time()
+        is_error = answer.response.status >= _FIRST_ERROR_STATUS
+        observation.answer(now - started_at, is_error, now)
+        load = answer.load
+        if load is not None:
+            observation.report(load, now)
+            call.queue_wait_s = load.queue_us / 1e6
+            call.target_s = load.target_us / 1e6
+
+    async def _send(self, entry, call, request):
+        attempt_id = self.make_id()
+        if entry.node_id == self.node_id:
+            gate = self.gates.find(entry.target_id)
+            return await gate.send(
+                call, request, attempt_id, entry.incarnation
+            )
+        return await self.forwarder.send(entry, call, request, attempt_id)
+
+    async def _ask_directory(self, service):
+        """Subscribe to a service and wait briefly for its first targets."""
+        self.directory.subscribe(service)
+        now = trio.current_time()
+        asked_at = self.asked_at.setdefault(service, now)
+        with trio.move_on_at(asked_at + FIRST_DIRECTORY_S):
+            while not self.directory.targets(service):
+                await self.directory.wait_changed()
--- a/snipelead/callers/path.py
+++ b/snipelead/callers/path.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.callers.attempts import AttemptRunner
 from snipelead.callers.claims import ClaimKeeper
 from snipelead.callers.connections import ConnectionServer
 from snipelead.callers.dispatcher import Dispatcher
@@ -110,22 +111,22 @@
             self.policy,
             self.seed,
         )
-        self.keeper = ClaimKeeper(self.claims, self._make_claim_id)
-        self.dispatcher = Dispatcher(
+        self.attempts = AttemptRunner(
             settings.node_id,
-            self.holder,
             self.directory,
             self.gates,
             self.forwarder,
             self.balancer,
-            self.keeper,
-            self.metrics,
+        )
+        self.keeper = ClaimKeeper(self.claims, self._make_claim_id)
+        self.dispatcher = Dispatcher(
+            self.holder, self.attempts, self.keeper, self.metrics
         )
         self.servers = self._make_servers(limits)
         self.watcher = CallWatcher(*(s.active for s in self.servers))
 
     def _make_claim_id(self):
-        return f'c-{self.dispatcher.make_attempt_id()}'
+        return f'c-{self.attempts.make_id()}'
 
     def _make_servers(self, limits):
         peers = PeerService(self.gates)
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -136,7 +136,8 @@
             )
             refusal = await _read_refusal(response)
         except _LOST as error:
-            reader.connection.close()
+            # A reset keeps the kernel from sending the request later on.
+            reader.connection.abort()
             await self._handle_loss(entry, call, attempt_id)
             raise AnswerLostError(
                 f'the connection to {entry.address} was lost: {error.message}',
@@ -211,7 +212,7 @@
         """Close connections whose peer gives no sign of life."""
         for reader, heard_at in tuple(self.heard_at.items()):
             if now - heard_at > SILENCE_S:
-                reader.connection.close()
+                reader.connection.abort()
 
     async def _handle_loss(self, entry, call, attempt_id):
         """Find out about a request whose connection was lost.
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -20,6 +20,8 @@
 # Weight of the newest service time in the moving average.
 SMOOTHING = 0.1
 INITIAL_SERVICE_S = 0.005
+_ERROR_DIGITS = 3
+_FIRST_ERROR_STATUS = 500
 MIN_RETRY_AFTER_MS = 10
 
 
@@ -47,6 +49,8 @@
         Requests that wait for a slot.
     service_s : float
         Moving average of the target's service time in seconds.
+    errors : float
+        Moving average of the share of answers with a server error.
     """
 
     def __init__(self, target_id, local, sender, attempts, limits):
@@ -59,6 +63,7 @@
         self.batch_in_flight = 0
         self.queue = FairQueue()
         self.service_s = INITIAL_SERVICE_S
+        self.errors = 0.0
 
     @property
     def slots(self):
@@ -136,6 +141,8 @@
             reader.connection.close()
             raise
         self.mark(call, attempt_id, AttemptState.ANSWERED)
+        is_error = response.status >= _FIRST_ERROR_STATUS
+        self.errors += SMOOTHING * (is_error - self.errors)
         return GateAnswer(self, call, address, reader, response, sent_at)
 
     # Slots
@@ -257,6 +264,7 @@
             self.slots,
             int(call.queue_wait_s * 1e6),
             int(call.target_s * 1e6),
+            round(self.errors, _ERROR_DIGITS),
         )
 
     def observe(self, service_s):
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -40,6 +40,8 @@
     queue_us, target_us : int
         Time that this request waited and time that the target took, in
         microseconds.
+    errors : float
+        Moving average of the share of answers with a server error.
     """
 
     in_flight: int
@@ -47,6 +49,7 @@
     slots: int
     queue_us: int = 0
     target_us: int = 0
+    errors: float = 0.0
 
 
 class FenceRequest(Struct, frozen=True, array_like=True):
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.callers.events import TARGET_EJECTED
 from snipelead.callers.exceptions import AnswerLostError
 from snipelead.callers.exceptions import NoTargetError
 from snipelead.callers.exceptions import OverloadedError
@@ -11,6 +12,7 @@
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.callers.exceptions import WrongIncarnationError
+from snipelead.logs import log_event
 from snipelead.routing.budget import RetryBudget
 from snipelead.routing.observations import TargetObservation
 from snipelead.routing.policies import POLICIES
@@ -85,7 +87,7 @@
             observation.update(entry)
         return observation
 
-    def choose(self, service, tried=()):
+    def choose(self, service, tried=(), once=False):
         """Choose a target.
 
         Parameters
@@ -94,6 +96,8 @@
             Service called.
         tried : collection of TargetId
             Targets that this call has tried already.
+        once : bool
+            Whether the request may not be repeated.
 
         Returns
         -------
@@ -105,18 +109,25 @@
             If no target can be used; says when one may be.
         """
         now = trio.current_time()
-        known = self.observations_of(service)
-        usable = [
+        usable = self._usable(service, tried, now)
+        if not usable:
+            raise self._no_target(service, now)
+        ready = [o for o in usable if o.avoided_until <= now]
+        return POLICIES[self.policy](self, ready or usable, now, once)
+
+    def _usable(self, service, tried, now):
+        return [
             o
-            for o in known
+            for o in self.observations_of(service)
             if o.entry.target_id not in tried and o.is_usable(now)
         ]
-        if not usable:
-            raise self._no_target(service, known, now)
-        ready = [o for o in usable if o.avoided_until <= now]
-        return POLICIES[self.policy](self, ready or usable, now)
 
-    def _no_target(self, service, known, now):
+    def has_other(self, service, tried):
+        """Tell whether a target is left that this call has not tried."""
+        return bool(self._usable(service, tried, trio.current_time()))
+
+    def _no_target(self, service, now):
+        known = self.observations_of(service)
         returns = [o.ejected_until for o in known if o.ejected_until > now]
         delay_ms = (
             int((min(returns) - now) * _MS_PER_S) + 1 if returns else None
@@ -130,7 +141,7 @@
         now = trio.current_time()
         match error:
             case AnswerLostError() | TargetUnreachableError():
-                observation.fail(now)
+                self.record_failure(observation, now)
             case OverloadedError():
                 retry_after_ms = error.retry_after_ms or 0
                 observation.refuse(
@@ -145,6 +156,17 @@
             case _:
                 observation.probing = False
 
+    def record_failure(self, observation, now):
+        """Count a lost answer; ejects the target after several in a row."""
+        before = observation.ejected_until
+        observation.fail(now)
+        if observation.ejected_until > max(before, now):
+            log_event(
+                TARGET_EJECTED,
+                target_id=observation.entry.target_id,
+                for_s=round(observation.ejected_until - now, 3),
+            )
+
     def forget_gone(self):
         """Forget targets that the directory no longer lists."""
         listed = {
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -6,9 +6,20 @@
 
 __all__ = ['TargetObservation']
 
-# Weight of the newest latency in the moving average.
-SMOOTHING = 0.2
+# Least weight of the newest sample in a moving average.
+SMOOTHING = 0.1
+# What is known of a target's latency and errors loses half its weight after
+# this time in seconds, so that a target that was slow is tried again.
+OBSERVATION_HALF_LIFE_S = 10.0
+# The same for requests that may not be repeated: others try the target first.
+ONCE_HALF_LIFE_S = 60.0
+# A target that fails all requests costs this many times more.
+ERROR_WEIGHT = 30.0
 INITIAL_LATENCY_S = 0.005
+# Failing fast must not look cheap.
+MIN_LATENCY_S = 0.001
+# Weight of the newest answer in the share of errors.
+ERROR_SMOOTHING = 0.2
 # A reported load loses half its weight after this time in seconds.
 LOAD_HALF_LIFE_S = 0.1
 # A new target's share grows to its full size over this time in seconds.
@@ -27,7 +38,10 @@
     in_flight : int
         Requests of this node that are under way to the target.
     latency_s : float
-        Moving average of the time to an answer, in seconds.
+        Moving average of the time to a good answer, in seconds.
+    errors : float
+        Moving average of the share of answers with a server error, by own
+        observation or as told by the target's node, whichever is greater.
     reported_load : float
         Slots in use and requests queued, as told by the last answer.
     failures : int
@@ -42,6 +56,9 @@
         self.entry = entry
         self.in_flight = 0
         self.latency_s = INITIAL_LATENCY_S
+        self.sampled_at = None
+        self.errors = 0.0
+        self.failed_at = 0.0
         self.reported_load = 0.0
         self.reported_at = 0.0
         self.first_seen_at = trio.current_time() if ramps else -RAMP_S
@@ -81,11 +98,29 @@
         """Return the estimated load for each slot."""
         return self.load(now) / max(1, self.entry.slots)
 
-    def cost(self, now):
+    def expected_s(self, now, once=False):
+        """Return the expected time to an answer, errors counting heavily.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        once : bool
+            Whether the request may not be repeated.
+        """
+        age = now - self.sampled_at if self.sampled_at is not None else 0.0
+        half_life_s = ONCE_HALF_LIFE_S if once else OBSERVATION_HALF_LIFE_S
+        latency_s = self.latency_s * 0.5 ** (age / half_life_s)
+        if not self.errors:
+            return latency_s
+        errors = self.errors * 0.5 ** ((now - self.failed_at) / half_life_s)
+        return max(latency_s, MIN_LATENCY_S) * (1 + ERROR_WEIGHT * errors)
+
+    def cost(self, now, once=False):
         """Return the expected cost of one more request; lower is better."""
         ramp = min(1.0, max(MIN_RAMP, (now - self.first_seen_at) / RAMP_S))
         per_slot = (self.load(now) + 1) / max(1, self.entry.slots)
-        return self.latency_s * per_slot / ramp
+        return self.expected_s(now, once) * per_slot / ramp
 
     def begin(self, now):
         """Count a request that is being sent."""
@@ -97,18 +132,43 @@
         """Count the end of a request."""
         self.in_flight -= 1
 
-    def succeed(self, latency_s):
-        """Record an answer and the time that it took in seconds."""
-        self.latency_s += SMOOTHING * (latency_s - self.latency_s)
+    def answer(self, latency_s, is_error, now):
+        """Record an answer.
+
+        Parameters
+        ----------
+        latency_s : float
+            Time that it took, in seconds; that of an error says nothing.
+        is_error : bool
+            Whether it was a server error.
+        now : float
+            Time in seconds of trio's clock.
+        """
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
         self.probing = False
+        if is_error or self.errors:
+            self.errors += ERROR_SMOOTHING * (is_error - self.errors)
+            self.failed_at = now
+        if not is_error:
+            weight = self._sample_weight(now)
+            self.latency_s += weight * (latency_s - self.latency_s)
+            self.sampled_at = now
+
+    def _sample_weight(self, now):
+        if self.sampled_at is None:
+            return 1.0
+        age = now - self.sampled_at
+        return max(SMOOTHING, 1.0 - 0.5 ** (age / OBSERVATION_HALF_LIFE_S))
 
     def report(self, load, now):
         """Take in the load that rode on an answer."""
         self.reported_load = load.in_flight + load.queued
         self.reported_at = now
+        if load.errors > self.errors:
+            self.errors = load.errors
+            self.failed_at = now
 
     def fail(self, now):
         """Record a lost answer or refused connection."""
--- a/snipelead/routing/policies.py
+++ b/snipelead/routing/policies.py
@@ -10,6 +10,8 @@
 
 # Own zone is preferred up to this load for each slot.
 OWN_ZONE_UTILISATION = 0.75
+# Own zone is preferred while its targets take at most so many times as long.
+OWN_ZONE_TOLERANCE = 1.5
 
 
 class Policy(Enum):
@@ -21,35 +23,46 @@
     LEAST_CONNECTIONS = 'least-connections'
 
 
-def _pick_two(balancer, observations, now):
+def _pick_two(balancer, observations, now, once):
     if len(observations) == 1:
         return observations[0]
     first, second = balancer.random.sample(observations, 2)
-    return first if first.cost(now) <= second.cost(now) else second
+    if first.cost(now, once) <= second.cost(now, once):
+        return first
+    return second
 
 
-def choose_observed(balancer, observations, now):
-    """Take the better of two random targets, own zone first."""
+def choose_observed(balancer, observations, now, once):
+    """Take the better of two random targets.
+
+    One of the own zone goes first unless it is loaded or clearly worse.
+    """
+    picked = _pick_two(balancer, observations, now, once)
+    if picked.entry.zone == balancer.zone:
+        return picked
     own = [o for o in observations if o.entry.zone == balancer.zone]
-    if own:
-        picked = _pick_two(balancer, own, now)
-        if picked.utilisation(now) < OWN_ZONE_UTILISATION:
-            return picked
-    return _pick_two(balancer, observations, now)
+    if not own:
+        return picked
+    near = _pick_two(balancer, own, now, once)
+    tolerated_s = OWN_ZONE_TOLERANCE * picked.expected_s(now, once)
+    is_loaded = near.utilisation(now) >= OWN_ZONE_UTILISATION
+    if is_loaded or near.expected_s(now, once) > tolerated_s:
+        return picked
+    return near
 
 
-def choose_random(balancer, observations, now):
+def choose_random(balancer, observations, now, once):
     """Take a random target."""
     return balancer.random.choice(observations)
 
 
-def choose_round_robin(balancer, observations, now):
+def choose_round_robin(balancer, observations, now, once):
     """Take the targets in turn."""
     balancer.turn += 1
     return observations[balancer.turn % len(observations)]
 
 
-def choose_least_connections(balancer, observations, now):
+def choose_least_connections(balancer, observations, now, once):
     """Take the target with the fewest own requests under way."""
     return min(observations, key=lambda o: o.in_flight)
 
