--- a/snipelead/callers/path.py
+++ b/snipelead/callers/path.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.callers.attempts import AttemptRunner
 from snipelead.callers.claims import ClaimKeeper
 from snipelead.callers.connections import ConnectionServer
 from snipelead.callers.dispatcher import Dispatcher
@@ -100,7 +101,6 @@
     def _build(self):
         settings = self.settings
         limits = settings.limits
-        self.watcher = CallWatcher()
         self.sender = TargetSender()
         self.forwarder = Forwarder()
         self.gates = Gates(self.local, self.sender, limits, TICK_S)
@@ -111,25 +111,25 @@
             self.policy,
             self.seed,
         )
-        self.keeper = ClaimKeeper(self.claims, self._make_claim_id)
-        self.dispatcher = Dispatcher(
+        self.attempts = AttemptRunner(
             settings.node_id,
-            self.holder,
             self.directory,
             self.gates,
             self.forwarder,
             self.balancer,
-            self.keeper,
-            self.watcher,
-            self.metrics,
+        )
+        self.keeper = ClaimKeeper(self.claims, self._make_claim_id)
+        self.dispatcher = Dispatcher(
+            self.holder, self.attempts, self.keeper, self.metrics
         )
         self.servers = self._make_servers(limits)
+        self.watcher = CallWatcher(*(s.active for s in self.servers))
 
     def _make_claim_id(self):
-        return f'c-{self.dispatcher.make_attempt_id()}'
+        return f'c-{self.attempts.make_id()}'
 
     def _make_servers(self, limits):
-        peers = PeerService(self.gates, self.watcher)
+        peers = PeerService(self.gates)
         callers = listen(self.settings.caller_address)
         nodes = listen(self.settings.address)
         self.caller_address = _bound_address(callers)
@@ -150,8 +150,12 @@
         while True:
             await trio.sleep(TICK_S)
             ticks += 1
-            self.watcher.tick()
+            now = trio.current_time()
+            self.watcher.tick(now)
+            self.forwarder.tick(now)
             self.gates.tick()
+            for server in self.servers:
+                server.tick(now)
             if ticks % _TICKS_PER_SWEEP == 0:
                 self.sender.pool.close_expired()
                 self.forwarder.pool.close_expired()
@@ -160,7 +164,7 @@
     @property
     def in_flight(self):
         """Requests being answered and settlements under way."""
-        busy = sum(server.busy for server in self.servers)
+        busy = sum(len(server.active) for server in self.servers)
         return busy + self.keeper.unsettled
 
     async def drain(self):
@@ -179,7 +183,7 @@
         self.scope.cancel()
 
     def _open_connections(self):
-        return sum(server.connections for server in self.servers)
+        return sum(len(server.connections) for server in self.servers)
 
 
 def _bound_address(listener):
