Give equal releases and equal notes equal digests

The encoder omits a field that equals its default only when it is the same object, so a digest of the encoded values depends on where they came from. Ruled out: the steps back, the order of names. Change: digests of releases and notes list all fields. Without the change the new tests fail.

--- a/snipelead/releases/document.py
+++ b/snipelead/releases/document.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import astuple
 import xxhash
 
 from snipelead.types import Digest
@@ -116,12 +117,9 @@
     @cached_property
     def digest(self):
         """Digest of the number and contents, independent of their order."""
-        parts = (self.number, self.services, self.routes, self.settings)
-        # Maps are sorted so that equal contents have equal digests.
+        tables = (self.services, self.routes, self.settings)
         packed = msgspec.msgpack.encode(
-            tuple(
-                sorted(p.items()) if isinstance(p, dict) else p for p in parts
-            )
+            (self.number, [_list_values(table) for table in tables])
         )
         return Digest(xxhash.xxh3_128_hexdigest(packed))
 
@@ -131,4 +129,13 @@
         return Held(self.number, self.digest)
 
 
+def _list_values(table):
+    """Return the values of a table so that equal ones encode equally.
+
+    They are sorted by name, and all fields are listed: whether a field
+    that equals its default is omitted depends on the identity of the object.
+    """
+    return [astuple(table[name]) for name in sorted(table)]
+
+
 EMPTY_RELEASE = Release(ReleaseNumber(0))
--- a/snipelead/releases/tests/test_releases.py
+++ b/snipelead/releases/tests/test_releases.py
@@ -45,6 +45,17 @@
             self.second.digest, apply_delta(self.first, delta).digest
         )
 
+    def test_explicit_default_does_not_change_the_digest(self):
+        note = load_note(
+            'release: 3\nnote: n3\nchanges:\n'
+            '  - {action: change, route: {name: levels, service: stock,'
+            ' path_prefix: /levels, deadline_ms: 2000}}'
+        )
+        third = apply_note(self.second, note)
+        delta = make_delta(self.second, third)
+        self.assertEqual((), delta.routes)
+        self.assertEqual(third.digest, apply_delta(self.second, delta).digest)
+
     def test_delta_for_another_base_is_refused(self):
         delta = make_delta(self.first, self.second)
         with ExpectedException(DigestMismatchError):
--- a/snipelead/voters/state.py
+++ b/snipelead/voters/state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import astuple
 import xxhash
 import zstandard
 
@@ -127,7 +128,7 @@
             return error
 
     def _submit(self, note):
-        contents = xxhash.xxh3_128_hexdigest(_encode(note))
+        contents = _digest_note(note)
         known = self.notes.get(note.note)
         if known is not None:
             if known.contents == contents:
@@ -193,6 +194,22 @@
         return state
 
 
+def _digest_note(note):
+    """Return the digest of a note; equal notes have equal ones."""
+    changes = [
+        (c.action, *map(_list_fields, (c.service, c.route, c.setting)))
+        for c in note.changes
+    ]
+    packed = _encode((note.release, note.note, changes))
+    return xxhash.xxh3_128_hexdigest(packed)
+
+
+def _list_fields(value):
+    # All fields are listed, since the omission of defaults depends on the
+    # identity of objects.
+    return astuple(value) if isinstance(value, Struct) else value
+
+
 def _refuse(error):
     return SubmitReply(
         OutcomeKind.REFUSED, None, error.code, error.message, error.details
--- a/snipelead/voters/tests/test_state.py
+++ b/snipelead/voters/tests/test_state.py
@@ -8,6 +8,7 @@
 from snipelead.messages import SettleRequest
 from snipelead.releases.delta import apply_delta
 from snipelead.releases.delta import make_delta
+from snipelead.releases.note import load_note
 from snipelead.testing.cluster import make_note
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
@@ -69,6 +70,18 @@
         self.assertEqual('SL1007', self.submit(2, 'n', 'y').code)
         self.assertEqual(first, self.submit(1, 'n', 'x'))
 
+    def test_resend_that_spells_out_a_default_is_the_same_note(self):
+        notes = [
+            load_note(
+                'release: 1\nnote: n\nchanges:\n'
+                '  - {action: add, service: {name: s}}\n'
+                f'  - {{action: add, route: {{name: r, service: s{more}}}}}\n'
+            )
+            for more in ('', ', deadline_ms: 2000')
+        ]
+        replies = [self.apply(Submit(note)) for note in notes]
+        self.assertEqual(replies[0], replies[1])
+
     def test_outcomes_are_bounded(self):
         with mock.patch('snipelead.voters.state.MAX_OUTCOMES', 3):
             for number in range(1, 10):
