Read the fleet as the controls merge it

The fake in the tests returned a list, so no test could see it. Change: the read-back takes FleetStatus and its views; a control that has just started leaves in force open, as an unreachable one does. The fake now merges its views by the function that controls use.

--- a/snipelead/cli/fleet.py
+++ b/snipelead/cli/fleet.py
@@ -15,7 +15,7 @@
 
 
 def describe_fleet(status):
-    """Return lines that describe a FleetStatus."""
+    """Return lines that describe a FleetReport."""
     live = [node for node in status.nodes if node.live]
     yield f'current release: {status.current.number}'
     for control in status.controls:
@@ -25,6 +25,8 @@
         )
     for control_id in status.unreachable_controls:
         yield f'control {control_id}: cannot be reached'
+    for control_id in status.warming_controls:
+        yield f'control {control_id}: has just started'
     yield f'nodes: {len(live)} live, {len(status.nodes) - len(live)} silent'
     for node in status.nodes:
         state = 'live' if node.live else 'silent'
--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -63,6 +63,8 @@
         yield f'node {node_id} is silent and counts as gone'
     for control_id in status.unreachable_controls:
         yield f'control {control_id} cannot be reached; its nodes are unknown'
+    for control_id in status.warming_controls:
+        yield f'control {control_id} has just started; nodes may be missing'
 
 
 def describe_answer(answer):
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -32,7 +32,7 @@
     """Shows one more confirming node each time it is asked."""
 
     def __init__(self, source, size):
-        super().__init__({'c1': None})
+        super().__init__()
         self.source = source
         self.size = size
         self.confirmed = 0
--- a/snipelead/controls/fleet.py
+++ b/snipelead/controls/fleet.py
@@ -15,7 +15,13 @@
 from snipelead.releases.document import Held
 from snipelead.types import ControlId
 
-__all__ = ['FleetState', 'FleetStatus', 'collect_replies', 'merge_fleet']
+__all__ = [
+    'FleetState',
+    'FleetStatus',
+    'collect_replies',
+    'merge_fleet',
+    'newest_statuses',
+]
 
 FLEET_TIMEOUT_S = 2.0
 
@@ -112,7 +118,11 @@
     return replies, unreachable
 
 
-def _newest_statuses(replies):
+def newest_statuses(replies):
+    """Return the newest status of each node, in order of their ids.
+
+    A node that changed its control occurs in the views of several.
+    """
     newest = {}
     for status in (status for reply in replies for status in reply.nodes):
         known = newest.get(status.node_id)
@@ -151,7 +161,7 @@
     """
     release = max((r.current for r in replies), key=lambda held: held.number)
     certified = any(r.certified and r.current == release for r in replies)
-    statuses = _newest_statuses(replies)
+    statuses = newest_statuses(replies)
     live = [status for status in statuses if status.live]
     lost = tuple(status for status in statuses if not status.live)
     lagging = tuple(status for status in live if status.held != release)
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -145,12 +145,7 @@
         )
     held, note = _find_release(number, current, outcomes)
     return make_release_status(
-        held,
-        note,
-        current,
-        certified,
-        service.settings.peers,
-        await service.fleet(),
+        held, note, current, certified, await service.fleet()
     )
 
 
@@ -160,8 +155,7 @@
     Parameters
     ----------
     service : ControlService
-        Gives the controls' views of the fleet by ``fleet()`` and the list of
-        controls by ``settings.peers``.
+        Gives the controls' views of the fleet by ``fleet()``.
     source : ReleaseSource
         Gives and takes releases.
     metrics : ControlMetrics or None
@@ -190,10 +184,7 @@
         certified = await source.certify()
         return json_response(
             make_fleet_status(
-                source.current.held,
-                certified,
-                service.settings.peers,
-                await service.fleet(),
+                source.current.held, certified, await service.fleet()
             )
         )
 
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -10,7 +10,7 @@
 from snipelead.exceptions import SnipeleadError
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.operators.exceptions import UnexpectedAnswerError
-from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import FleetReport
 from snipelead.operators.messages import ReleaseList
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmitAnswer
@@ -127,8 +127,8 @@
         return await self._read('/v1/releases', ReleaseList)
 
     async def show_fleet(self):
-        """Read back the fleet; returns a :class:`FleetStatus`."""
-        return await self._read('/v1/fleet', FleetStatus)
+        """Read back the fleet; returns a :class:`FleetReport`."""
+        return await self._read('/v1/fleet', FleetReport)
 
     async def _post_note(self, address, text, note_id):
         response = await self.http.post(
--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -15,7 +15,7 @@
 
 __all__ = [
     'ControlStatus',
-    'FleetStatus',
+    'FleetReport',
     'LaggingNode',
     'NoteOutcome',
     'ReleaseList',
@@ -29,9 +29,9 @@
     """How far an accepted release has got.
 
     ``ACCEPTED``: durable, not yet confirmed by all live nodes.
-    ``IN_FORCE``: confirmed by every live node, and every control answered.
-    ``IN_FORCE_WHERE_KNOWN``: confirmed by every live node heard of, but some
-    controls could not be asked for theirs.
+    ``IN_FORCE``: confirmed by every live node, and every control told of its
+    nodes. ``IN_FORCE_WHERE_KNOWN``: confirmed by every live node heard of,
+    but some controls did not answer or have just started.
     ``SUPERSEDED``: a later release was accepted.
     """
 
@@ -121,6 +121,9 @@
         Nodes whose lease ran out; they count as gone.
     unreachable_controls : tuple of ControlId
         Controls that could not be asked for their nodes.
+    warming_controls : tuple of ControlId
+        Controls that started less than a node lease ago and may not have
+        heard of all their nodes yet.
     """
 
     held: Held
@@ -134,6 +137,7 @@
     lagging: tuple[LaggingNode, ...] = ()
     silent_nodes: tuple[NodeId, ...] = ()
     unreachable_controls: tuple[ControlId, ...] = ()
+    warming_controls: tuple[ControlId, ...] = ()
 
 
 class ControlStatus(Struct, frozen=True):
@@ -146,12 +150,13 @@
     nodes: int
 
 
-class FleetStatus(Struct, frozen=True):
+class FleetReport(Struct, frozen=True):
     """Read-back of the fleet."""
 
     current: Held
     certified: bool
     controls: tuple[ControlStatus, ...]
     unreachable_controls: tuple[ControlId, ...]
+    warming_controls: tuple[ControlId, ...]
     nodes: tuple[NodeStatus, ...]
     targets: tuple[TargetEntry, ...]
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -5,7 +5,7 @@
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.operators.app import make_app
-from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import FleetReport
 from snipelead.operators.messages import ReleaseList
 from snipelead.operators.messages import ReleaseState
 from snipelead.operators.messages import ReleaseStatus
@@ -32,7 +32,7 @@
     def setUp(self):
         super().setUp()
         self.source = FakeSource()
-        self.service = FakeService({})
+        self.service = FakeService()
 
     def request(self, method, path, body=None):
         async def run():
@@ -114,12 +114,21 @@
         self.submit(make_note())
         held = self.source.current.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes, ['c2'])
+        self.service = FakeService.with_nodes(held, nodes, ('c2',))
         status = self.show(1)
         self.assertFalse(status.in_force)
         self.assertEqual(ReleaseState.IN_FORCE_WHERE_KNOWN, status.state)
         self.assertEqual(('c2',), status.unreachable_controls)
 
+    def test_control_that_has_just_started_leaves_in_force_open(self):
+        self.submit(make_note())
+        held = self.source.current.held
+        nodes = [make_node_status('a', held)]
+        self.service = FakeService.with_nodes(held, nodes, warming=True)
+        status = self.show(1)
+        self.assertFalse(status.in_force)
+        self.assertEqual(('c1',), status.warming_controls)
+
     def test_no_live_node_is_not_in_force(self):
         self.submit(make_note())
         held = self.source.current.held
@@ -170,9 +179,9 @@
     def test_fleet_names_unreachable_controls(self):
         held = EMPTY_RELEASE.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes, ['c2', 'c3'])
+        self.service = FakeService.with_nodes(held, nodes, ('c2', 'c3'))
         _, body = self.request('GET', '/v1/fleet')
-        status = msgspec.json.decode(body, type=FleetStatus)
+        status = msgspec.json.decode(body, type=FleetReport)
         self.assertEqual(('c2', 'c3'), status.unreachable_controls)
         self.assertEqual(['c1'], [c.control_id for c in status.controls])
         self.assertEqual(['a'], [n.node_id for n in status.nodes])
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -27,7 +27,7 @@
     def __init__(self, sources):
         self.apps = {}
         for host, source in sources.items():
-            app = make_app(FakeService({}), source)
+            app = make_app(FakeService(), source)
             self.apps[host] = httpx.ASGITransport(app)
         self.unreachable = set()
         self.loses_answers = set()
@@ -106,7 +106,7 @@
     def test_failed_server_is_unknown_and_resent(self):
         broken = FakeSource()
         broken.submit = partial(self._fail, broken)
-        app = make_app(FakeService({}), broken)
+        app = make_app(FakeService(), broken)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
         self.assertEqual(OutcomeKind.ACCEPTED, self.submit().outcome)
         self.assertEqual(self.hosts[:2], self.network.hosts)
@@ -117,7 +117,7 @@
     def test_read_prefers_a_control_that_proves_itself_current(self):
         stale = FakeSource()
         stale.certified = False
-        app = make_app(FakeService({}), stale)
+        app = make_app(FakeService(), stale)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
         self.source.apply(load_note(NOTE))
         listed = self.run_client('list_releases')
--- a/snipelead/testing/fleet.py
+++ b/snipelead/testing/fleet.py
@@ -1,7 +1,6 @@
 """Fakes of a release source and a control service, for the interfaces."""
 
-from msgspec import Struct
-
+from snipelead.controls.fleet import merge_fleet
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import FleetReply
@@ -9,7 +8,6 @@
 from snipelead.messages import SubmitReply
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
-from snipelead.settings.schema import Peer
 from snipelead.types import OutcomeKind
 
 __all__ = ['FakeService', 'FakeSource', 'make_node_status']
@@ -70,41 +68,38 @@
         return SubmitReply(OutcomeKind.ACCEPTED, self.current.held)
 
 
-class FakeSettings(Struct):
-    """Part of the settings that the operators' interface reads."""
-
-    peers: tuple[Peer, ...]
-
-
 def make_node_status(node_id, held, sequence=1, live=True):
     """Return a node's status as a control would give it."""
     return NodeStatus(node_id, 'z1', held, 1, sequence, 10, live)
 
 
 class FakeService:
-    """Control service with given views.
+    """Control service with given views of the fleet.
 
     Parameters
     ----------
-    replies : dict of ControlId to FleetReply or None
-        View of each control; None when it cannot be reached.
+    replies : sequence of FleetReply
+        Views of the controls that answer.
+    unreachable : sequence of ControlId
+        Controls that do not.
     """
 
-    def __init__(self, replies):
-        self.replies = replies
-        self.settings = FakeSettings(
-            tuple(
-                Peer(control_id=c, zone='z1', address=f'127.0.0.1:{port}')
-                for port, c in enumerate(replies, 7100)
-            )
-        )
+    def __init__(self, replies=(), unreachable=()):
+        self.replies = replies or (_make_reply(EMPTY_RELEASE.held, ()),)
+        self.unreachable = unreachable
 
     @classmethod
-    def with_nodes(cls, current, nodes, unreachable=()):
+    def with_nodes(cls, current, nodes, unreachable=(), warming=False):
         """Make a service whose first control sees all nodes."""
-        replies = {'c1': FleetReply('c1', 'z1', current, True, tuple(nodes))}
-        return cls(replies | dict.fromkeys(unreachable))
+        reply = _make_reply(current, tuple(nodes), warming)
+        return cls((reply,), unreachable)
 
     async def fleet(self):
-        """Return the views of the controls that can be reached."""
-        return [r for r in self.replies.values() if r is not None]
+        """Return the merged views, as a control does."""
+        return merge_fleet(self.replies, self.unreachable)
+
+
+def _make_reply(current, nodes, warming=False):
+    return FleetReply(
+        'c1', 'z1', current, certified=True, nodes=nodes, warming=warming
+    )
