Keep the code of an error that is not declared here

Cause: an error whose module the receiver had not imported was shown as SL0000, so its real code (SL4007) was lost. Change: the rebuilt error carries the code that was received. Result: a test rebuilds an undeclared code and finds it in the text.

--- a/snipelead/exceptions.py
+++ b/snipelead/exceptions.py
@@ -108,9 +108,10 @@
     -------
     SnipeleadError
         Instance of the class that declares the code, or of the base class
-        when the code is unknown here.
+        with that code when no module that was imported declares it.
     """
     error = SnipeleadError.__new__(_REGISTRY.get(info.code, SnipeleadError))
+    error.code = info.code
     SnipeleadError.__init__(
         error, info.message, info.retry_after_ms, **info.details
     )
