--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -86,6 +86,7 @@
         'caller_address': [is_address],
         'address': [is_address],
         'admin_address': [is_address],
+        'advertised_address': [is_address, None],
     },
     TargetSettings: {
         'target_id': [is_name],
--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -1,10 +1,8 @@
 """Separate processes of the system, for tests and measurements."""
 
 from collections.abc import Callable
-from contextlib import ExitStack
 from pathlib import Path
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,14 +17,14 @@
 from snipelead.settings.schema import Peer
 from snipelead.settings.schema import TargetSettings
 from snipelead.testing.exceptions import ConditionTimeoutError
-from snipelead.types import Address
 from snipelead.types import ControlId
 from snipelead.types import NodeId
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
 from snipelead.types import ZoneName
+from snipelead.utils.ports import find_free_addresses
 
-__all__ = ['Fleet', 'Process', 'find_free_addresses', 'wait_for']
+__all__ = ['Fleet', 'Process', 'wait_for']
 
 WAIT_S = 60.0
 POLL_S = 0.05
@@ -34,18 +32,6 @@
 HTTP_TIMEOUT_S = 10.0
 
 
-def find_free_addresses(count):
-    """Return loopback addresses whose ports were free a moment ago.
-
-    All ports are bound at the same time, so that they differ.
-    """
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [Address(f'127.0.0.1:{s.getsockname()[1]}') for s in sockets]
-
-
 def wait_for(condition: Callable, what: str, timeout_s: float = WAIT_S):
     """Wait until a condition holds and return its value.
 
--- a/snipelead/testing/tests/test_processes.py
+++ b/snipelead/testing/tests/test_processes.py
@@ -4,9 +4,9 @@
 
 from snipelead.settings.loading import load_settings
 from snipelead.testing.exceptions import ConditionTimeoutError
-from snipelead.testing.processes import find_free_addresses
 from snipelead.testing.processes import Fleet
 from snipelead.testing.processes import wait_for
+from snipelead.utils.ports import find_free_addresses
 
 
 class ProcessesTest(TestCase):
