--- a/snipelead/cli/exceptions.py
+++ b/snipelead/cli/exceptions.py
@@ -2,7 +2,12 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['BenchUnavailableError', 'NotInForceError', 'UsageError']
+__all__ = [
+    'BenchUnavailableError',
+    'NotInForceError',
+    'QuickstartError',
+    'UsageError',
+]
 
 
 class UsageError(SnipeleadError):
@@ -21,3 +26,9 @@
     """The bench needs a library of the ``bench`` extra."""
 
     code = 'SL4008'
+
+
+class QuickstartError(SnipeleadError):
+    """The quick start did not go as it must."""
+
+    code = 'SL4009'
