--- /dev/null
+++ b/snipelead/daemons/tests/test_end_to_end.py
@@ -0,0 +1,275 @@
+"""Separate processes, started from the example settings."""
+
+import json
+import os
+from pathlib import Path
+import re
+import subprocess
+import sys
+from threading import Thread
+import time
+
+from fixtures import TempDir
+import httpx
+import pytest
+from testtools.content import text_content
+from testtools.testcase import TestCase
+import trio
+import yaml
+
+from snipelead.cli.command import CONTROLS_VARIABLE
+from snipelead.emulator.client import ConnectionPool
+from snipelead.emulator.load import CallKind
+from snipelead.emulator.load import Load
+from snipelead.emulator.recorder import AnswerKind
+from snipelead.emulator.run_log import read_runs
+from snipelead.settings.loading import parse_settings
+from snipelead.testing.processes import Fleet
+from snipelead.testing.processes import Process
+from snipelead.testing.processes import wait_for
+from snipelead.types import Ran
+from snipelead.utils.ports import find_free_addresses
+
+EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
+NOTE = EXAMPLES / 'dozators.yaml'
+CONTROLS = ('control-a', 'control-b', 'control-c')
+# One target of each service in each availability zone.
+PAIRS = ('contracts-1', 'contracts-2', 'contracts-3')
+PAIRS += ('stock-1', 'stock-2', 'stock-3')
+NEW_PAIR = 'stock-4'
+LEAVING_S = 3
+COMMAND_TIMEOUT_S = 90
+HTTP_TIMEOUT_S = 30
+LOG_TAIL_CHARS = 4_000
+CALLERS = 6
+PAUSE_S = 0.02
+MAX_ADDRESSES = 50
+SEED = 1
+
+READS = ('/contracts/schedules/7', '/stock/levels/7')
+KINDS = (
+    CallKind(
+        path='/contracts/schedules/7',
+        tenant='balts',
+        request_class='interactive',
+        weight=3.0,
+    ),
+    CallKind(
+        path='/stock/levels/7?ms=20',
+        tenant='kaija',
+        request_class='interactive',
+        weight=3.0,
+    ),
+    CallKind(
+        path='/contracts/refills',
+        tenant='ozols',
+        request_class='once',
+        method='POST',
+        repeatable=False,
+        keyed=True,
+        deadline_ms=10_000,
+        body_bytes=100,
+    ),
+)
+
+
+class ExampleFleet(Fleet):
+    """Part of an example deployment, on free ports.
+
+    Parameters
+    ----------
+    folder : str
+        Where settings, logs and data go.
+    """
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.addresses = {}
+        self.free = find_free_addresses(MAX_ADDRESSES)
+        self.controls = [self.make(name) for name in CONTROLS]
+        self.nodes = [self.make(f'node-{name}') for name in PAIRS]
+        self.targets = [self.make(f'target-{name}') for name in PAIRS]
+        self.peers = self.controls[0].settings.peers
+
+    def make(self, name):
+        """Make a process from its example file."""
+        path = EXAMPLES / 'dozators' / f'{name}.yaml'
+        text = re.sub(r'127\.0\.0\.1:\d+', self.replace, path.read_text())
+        document = yaml.safe_load(text)
+        document['log'] = {'format': 'json'}
+        match document['kind']:
+            case 'control':
+                document['data_dir'] = str(self.folder / 'data' / name)
+            case 'target':
+                document['run_log'] = str(self.folder / f'{name}.runs')
+        return Process(parse_settings(path, document), name, self.folder)
+
+    def replace(self, match):
+        """Return the free address that stands for one of the example."""
+        if match.group() not in self.addresses:
+            self.addresses[match.group()] = self.free.pop()
+        return self.addresses[match.group()]
+
+
+class SteadyLoad(Load):
+    """Callers at random nodes, one call after the other, until stopped."""
+
+    def __init__(self, addresses):
+        super().__init__(addresses, KINDS, SEED)
+        self.stopping = False
+        self.thread = Thread(target=trio.run, args=(self.run,))
+
+    def __enter__(self):
+        self._prepare()
+        self.thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stopping = True
+        self.thread.join()
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLERS):
+                nursery.start_soon(self._run_caller)
+
+    async def _run_caller(self):
+        with ConnectionPool() as pool:
+            while not self.stopping:
+                kind, address = self._draw()
+                await self._call(pool, kind, address, trio.current_time())
+                await trio.sleep(PAUSE_S)
+
+    def lost_calls(self):
+        """Return the calls that were sent and got no whole answer."""
+        return [
+            call
+            for call in self.recorder.calls
+            if call.kind not in (AnswerKind.DONE, AnswerKind.REFUSED)
+            and call.ran is not Ran.NO
+        ]
+
+
+@pytest.mark.processes
+class EndToEndTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = ExampleFleet(self.useFixture(TempDir()).path)
+        self.addOnException(self.attach_logs)
+        self.addCleanup(self.fleet.__exit__)
+        self.http = httpx.Client(timeout=HTTP_TIMEOUT_S, trust_env=False)
+        self.addCleanup(self.http.close)
+        self.fleet.start()
+
+    def attach_logs(self, exc_info):
+        for process in self.fleet.processes:
+            if process.log_path.exists():
+                text = process.log_path.read_text()[-LOG_TAIL_CHARS:]
+                self.addDetail(process.name, text_content(text))
+
+    def run_command(self, *arguments, expected=0):
+        """Run the snipelead command and return its standard output."""
+        controls = ','.join(self.fleet.operator_addresses())
+        done = subprocess.run(
+            [sys.executable, '-m', 'snipelead', *arguments],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            env=os.environ | {CONTROLS_VARIABLE: controls},
+        )
+        self.assertEqual(expected, done.returncode, done.stderr)
+        return done.stdout
+
+    def submit_first_release(self):
+        self.run_command('release', 'submit', str(NOTE), '--wait')
+        for node in self.fleet.nodes:
+            for path in READS:
+                wait_for(
+                    lambda n=node, p=path: self.call(n, p).is_success,
+                    f'{path} through {node.name}',
+                )
+
+    def call(self, node, path):
+        url = f'http://{node.settings.caller_address}{path}'
+        headers = {'X-Tenant': 'balts', 'X-Deadline-Ms': '5000'}
+        return self.http.get(url, headers=headers)
+
+    def caller_addresses(self):
+        return [node.settings.caller_address for node in self.fleet.nodes]
+
+    def read_all_runs(self):
+        return [
+            run
+            for process in self.fleet.targets
+            for run in read_runs(process.settings.run_log)
+        ]
+
+    def test_release_comes_into_force_and_targets_come_and_go(self):
+        self.submit_first_release()
+        status = json.loads(self.run_command('release', 'show', '1', '--json'))
+        self.assertEqual('in_force', status['state'])
+        self.assertEqual((6, 6), (status['nodes'], status['confirmed']))
+        self.assertEqual([], status['lagging'])
+        self.check_new_target()
+        self.check_leaving_target()
+
+    def check_new_target(self):
+        node = self.fleet.make(f'node-{NEW_PAIR}')
+        target = self.fleet.make(f'target-{NEW_PAIR}')
+        self.fleet.nodes.append(node)
+        self.fleet.targets.append(target)
+        node.start()
+        target.start()
+        # Idle targets of a caller's own availability zone go first.
+        neighbour = self.fleet.nodes[2]
+        self.assertEqual(node.settings.zone, neighbour.settings.zone)
+        wait_for(
+            lambda: self.answering_target(neighbour) == target.name,
+            'answer of the new target',
+        )
+
+    def answering_target(self, node):
+        response = self.call(node, '/stock/levels/7')
+        return f'target-{response.json().get("target")}'
+
+    def check_leaving_target(self):
+        target = self.fleet.targets[3]
+        admin = target.settings.node_admin_address
+        name = target.settings.target_id
+        with SteadyLoad(self.caller_addresses()) as load:
+            wait_for(lambda: self.ran_on(target, 0), f'work on {name}')
+            response = self.http.post(
+                f'http://{admin}/v1/targets/{name}/leaving'
+            )
+            self.assertEqual(204, response.status_code)
+            limit_ns = time.time_ns() + LEAVING_S * 1_000_000_000
+            # Others still get work long after the limit.
+            after_ns = limit_ns + 1_000_000_000
+            for other in self.fleet.targets[4:6]:
+                wait_for(
+                    lambda t=other: self.ran_on(t, after_ns),
+                    f'later work on {other.name}',
+                )
+        self.assertFalse(self.ran_on(target, limit_ns))
+        self.assertEqual([], load.lost_calls())
+
+    def ran_on(self, target, since_ns):
+        """Tell whether a target began a run after a time."""
+        path = target.settings.run_log
+        return any(run.started_ns > since_ns for run in read_runs(path))
+
+    def test_planned_stop_of_each_process_loses_no_answer(self):
+        self.submit_first_release()
+        with SteadyLoad(self.caller_addresses()) as load:
+            for process in self.fleet.processes:
+                self.assertEqual(0, process.terminate(), process.name)
+                process.start()
+                self.fleet.wait_ready_of([process])
+                self.wait_calls(load)
+        self.assertEqual([], load.lost_calls())
+        self.assertTrue(load.recorder.audit(self.read_all_runs()).clean)
+
+    def wait_calls(self, load):
+        """Wait until some more calls are done."""
+        goal = len(load.recorder.calls) + 100
+        wait_for(lambda: len(load.recorder.calls) > goal, 'more calls')
