Give every failure of a command a code; stop on broken invariants

Cause: an address in use was shown as 'Exceptions from Trio nursery', and an invariant found broken in an HTTP request was answered with 503 while the process went on. Change: a failure of the operating system is SL5003, any other one SL5004 with its trace; a broken invariant ends the server's task, and so the process, with its code. A note that a relay could not pass on is a refusal. Before the first release, release show says so.

--- a/snipelead/cli/command.py
+++ b/snipelead/cli/command.py
@@ -3,6 +3,7 @@
 from enum import IntEnum
 import os
 from pathlib import Path
+from traceback import format_exc
 
 from cleo.commands.command import Command
 from cleo.helpers import option
@@ -10,6 +11,8 @@
 import msgspec
 
 from snipelead.cli.exceptions import NotInForceError
+from snipelead.cli.exceptions import OperatingSystemError
+from snipelead.cli.exceptions import UnforeseenError
 from snipelead.cli.exceptions import UsageError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import InvalidParameterError
@@ -25,6 +28,7 @@
     'JSON_OPTION',
     'SnipeleadCommand',
     'find_coded',
+    'make_coded',
 ]
 
 CONTROLS_VARIABLE = 'SNIPELEAD_CONTROLS'
@@ -50,6 +54,7 @@
 
 _UNKNOWN_ERRORS = (
     OutcomeUnknownError,
+    UnforeseenError,
     NotInForceError,
     NotProvedCurrentError,
 )
@@ -64,18 +69,34 @@
     return ExitCode.REFUSED
 
 
-def find_coded(error):
-    """Return the first coded error in an exception or group, or None."""
+def find_error(error, error_type):
+    """Return the first error of a type in an exception or group, or None."""
     match error:
-        case SnipeleadError():
+        case error_type():
             return error
         case BaseExceptionGroup():
-            found = (find_coded(inner) for inner in error.exceptions)
+            found = (find_error(e, error_type) for e in error.exceptions)
             return next((e for e in found if e is not None), None)
         case _:
             return None
 
 
+def find_coded(error):
+    """Return the first coded error in an exception or group, or None."""
+    return find_error(error, SnipeleadError)
+
+
+def make_coded(error):
+    """Return the coded error that an exception or group stands for."""
+    coded = find_coded(error)
+    if coded is not None:
+        return coded
+    refused = find_error(error, OSError)
+    if refused is not None:
+        return OperatingSystemError(str(refused))
+    return UnforeseenError(repr(error))
+
+
 class SnipeleadCommand(Command):
     """Base of all commands; turns coded errors into exit codes.
 
@@ -94,9 +115,9 @@
         try:
             return self.run_checked() or ExitCode.OK
         except Exception as error:
-            coded = find_coded(error)
-            if coded is None:
-                raise
+            coded = make_coded(error)
+            if isinstance(coded, UnforeseenError):
+                self.show_progress(format_exc())
             return self.show_error(coded)
 
     def run_checked(self):
--- a/snipelead/cli/exceptions.py
+++ b/snipelead/cli/exceptions.py
@@ -5,7 +5,9 @@
 __all__ = [
     'BenchUnavailableError',
     'NotInForceError',
+    'OperatingSystemError',
     'QuickstartError',
+    'UnforeseenError',
     'UsageError',
 ]
 
@@ -32,3 +34,15 @@
     """The quick start did not go as it must."""
 
     code = 'SL4009'
+
+
+class OperatingSystemError(SnipeleadError):
+    """The operating system refused something, such as an address in use."""
+
+    code = 'SL5003'
+
+
+class UnforeseenError(SnipeleadError):
+    """A command failed in an unforeseen way; its effect is unknown."""
+
+    code = 'SL5004'
--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -42,6 +42,9 @@
     """Return lines that describe a ReleaseStatus."""
     where = f'{status.confirmed} of {status.nodes} live nodes'
     number = status.held.number
+    if number == 0:
+        yield f'no release has been accepted yet; {status.nodes} live nodes'
+        return
     match status.state:
         case ReleaseState.SUPERSEDED:
             yield (
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -11,6 +11,7 @@
 from snipelead.cli.application import make_application
 from snipelead.cli.bench import BenchCommand
 from snipelead.cli.command import CONTROLS_VARIABLE
+from snipelead.cli.command import make_coded
 from snipelead.cli.command import SnipeleadCommand
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
@@ -167,6 +168,10 @@
         self.run_command('fleet status', 3)
         self.run_command('release show 9', 3)
 
+    def test_show_before_the_first_release(self):
+        output = self.run_command('release show', 0)
+        self.assertIn('no release has been accepted yet', output)
+
     def test_list(self):
         self.run_command(f'release submit {self.note}', 0)
         output = self.run_command('release list', 0)
@@ -220,3 +225,18 @@
         error = self.read_json(f'settings check {settings} --json', 1)
         self.assertEqual('control-id', error['details']['key'])
         self.assertEqual({self.note, settings}, set(self.directory.iterdir()))
+
+
+class MakeCodedTest(TestCase):
+    def test_coded_error_in_a_group_is_found(self):
+        inner = NoQuorumError('alone')
+        group = ExceptionGroup('g', [ExceptionGroup('h', [inner])])
+        self.assertIs(inner, make_coded(group))
+
+    def test_address_in_use_is_coded(self):
+        group = ExceptionGroup('g', [OSError('Address already in use')])
+        coded = make_coded(group)
+        self.assertEqual('SL5003: Address already in use', str(coded))
+
+    def test_anything_else_is_unforeseen(self):
+        self.assertEqual('SL5004', make_coded(ZeroDivisionError()).code)
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -2,6 +2,7 @@
 
 from quart import request
 
+from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
@@ -61,7 +62,7 @@
         reply = await source.submit(note)
     except InvariantError:
         raise
-    except NoQuorumError as error:
+    except (NoControlError, NoQuorumError) as error:
         return _failed(OutcomeKind.REFUSED, note.note, error)
     except SnipeleadError as error:
         # Any other failure may have come after the note was appended.
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -2,6 +2,7 @@
 from testtools import TestCase
 import trio
 
+from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.operators.app import make_app
@@ -79,6 +80,12 @@
         self.assertEqual('2', response.headers['Retry-After'])
         self.assertEqual(EMPTY_RELEASE, self.source.current)
 
+    def test_note_that_was_not_passed_on_is_refused(self):
+        self.source.failures = [NoControlError('nobody there')]
+        response, answer = self.submit(make_note())
+        self.assertEqual(503, response.status_code)
+        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+
     def test_lost_answer_is_unknown(self):
         self.source.failures = [OutcomeUnknownError('lost')]
         response, answer = self.submit(make_note())
--- a/snipelead/utils/http.py
+++ b/snipelead/utils/http.py
@@ -7,6 +7,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 import msgspec
+from quart import current_app
 from quart import request
 from quart import Response
 from quart_trio import QuartTrio
@@ -14,6 +15,7 @@
 from werkzeug.exceptions import HTTPException
 
 from snipelead.exceptions import InvalidParameterError
+from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.types import Address
@@ -33,6 +35,7 @@
 BACKLOG = 512
 GRACE_S = 3.0
 _MS_PER_S = 1_000
+_BROKEN = 'snipelead-broken-invariant'
 
 
 def json_response(value, status=200, headers=None):
@@ -108,6 +111,10 @@
 
 async def _answer_coded_error(error):
     match error:
+        case InvariantError():
+            # The process must stop; serve_app raises this error.
+            current_app.extensions[_BROKEN].send(error)
+            return error_response(error, 500)
         case HttpRequestError() | InvalidParameterError():
             return error_response(error, 400)
         case _:
@@ -135,12 +142,31 @@
     """
     app = QuartTrio(name)
     app.config['MAX_CONTENT_LENGTH'] = max_body_bytes
+    app.extensions[_BROKEN] = _BrokenInvariant()
     app.register_error_handler(HTTPException, _answer_http_error)
     app.register_error_handler(SnipeleadError, _answer_coded_error)
     app.register_error_handler(Exception, _answer_unforeseen_error)
     return app
 
 
+class _BrokenInvariant:
+    """Carries a broken invariant from a request to the server's task."""
+
+    def __init__(self):
+        self.error = None
+        self.found = trio.Event()
+
+    def send(self, error):
+        """Tell of a broken invariant; the first one counts."""
+        self.error = self.error or error
+        self.found.set()
+
+    async def wait_raise(self):
+        """Wait for a broken invariant and raise it."""
+        await self.found.wait()
+        raise self.error
+
+
 def _make_config(address, grace_s):
     config = Config()
     config.bind = [address]
@@ -179,11 +205,19 @@
         Time that they get, in seconds.
     task_status : trio.TaskStatus
         Told the bound address once listening.
+
+    Raises
+    ------
+    InvariantError
+        If a request found a broken invariant.
     """
     trigger = trio.sleep_forever if stop is None else stop.wait
     config = _make_config(address, grace_s)
     async with trio.open_nursery() as nursery:
-        binds = await nursery.start(
-            partial(serve, app, config, shutdown_trigger=trigger)
-        )
-        task_status.started(Address(binds[0].removeprefix('http://')))
+        nursery.start_soon(app.extensions[_BROKEN].wait_raise)
+        async with trio.open_nursery() as server:
+            binds = await server.start(
+                partial(serve, app, config, shutdown_trigger=trigger)
+            )
+            task_status.started(Address(binds[0].removeprefix('http://')))
+        nursery.cancel_scope.cancel()
--- a/snipelead/utils/tests/test_http.py
+++ b/snipelead/utils/tests/test_http.py
@@ -5,6 +5,8 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
+from snipelead.cli.command import find_coded
+from snipelead.exceptions import InvariantError
 from snipelead.utils.http import json_response
 from snipelead.utils.http import make_quart
 from snipelead.utils.http import serve_app
@@ -28,6 +30,10 @@
         async def fast():
             return json_response('fast')
 
+        @self.app.get('/broken')
+        async def broken():
+            raise InvariantError('two and two are five')
+
     async def start(self, nursery):
         address = await nursery.start(
             partial(serve_app, self.app, '127.0.0.1:0', stop=self.stop)
@@ -71,3 +77,14 @@
             return streams
 
         self.assertEqual(1, len(trio.run(run)))
+
+    def test_broken_invariant_stops_the_server(self):
+        async def run():
+            async with trio.open_nursery() as nursery:
+                url = await self.start(nursery)
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    await client.get(f'{url}/broken')
+                await trio.sleep_forever()
+
+        group = self.assertRaises(ExceptionGroup, trio.run, run)
+        self.assertIsInstance(find_coded(group), InvariantError)
