--- a/snipelead/cli/command.py
+++ b/snipelead/cli/command.py
@@ -10,6 +10,7 @@
 from cleo.io.outputs.output import Type
 import msgspec
 
+from snipelead.cli.exceptions import InterruptedCommandError
 from snipelead.cli.exceptions import NotInForceError
 from snipelead.cli.exceptions import OperatingSystemError
 from snipelead.cli.exceptions import UnforeseenError
@@ -54,6 +55,7 @@
 
 _UNKNOWN_ERRORS = (
     OutcomeUnknownError,
+    InterruptedCommandError,
     UnforeseenError,
     NotInForceError,
     NotProvedCurrentError,
@@ -91,6 +93,8 @@
     coded = find_coded(error)
     if coded is not None:
         return coded
+    if find_error(error, KeyboardInterrupt) is not None:
+        return InterruptedCommandError('stopped before the outcome was known')
     refused = find_error(error, OSError)
     if refused is not None:
         return OperatingSystemError(str(refused))
@@ -114,7 +118,7 @@
         """Run the command and return its exit code."""
         try:
             return self.run_checked() or ExitCode.OK
-        except Exception as error:
+        except (Exception, KeyboardInterrupt, BaseExceptionGroup) as error:
             coded = make_coded(error)
             if isinstance(coded, UnforeseenError):
                 self.show_progress(format_exc())
--- a/snipelead/cli/exceptions.py
+++ b/snipelead/cli/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     'BenchUnavailableError',
+    'InterruptedCommandError',
     'NotInForceError',
     'OperatingSystemError',
     'QuickstartError',
@@ -46,3 +47,9 @@
     """A command failed in an unforeseen way; its effect is unknown."""
 
     code = 'SL5004'
+
+
+class InterruptedCommandError(SnipeleadError):
+    """A command was interrupted; what it sent may have taken effect."""
+
+    code = 'SL4011'
--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -12,6 +12,7 @@
 from snipelead.cli.exceptions import NotInForceError
 from snipelead.cli.exceptions import UsageError
 from snipelead.cli.fleet import UNPROVED
+from snipelead.exceptions import SnipeleadError
 from snipelead.operators.client import UNKNOWN_ADVICE
 from snipelead.operators.messages import ReleaseState
 from snipelead.operators.messages import ReleaseStatus
@@ -70,6 +71,19 @@
         yield f'control {control_id} has just started; nodes may be missing'
 
 
+def describe_progress(status):
+    """Return the lines of a ReleaseStatus without what always changes."""
+    yield next(describe_status(status))
+    for control_id in status.unreachable_controls:
+        yield f'waiting for control {control_id}, which cannot be reached'
+    for control_id in status.warming_controls:
+        yield f'waiting for control {control_id}, which has just started'
+
+
+def _is_settled(status):
+    return status.in_force or status.state is ReleaseState.SUPERSEDED
+
+
 def describe_answer(answer):
     """Return the line that describes a SubmitAnswer."""
     match answer.outcome:
@@ -181,15 +195,23 @@
         )
 
     async def _wait(self, client, held):
-        shown = ()
+        """Follow an accepted release until it is in force or superseded.
+
+        A control that fails meanwhile changes nothing about the release, so
+        failed reads are shown and tried again.
+        """
+        shown = None
         while True:
-            status = await client.show_release(held.number)
-            lines = tuple(describe_status(status))
-            progress = (status.state, status.confirmed, status.nodes)
-            if status.in_force or status.state is ReleaseState.SUPERSEDED:
-                return status
+            try:
+                status = await client.show_release(held.number)
+            except SnipeleadError as error:
+                progress = str(error)
+            else:
+                if _is_settled(status):
+                    return status
+                progress = '\n'.join(describe_progress(status))
             if progress != shown:
-                self.show_progress('\n'.join(lines))
+                self.show_progress(progress)
                 shown = progress
             await trio.sleep(POLL_S)
 
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -11,6 +11,8 @@
 from snipelead.cli.application import make_application
 from snipelead.cli.bench import BenchCommand
 from snipelead.cli.command import CONTROLS_VARIABLE
+from snipelead.cli.command import exit_code_of
+from snipelead.cli.command import ExitCode
 from snipelead.cli.command import make_coded
 from snipelead.cli.command import SnipeleadCommand
 from snipelead.controls.exceptions import NoQuorumError
@@ -37,8 +39,11 @@
         self.source = source
         self.size = size
         self.confirmed = 0
+        self.failures = []
 
     async def fleet(self):
+        if self.failures:
+            raise self.failures.pop()
         nodes = [
             make_node_status(
                 f'node-{i}',
@@ -88,6 +93,12 @@
         self.assertIn('in force on 0 of 2 live nodes', progress)
         self.assertIn('in force on 1 of 2 live nodes', progress)
 
+    def test_failed_read_does_not_end_the_wait(self):
+        # The client asks its only address twice.
+        self.service.failures = [NoQuorumError('electing') for _ in '12']
+        self.run_command(f'release submit {self.note} --wait', 0)
+        self.assertIn('electing', self.errors)
+
     def test_submit_without_wait(self):
         output = self.run_command(f'release submit {self.note}', 0)
         self.assertEqual('accepted: release 1\n', output)
@@ -238,5 +249,11 @@
         coded = make_coded(group)
         self.assertEqual('SL5003: Address already in use', str(coded))
 
+    def test_interruption_leaves_the_outcome_open(self):
+        group = BaseExceptionGroup('g', [KeyboardInterrupt()])
+        coded = make_coded(group)
+        self.assertEqual('SL4011', coded.code)
+        self.assertEqual(ExitCode.UNKNOWN, exit_code_of(coded))
+
     def test_anything_else_is_unforeseen(self):
         self.assertEqual('SL5004', make_coded(ZeroDivisionError()).code)
