--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -72,12 +72,11 @@
 
 
 def describe_progress(status):
-    """Return the lines of a ReleaseStatus without what always changes."""
-    yield next(describe_status(status))
-    for control_id in status.unreachable_controls:
-        yield f'waiting for control {control_id}, which cannot be reached'
-    for control_id in status.warming_controls:
-        yield f'waiting for control {control_id}, which has just started'
+    """Return one line on a release that is not yet in force everywhere."""
+    first = next(describe_status(status))
+    waits = [f'{c} cannot be reached' for c in status.unreachable_controls]
+    waits += [f'{c} has just started' for c in status.warming_controls]
+    return '; '.join([first, *waits])
 
 
 def _is_settled(status):
@@ -209,7 +208,7 @@
             else:
                 if _is_settled(status):
                     return status
-                progress = '\n'.join(describe_progress(status))
+                progress = describe_progress(status)
             if progress != shown:
                 self.show_progress(progress)
                 shown = progress
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -55,7 +55,9 @@
         ]
         self.confirmed += 1
         held = self.source.current.held
-        return await FakeService.with_nodes(held, nodes).fleet()
+        self.current = held
+        self.nodes = nodes
+        return await super().fleet()
 
 
 class CommandsTest(TestCase):
@@ -175,6 +177,7 @@
 
     def test_unproved_read_exits_3(self):
         self.source.certified = False
+        self.service.certified = False
         self.assertFalse(self.read_json('release list --json', 3)['certified'])
         self.run_command('fleet status', 3)
         self.run_command('release show 9', 3)
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -182,12 +182,7 @@
 
     @app.get('/v1/fleet')
     async def fleet():
-        certified = await source.certify()
-        return json_response(
-            make_fleet_status(
-                source.current.held, certified, await service.fleet()
-            )
-        )
+        return json_response(make_fleet_status(await service.fleet()))
 
     @app.get('/metrics')
     async def show_metrics():
--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -146,7 +146,6 @@
     control_id: ControlId
     zone: ZoneName
     current: Held
-    certified: bool
     nodes: int
 
 
--- a/snipelead/operators/status.py
+++ b/snipelead/operators/status.py
@@ -79,24 +79,36 @@
         confirmed=len(live) - len(lagging),
         lagging=lagging,
         silent_nodes=tuple(s.node_id for s in nodes if not s.live),
-        unreachable_controls=tuple(fleet.unreachable_controls),
-        warming_controls=tuple(fleet.warming_controls),
+        unreachable_controls=tuple(sorted(fleet.unreachable_controls)),
+        warming_controls=tuple(sorted(fleet.warming_controls)),
     )
 
 
-def make_fleet_status(current, certified, fleet):
-    """Put the controls' views together; see :func:`make_release_status`."""
+def _control_id(reply):
+    return reply.control_id
+
+
+def make_fleet_status(fleet):
+    """Put the controls' views together.
+
+    Parameters
+    ----------
+    fleet : FleetStatus
+        Views of all controls.
+
+    Returns
+    -------
+    FleetReport
+    """
     return FleetReport(
-        current=current,
-        certified=certified,
+        current=fleet.release,
+        certified=fleet.certified,
         controls=tuple(
-            ControlStatus(
-                r.control_id, r.zone, r.current, r.certified, len(r.nodes)
-            )
-            for r in fleet.replies
+            ControlStatus(r.control_id, r.zone, r.current, len(r.nodes))
+            for r in sorted(fleet.replies, key=_control_id)
         ),
-        unreachable_controls=tuple(fleet.unreachable_controls),
-        warming_controls=tuple(fleet.warming_controls),
-        nodes=newest_statuses(fleet.replies),
+        unreachable_controls=tuple(sorted(fleet.unreachable_controls)),
+        warming_controls=tuple(sorted(fleet.warming_controls)),
+        nodes=tuple(newest_statuses(fleet.replies)),
         targets=merge_targets(fleet.replies),
     )
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -97,13 +97,13 @@
         held = self.source.current.held
         old = EMPTY_RELEASE.held
         nodes = [make_node_status('a', held), make_node_status('b', old)]
-        self.service = FakeService.with_nodes(held, nodes)
+        self.service = FakeService(held, nodes)
         status = self.show(1)
         self.assertEqual(ReleaseState.ACCEPTED, status.state)
         self.assertEqual((1, 2), (status.confirmed, status.nodes))
         self.assertEqual(['b'], [n.node_id for n in status.lagging])
         nodes = [make_node_status('a', held), make_node_status('b', held, 2)]
-        self.service = FakeService.with_nodes(held, nodes)
+        self.service = FakeService(held, nodes)
         self.assertTrue(self.show(1).in_force)
 
     def test_silent_nodes_are_named_and_do_not_count(self):
@@ -112,7 +112,7 @@
         old = EMPTY_RELEASE.held
         silent = make_node_status('b', old, live=False)
         nodes = [make_node_status('a', held), silent]
-        self.service = FakeService.with_nodes(held, nodes)
+        self.service = FakeService(held, nodes)
         status = self.show(1)
         self.assertTrue(status.in_force)
         self.assertEqual(('b',), status.silent_nodes)
@@ -121,7 +121,7 @@
         self.submit(make_note())
         held = self.source.current.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes, ('c2',))
+        self.service = FakeService(held, nodes, ('c2',))
         status = self.show(1)
         self.assertFalse(status.in_force)
         self.assertEqual(ReleaseState.IN_FORCE_WHERE_KNOWN, status.state)
@@ -131,7 +131,7 @@
         self.submit(make_note())
         held = self.source.current.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes, warming=True)
+        self.service = FakeService(held, nodes, warming=True)
         status = self.show(1)
         self.assertFalse(status.in_force)
         self.assertEqual(('c1',), status.warming_controls)
@@ -139,7 +139,7 @@
     def test_no_live_node_is_not_in_force(self):
         self.submit(make_note())
         held = self.source.current.held
-        self.service = FakeService.with_nodes(held, [])
+        self.service = FakeService(held, [])
         self.assertEqual(ReleaseState.ACCEPTED, self.show(1).state)
 
     def test_newer_report_of_a_node_wins(self):
@@ -150,7 +150,7 @@
             make_node_status('a', held, sequence=9),
             make_node_status('a', old, sequence=8),
         ]
-        self.service = FakeService.with_nodes(held, nodes)
+        self.service = FakeService(held, nodes)
         status = self.show(1)
         self.assertEqual((1, 1), (status.confirmed, status.nodes))
 
@@ -159,7 +159,7 @@
         self.submit(make_note(2, 'n2', 'contracts'))
         held = self.source.current.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes)
+        self.service = FakeService(held, nodes)
         status = self.show(1)
         self.assertEqual(ReleaseState.SUPERSEDED, status.state)
         self.assertEqual('n1', status.note)
@@ -186,7 +186,7 @@
     def test_fleet_names_unreachable_controls(self):
         held = EMPTY_RELEASE.held
         nodes = [make_node_status('a', held)]
-        self.service = FakeService.with_nodes(held, nodes, ('c2', 'c3'))
+        self.service = FakeService(held, nodes, ('c2', 'c3'))
         _, body = self.request('GET', '/v1/fleet')
         status = msgspec.json.decode(body, type=FleetReport)
         self.assertEqual(('c2', 'c3'), status.unreachable_controls)
--- a/snipelead/testing/fleet.py
+++ b/snipelead/testing/fleet.py
@@ -8,7 +8,9 @@
 from snipelead.messages import SubmitReply
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.types import ControlId
 from snipelead.types import OutcomeKind
+from snipelead.types import ZoneName
 
 __all__ = ['FakeService', 'FakeSource', 'make_node_status']
 
@@ -78,28 +80,42 @@
 
     Parameters
     ----------
-    replies : sequence of FleetReply
-        Views of the controls that answer.
+    current : Held
+        Release that the only control that answers holds.
+    nodes : sequence of NodeStatus
+        Nodes that it sees.
     unreachable : sequence of ControlId
-        Controls that do not.
+        Controls that do not answer.
+    warming : bool
+        Whether the control has just started.
+
+    Attributes
+    ----------
+    certified : bool
+        Whether the control can prove that it is current.
     """
 
-    def __init__(self, replies=(), unreachable=()):
-        self.replies = replies or (_make_reply(EMPTY_RELEASE.held, ()),)
+    def __init__(
+        self,
+        current=EMPTY_RELEASE.held,
+        nodes=(),
+        unreachable=(),
+        warming=False,
+    ):
+        self.current = current
+        self.nodes = nodes
         self.unreachable = unreachable
-
-    @classmethod
-    def with_nodes(cls, current, nodes, unreachable=(), warming=False):
-        """Make a service whose first control sees all nodes."""
-        reply = _make_reply(current, tuple(nodes), warming)
-        return cls((reply,), unreachable)
+        self.warming = warming
+        self.certified = True
 
     async def fleet(self):
         """Return the merged views, as a control does."""
-        return merge_fleet(self.replies, self.unreachable)
-
-
-def _make_reply(current, nodes, warming=False):
-    return FleetReply(
-        'c1', 'z1', current, certified=True, nodes=nodes, warming=warming
-    )
+        reply = FleetReply(
+            ControlId('c1'),
+            ZoneName('z1'),
+            self.current,
+            certified=self.certified,
+            nodes=tuple(self.nodes),
+            warming=self.warming,
+        )
+        return merge_fleet([reply], self.unreachable)
