List the newest notes, not all that are remembered

Change: the newest submissions come first, limited by a parameter; the answer says how many are remembered.

--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -30,6 +30,7 @@
 
 WAIT_S = 60
 POLL_S = 0.1
+LISTED_NOTES = 20
 
 _FILE = argument('file', 'Release note (YAML).')
 _EXIT_CODE_BY_OUTCOME = {
@@ -281,12 +282,21 @@
     help = """Exits 3 when no control could prove that it is current.
 
 Example:
-  snipelead release list --control 127.0.0.1:7111"""
-    options = [CONTROL_OPTION, JSON_OPTION]
+  snipelead release list --control 127.0.0.1:7111 --limit 50"""
+    options = [
+        CONTROL_OPTION,
+        JSON_OPTION,
+        option(
+            'limit',
+            description='How many notes, the newest first.',
+            flag=False,
+            default=str(LISTED_NOTES),
+        ),
+    ]
 
     def run_checked(self):
         """Read the notes and print them."""
-        releases = trio.run(self._read)
+        releases = trio.run(self._read, self._limit())
         if self.wants_json:
             self.show_json(releases)
         else:
@@ -303,7 +313,15 @@
                 self.show(f'release {note.held.number}: note {note.note}')
                 continue
             self.show(f'refused: note {note.note}, {note.code}')
+        if releases.remembered > len(releases.notes):
+            self.show(f'{releases.remembered} notes are remembered')
+
+    def _limit(self):
+        given = self.option('limit')
+        if not given.isdecimal() or int(given) == 0:
+            raise UsageError(f'--limit must be above 0, got {given!r}')
+        return int(given)
 
-    async def _read(self):
+    async def _read(self, limit):
         async with self.open_client() as client:
-            return await client.list_releases()
+            return await client.list_releases(limit)
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -147,6 +147,7 @@
             'release submit',
             'release submit /nonexistent.yaml',
             'release show one',
+            'release list --limit 0',
             f'release submit {self.note} --timeout never',
             f'release submit {self.note} --control localhost:1',
             'fleet status --unknown',
@@ -190,6 +191,11 @@
         self.run_command(f'release submit {self.note}', 0)
         output = self.run_command('release list', 0)
         self.assertIn('release 1: note n1', output)
+        self.note.write_text(NOTE.replace('n1', 'other'))
+        self.run_command(f'release submit {self.note}', 1)
+        output = self.run_command('release list --limit 1', 0)
+        self.assertIn('refused: note other, SL7004', output)
+        self.assertIn('2 notes are remembered', output)
 
     def test_fleet_status(self):
         status = self.read_json('fleet status --json')
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -19,6 +19,7 @@
 from snipelead.releases.note import load_note
 from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
+from snipelead.utils.exceptions import HttpRequestError
 from snipelead.utils.http import error_response
 from snipelead.utils.http import json_response
 from snipelead.utils.http import make_quart
@@ -29,6 +30,7 @@
 
 MAX_NOTE_BYTES = 8 * 1024 * 1024
 RETRY_AFTER_MS = 1_000
+LISTED_NOTES = 100
 
 _STATUS_BY_OUTCOME = {OutcomeKind.ACCEPTED: 200, OutcomeKind.REFUSED: 409}
 
@@ -106,19 +108,22 @@
     return json_response(answer, _submit_status(answer), headers)
 
 
-def _order(outcome):
-    return outcome.held.number if outcome.held else 0
+def _read_limit():
+    given = request.args.get('limit', str(LISTED_NOTES))
+    if not given.isdecimal() or int(given) == 0:
+        raise HttpRequestError(f'limit must be a number above 0, got {given}')
+    return int(given)
 
 
-async def _list_releases(source):
+async def _list_releases(source, limit):
     certified = await source.certify()
     outcomes = await source.outcomes()
-    notes = [
+    newest = list(reversed(outcomes.items()))[:limit]
+    notes = tuple(
         NoteOutcome(note, reply.outcome, reply.held, reply.code, reply.message)
-        for note, reply in outcomes.items()
-    ]
-    notes.sort(key=_order, reverse=True)
-    return ReleaseList(source.current.held, certified, tuple(notes))
+        for note, reply in newest
+    )
+    return ReleaseList(source.current.held, certified, len(outcomes), notes)
 
 
 def _find_release(number, current, outcomes):
@@ -174,7 +179,7 @@
 
     @app.get('/v1/releases')
     async def list_releases():
-        return json_response(await _list_releases(source))
+        return json_response(await _list_releases(source, _read_limit()))
 
     @app.get('/v1/releases/<int:number>')
     async def show(number):
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -21,6 +21,7 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 5.0
 ROUNDS = 2
+LISTED_NOTES = 100
 RETRY_PAUSE_S = 0.5
 
 UNKNOWN_ADVICE = 'unknown: read it back or resend the same note'
@@ -122,9 +123,9 @@
         """Read back one release; returns a :class:`ReleaseStatus`."""
         return await self._read(f'/v1/releases/{number}', ReleaseStatus)
 
-    async def list_releases(self):
-        """Read back the remembered notes; returns a :class:`ReleaseList`."""
-        return await self._read('/v1/releases', ReleaseList)
+    async def list_releases(self, limit=LISTED_NOTES):
+        """Read back the newest notes; returns a :class:`ReleaseList`."""
+        return await self._read(f'/v1/releases?limit={limit}', ReleaseList)
 
     async def show_fleet(self):
         """Read back the fleet; returns a :class:`FleetReport`."""
--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -80,10 +80,23 @@
 
 
 class ReleaseList(Struct, frozen=True):
-    """Current release and the remembered outcomes, newest release first."""
+    """Current release and recent outcomes, newest submission first.
+
+    Parameters
+    ----------
+    current : Held
+        Newest release known.
+    certified : bool
+        Whether the control proved itself current by a majority.
+    remembered : int
+        Outcomes that the controls remember, of which these are the newest.
+    notes : tuple of NoteOutcome
+        Outcomes.
+    """
 
     current: Held
     certified: bool
+    remembered: int
     notes: tuple[NoteOutcome, ...] = ()
 
 
