--- a/snipelead/utils/tests/test_catalogues.py
+++ b/snipelead/utils/tests/test_catalogues.py
@@ -2,8 +2,11 @@
 
 from snipelead.settings.reference import render_settings
 from snipelead.utils.catalogues import DOCS
+from snipelead.utils.catalogues import INDEX_NAME
+from snipelead.utils.catalogues import INDEXED
 from snipelead.utils.catalogues import render_errors
 from snipelead.utils.catalogues import render_events
+from snipelead.utils.catalogues import render_index
 
 
 class CataloguesTest(TestCase):
@@ -18,3 +21,8 @@
 
     def test_each_setting_has_a_meaning(self):
         self.assertNotIn('|  |', render_settings())
+
+    def test_indexes_match_the_pages(self):
+        for folder in INDEXED:
+            written = (DOCS / folder / INDEX_NAME).read_text()
+            self.assertEqual(render_index(folder), written)
