Take the controls' views as a list, as agreed between the parts

Cause: the merged status of the controls is about to lose the views, which the read-back needs; the agreed interface of fleet() is a list. Change: fleet() gives the views and fleet_status() the merged status; controls that did not answer are found by the list of all controls. A test runs the operators' interface on the service that controls run, so that a fake cannot hide a change again.

--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -178,17 +178,29 @@
         )
 
     async def fleet(self):
+        """Return the views of all controls that answer, this one first.
+
+        Returns
+        -------
+        list of FleetReply
+        """
+        replies, _ = await self._collect_replies()
+        return replies
+
+    async def fleet_status(self):
         """Return the status of the whole fleet.
 
         Returns
         -------
         FleetStatus
         """
+        return merge_fleet(*await self._collect_replies())
+
+    async def _collect_replies(self):
         replies, unreachable = await collect_replies(self.links.links)
         certified = await self._certify()
         own = await self.answer_fleet(FleetRequest())
-        replies.append(replace(own, certified=certified))
-        return merge_fleet(replies, unreachable)
+        return [replace(own, certified=certified), *replies], unreachable
 
     async def _certify(self):
         with trio.move_on_after(CERTIFY_LIMIT_S):
--- a/snipelead/controls/tests/test_fleet.py
+++ b/snipelead/controls/tests/test_fleet.py
@@ -28,7 +28,7 @@
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
                 for control in controls:
-                    status = await control.service.fleet()
+                    status = await control.service.fleet_status()
                     self.assertIs(FleetState.IN_FORCE, status.state)
                     self.assertTrue(status.in_force)
                     self.assertEqual(2, status.release.number)
@@ -44,7 +44,7 @@
                     mesh.network.cut(nodes[1].address, control.address)
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.SPREADING, status.state)
                 self.assertFalse(status.in_force)
                 self.assertEqual(
@@ -61,7 +61,7 @@
                 await trio.sleep(20)
                 source.publish(change_route(source.current))
                 await trio.sleep(1)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.IN_FORCE_ON_REACHABLE, status.state)
                 self.assertEqual((1, 1), (status.confirmed, status.total))
                 self.assertEqual(
@@ -75,7 +75,7 @@
             async with open_mesh(('a', 'b')) as mesh:
                 _, controls, _ = await _start_pair(mesh)
                 mesh.network.cut(controls[0].address, controls[1].address)
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertEqual(('c1',), status.unreachable_controls)
 
@@ -86,7 +86,7 @@
             async with open_mesh(('a', 'b')) as mesh:
                 source, controls, _ = await _start_pair(mesh)
                 source.certifies = False
-                status = await controls[0].service.fleet()
+                status = await controls[0].service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertFalse(status.certified)
 
@@ -97,7 +97,7 @@
             async with open_mesh() as mesh:
                 source = FakeSource(make_release())
                 control = await mesh.start_control(0, source)
-                status = await control.service.fleet()
+                status = await control.service.fleet_status()
                 self.assertIs(FleetState.UNKNOWN, status.state)
                 self.assertEqual(('c0',), status.warming_controls)
 
@@ -112,7 +112,7 @@
                 await mesh.start_control(0, source)
                 source.publish(change_route(source.current))
                 await trio.sleep(60)
-                status = await controls[1].service.fleet()
+                status = await controls[1].service.fleet_status()
                 self.assertIs(FleetState.IN_FORCE, status.state)
                 self.assertEqual(2, status.total)
                 self.assertEqual(2, nodes[0].number)
--- a/snipelead/controls/tests/test_targets.py
+++ b/snipelead/controls/tests/test_targets.py
@@ -94,7 +94,7 @@
                 self.assertTrue(await nodes[0].client.leave())
                 await wait_until(lambda: nodes[1].target_ids() == {'t-n1'})
                 self.assertLess(trio.current_time() - began, 0.1)
-                status = await controls[1].service.fleet()
+                status = await controls[1].service.fleet_status()
                 self.assertEqual(1, status.total)
                 self.assertEqual((), status.unreachable_nodes)
 
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -150,9 +150,9 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
     held, note = _find_release(number, current, outcomes)
-    return make_release_status(
-        held, note, current, certified, await service.fleet()
-    )
+    replies = await service.fleet()
+    peers = service.settings.peers
+    return make_release_status(held, note, current, certified, peers, replies)
 
 
 def make_app(service, source, metrics=None):
@@ -161,7 +161,8 @@
     Parameters
     ----------
     service : ControlService
-        Gives the controls' views of the fleet by ``fleet()``.
+        Gives the controls' views of the fleet by ``fleet()`` and the list of
+        controls by ``settings.peers``.
     source : ReleaseSource
         Gives and takes releases.
     metrics : ControlMetrics or None
@@ -187,7 +188,9 @@
 
     @app.get('/v1/fleet')
     async def fleet():
-        return json_response(make_fleet_status(await service.fleet()))
+        replies = await service.fleet()
+        peers = service.settings.peers
+        return json_response(make_fleet_status(peers, replies))
 
     @app.get('/metrics')
     async def show_metrics():
--- a/snipelead/operators/status.py
+++ b/snipelead/operators/status.py
@@ -26,21 +26,33 @@
     )
 
 
+def find_unreachable(peers, replies):
+    """Return the ids of the controls that did not answer, in order."""
+    answered = {reply.control_id for reply in replies}
+    missing = {peer.control_id for peer in peers} - answered
+    return tuple(sorted(missing))
+
+
+def find_warming(replies):
+    """Return the ids of the controls that have just started, in order."""
+    return tuple(sorted(r.control_id for r in replies if r.warming))
+
+
 def _runs(status, held):
     return status.held.number > held.number or status.held == held
 
 
-def _state(held, current, live, lagging, fleet):
+def _state(held, current, live, lagging, unknown):
     if held.number < current.number:
         return ReleaseState.SUPERSEDED
     if lagging or not live:
         return ReleaseState.ACCEPTED
-    if fleet.unreachable_controls or fleet.warming_controls:
+    if unknown:
         return ReleaseState.IN_FORCE_WHERE_KNOWN
     return ReleaseState.IN_FORCE
 
 
-def make_release_status(held, note, current, certified, fleet):
+def make_release_status(held, note, current, certified, peers, replies):
     """Tell on how many nodes a release is in force.
 
     Parameters
@@ -53,21 +65,25 @@
         Newest accepted release.
     certified : bool
         Whether ``current`` was proved by a majority.
-    fleet : FleetStatus
-        Views of all controls.
+    peers : sequence of Peer
+        All controls.
+    replies : sequence of FleetReply
+        Views of those that answered.
 
     Returns
     -------
     ReleaseStatus
     """
-    nodes = newest_statuses(fleet.replies)
+    nodes = newest_statuses(replies)
+    unreachable = find_unreachable(peers, replies)
+    warming = find_warming(replies)
     live = [status for status in nodes if status.live]
     lagging = tuple(
         LaggingNode(s.node_id, s.zone, s.held, s.age_ms)
         for s in live
         if not _runs(s, held)
     )
-    state = _state(held, current, live, lagging, fleet)
+    state = _state(held, current, live, lagging, unreachable + warming)
     return ReleaseStatus(
         held=held,
         note=note,
@@ -79,36 +95,43 @@
         confirmed=len(live) - len(lagging),
         lagging=lagging,
         silent_nodes=tuple(s.node_id for s in nodes if not s.live),
-        unreachable_controls=tuple(sorted(fleet.unreachable_controls)),
-        warming_controls=tuple(sorted(fleet.warming_controls)),
+        unreachable_controls=unreachable,
+        warming_controls=warming,
     )
 
 
+def _number(held):
+    return held.number
+
+
 def _control_id(reply):
     return reply.control_id
 
 
-def make_fleet_status(fleet):
+def make_fleet_status(peers, replies):
     """Put the controls' views together.
 
     Parameters
     ----------
-    fleet : FleetStatus
-        Views of all controls.
+    peers : sequence of Peer
+        All controls.
+    replies : sequence of FleetReply
+        Views of those that answered.
 
     Returns
     -------
     FleetReport
     """
+    current = max((r.current for r in replies), key=_number)
     return FleetReport(
-        current=fleet.release,
-        certified=fleet.certified,
+        current=current,
+        certified=any(r.certified and r.current == current for r in replies),
         controls=tuple(
             ControlStatus(r.control_id, r.zone, r.current, len(r.nodes))
-            for r in sorted(fleet.replies, key=_control_id)
+            for r in sorted(replies, key=_control_id)
         ),
-        unreachable_controls=tuple(sorted(fleet.unreachable_controls)),
-        warming_controls=tuple(sorted(fleet.warming_controls)),
-        nodes=tuple(newest_statuses(fleet.replies)),
-        targets=merge_targets(fleet.replies),
+        unreachable_controls=find_unreachable(peers, replies),
+        warming_controls=find_warming(replies),
+        nodes=tuple(newest_statuses(replies)),
+        targets=merge_targets(replies),
     )
--- /dev/null
+++ b/snipelead/operators/tests/test_real_service.py
@@ -0,0 +1,66 @@
+"""The interface against the service that controls run, not a fake."""
+
+from functools import partial
+
+import msgspec
+from testtools import TestCase
+import trio
+from trio.testing import MockClock
+
+from snipelead.controls.service import ControlService
+from snipelead.operators.app import make_app
+from snipelead.operators.messages import FleetReport
+from snipelead.operators.messages import ReleaseState
+from snipelead.operators.messages import ReleaseStatus
+from snipelead.releases.note import load_note
+from snipelead.settings.schema import ControlSettings
+from snipelead.settings.schema import Peer
+from snipelead.testing.fleet import FakeSource
+from snipelead.testing.network import MemoryNetwork
+
+NOTE = 'release: 1\nnote: n1\nchanges: []\n'
+OWN = Peer(control_id='c1', zone='z1', address='127.0.0.1:1')
+OTHER = Peer(control_id='c2', zone='z2', address='127.0.0.1:2')
+THIRD = Peer(control_id='c3', zone='z3', address='127.0.0.1:3')
+
+
+class RealServiceTest(TestCase):
+    def read(self, path, answer_type):
+        return trio.run(
+            partial(self.request, path, answer_type),
+            clock=MockClock(autojump_threshold=0),
+        )
+
+    async def request(self, path, answer_type):
+        settings = ControlSettings(
+            control_id=OWN.control_id,
+            zone=OWN.zone,
+            address=OWN.address,
+            operator_address='127.0.0.1:9',
+            data_dir='unused',
+            peers=(OWN, OTHER, THIRD),
+        )
+        source = FakeSource()
+        source.apply(load_note(NOTE))
+        transport = MemoryNetwork().transport(OWN.address)
+        service = ControlService(settings, source, transport)
+        client = make_app(service, source).test_client()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(service.run)
+            response = await client.get(path)
+            body = await response.get_data(as_text=False)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(200, response.status_code, body)
+        return msgspec.json.decode(body, type=answer_type)
+
+    def test_fleet(self):
+        report = self.read('/v1/fleet', FleetReport)
+        self.assertEqual(1, report.current.number)
+        self.assertEqual(['c1'], [c.control_id for c in report.controls])
+        self.assertEqual(('c2', 'c3'), report.unreachable_controls)
+        self.assertEqual(('c1',), report.warming_controls)
+
+    def test_release(self):
+        status = self.read('/v1/releases/1', ReleaseStatus)
+        self.assertEqual(ReleaseState.ACCEPTED, status.state)
+        self.assertEqual(('c2', 'c3'), status.unreachable_controls)
--- a/snipelead/testing/fleet.py
+++ b/snipelead/testing/fleet.py
@@ -1,6 +1,8 @@
 """Fakes of a release source and a control service, for the interfaces."""
 
-from snipelead.controls.fleet import merge_fleet
+from msgspec import Struct
+import trio
+
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import FleetReply
@@ -8,6 +10,7 @@
 from snipelead.messages import SubmitReply
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.settings.schema import Peer
 from snipelead.types import ControlId
 from snipelead.types import OutcomeKind
 from snipelead.types import ZoneName
@@ -34,6 +37,11 @@
         self.failures = []
         self.apply_failed = False
         self.known = {}
+        self.changed = trio.Event()
+
+    async def wait_changed(self):
+        """Wait until ``current`` changes."""
+        await self.changed.wait()
 
     async def certify(self):
         """Tell whether this source counts as current."""
@@ -60,6 +68,8 @@
     def _decide(self, note):
         try:
             self.current = apply_note(self.current, note)
+            self.changed.set()
+            self.changed = trio.Event()
         except SnipeleadError as error:
             return SubmitReply(
                 OutcomeKind.REFUSED,
@@ -75,6 +85,10 @@
     return NodeStatus(node_id, 'z1', held, 1, sequence, 10, live)
 
 
+class _Settings(Struct):
+    peers: tuple[Peer, ...]
+
+
 class FakeService:
     """Control service with given views of the fleet.
 
@@ -108,8 +122,18 @@
         self.warming = warming
         self.certified = True
 
+    @property
+    def settings(self):
+        """Settings that list all controls."""
+        return _Settings(
+            tuple(
+                Peer(control_id=c, zone='z1', address=f'127.0.0.1:{port}')
+                for port, c in enumerate(('c1', *self.unreachable), 7_100)
+            )
+        )
+
     async def fleet(self):
-        """Return the merged views, as a control does."""
+        """Return the view of the control that answers."""
         reply = FleetReply(
             ControlId('c1'),
             ZoneName('z1'),
@@ -118,4 +142,4 @@
             nodes=tuple(self.nodes),
             warming=self.warming,
         )
-        return merge_fleet([reply], self.unreachable)
+        return [reply]
