--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -10,7 +10,7 @@
 from snipelead.exceptions import SnipeleadError
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.operators.exceptions import UnexpectedAnswerError
-from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import FleetReport
 from snipelead.operators.messages import ReleaseList
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmitAnswer
@@ -21,6 +21,7 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 5.0
 ROUNDS = 2
+LISTED_NOTES = 100
 RETRY_PAUSE_S = 0.5
 
 UNKNOWN_ADVICE = 'unknown: read it back or resend the same note'
@@ -122,13 +123,13 @@
         """Read back one release; returns a :class:`ReleaseStatus`."""
         return await self._read(f'/v1/releases/{number}', ReleaseStatus)
 
-    async def list_releases(self):
-        """Read back the remembered notes; returns a :class:`ReleaseList`."""
-        return await self._read('/v1/releases', ReleaseList)
+    async def list_releases(self, limit=LISTED_NOTES):
+        """Read back the newest notes; returns a :class:`ReleaseList`."""
+        return await self._read(f'/v1/releases?limit={limit}', ReleaseList)
 
     async def show_fleet(self):
-        """Read back the fleet; returns a :class:`FleetStatus`."""
-        return await self._read('/v1/fleet', FleetStatus)
+        """Read back the fleet; returns a :class:`FleetReport`."""
+        return await self._read('/v1/fleet', FleetReport)
 
     async def _post_note(self, address, text, note_id):
         response = await self.http.post(
