Prove under failure with separate processes

Cause: kills, freezes, lost disks, cuts and silent links are only met truly by processes with real sockets and disks.

--- /dev/null
+++ b/snipelead/daemons/tests/test_failures_controls.py
@@ -0,0 +1,214 @@
+from concurrent.futures import ThreadPoolExecutor
+import shutil
+
+import pytest
+
+from snipelead.daemons.tests.fleet_case import FleetTestCase
+from snipelead.testing.processes import wait_for
+from snipelead.testing.relay import RelayThread
+
+pytestmark = pytest.mark.processes
+
+RELEASES = 20
+KILL_AFTER = 8
+
+
+class LeaderFailureTest(FleetTestCase):
+    def test_killed_leader_loses_nothing_accepted(self):
+        fleet = self.start_fleet(services=['stock'])
+        accepted = {}
+        for number in range(2, RELEASES):
+            if number == KILL_AFTER:
+                leader = self.wait_leader()
+                with ThreadPoolExecutor() as pool:
+                    pending = pool.submit(
+                        self.submit_until_definite,
+                        range(3),
+                        number,
+                        f'note-{number}',
+                    )
+                    fleet.controls[leader].kill()
+                    outcome = pending.result()
+            else:
+                outcome = self.submit_until_definite(
+                    range(3), number, f'note-{number}'
+                )
+            self.assertEqual((number, 200), (number, outcome[0]))
+            accepted[number] = outcome[1]['held']
+        fleet.controls[leader].restart()
+        fleet.wait_ready()
+        for control in range(3):
+            self.wait_certified(control, RELEASES - 1)
+            self.assertEqual(
+                {1: 'first'} | {n: f'note-{n}' for n in accepted},
+                self.accepted_notes(control),
+            )
+        for number, held in accepted.items():
+            resent = self.submit_until_definite(
+                range(3), number, f'note-{number}'
+            )
+            self.assertEqual((200, held), (resent[0], resent[1]['held']))
+        self.wait_in_force(RELEASES - 1)
+
+    def test_frozen_leader_neither_accepts_nor_certifies_the_past(self):
+        fleet = self.start_fleet(services=['stock', 'stock'])
+        old = self.wait_leader()
+        others = [c for c in range(3) if c != old]
+        witness = fleet.nodes[0]
+        witness.kill()
+        fleet.settings_of(witness, controls=(fleet.peers[old],))
+        fleet.controls[old].freeze()
+        self.wait_leader(among=others)
+        outcome = self.submit_until_definite(others, 2, 'new-leader')
+        self.assertEqual(200, outcome[0])
+        witness.start()
+        with ThreadPoolExecutor() as pool:
+            stale = pool.submit(self.submit, old, 2, 'old-leader')
+            fleet.controls[old].thaw()
+            self.assertNotEqual(200, stale.result()[0])
+        status = wait_for(
+            lambda: (s := self.node_status(witness))['ready'] and s,
+            'restarted node ready',
+        )
+        self.assertEqual(2, status['release'])
+        refused = self.submit_until_definite([old], 2, 'old-leader')
+        self.assertEqual(409, refused[0])
+        for control in range(3):
+            self.wait_certified(control, 2)
+            self.assertEqual(
+                {1: 'first', 2: 'new-leader'}, self.accepted_notes(control)
+            )
+
+    def test_leader_cut_off_in_silence_cannot_accept(self):
+        fleet = self.make_fleet(services=['stock'])
+        relays = {}
+        with RelayThread() as thread:
+            for viewer in range(3):
+                peers = list(fleet.peers)
+                for seen in range(3):
+                    if seen != viewer:
+                        relay = thread.add(peers[seen].address)
+                        relays[viewer, seen] = relay
+                        peers[seen] = self.move(peers[seen], relay.address)
+                fleet.settings_of(fleet.controls[viewer], peers=tuple(peers))
+            fleet.start()
+            self.begin_service()
+            old = self.wait_leader()
+            others = [c for c in range(3) if c != old]
+            cut = [r for pair, r in relays.items() if old in pair]
+            for relay in cut:
+                relay.refusing = True
+            thread.silence(cut)
+            status, _ = self.submit(old, 2, 'cut-off')
+            self.assertEqual(503, status)
+            self.wait_leader(among=others)
+            outcome = self.submit_until_definite(others, 2, 'majority')
+            self.assertEqual(200, outcome[0])
+            listed = self.read_releases(old)
+            self.assertEqual(
+                (False, 1), (listed['certified'], listed['current']['number'])
+            )
+            for relay in cut:
+                relay.refusing = False
+            thread.silence(cut)
+            self.wait_certified(old, 2)
+            self.assertEqual(
+                {1: 'first', 2: 'majority'}, self.accepted_notes(old)
+            )
+
+    def move(self, peer, address):
+        return type(peer)(
+            control_id=peer.control_id,
+            zone=peer.zone,
+            address=address,
+            operator_address=peer.operator_address,
+            role=peer.role,
+        )
+
+
+class LostDiskTest(FleetTestCase):
+    def lose_disk(self, control):
+        process = self.fleet.controls[control]
+        process.kill()
+        shutil.rmtree(process.settings.data_dir)
+
+    def test_repaired_disk_then_loss_of_a_second_control(self):
+        fleet = self.start_fleet(services=['stock'])
+        for number in (2, 3):
+            outcome = self.submit_until_definite(
+                range(3), number, f'note-{number}'
+            )
+            self.assertEqual(200, outcome[0])
+        before = set(self.newest_voters())
+        lost = self.wait_leader()
+        self.lose_disk(lost)
+        fleet.controls[lost].start()
+        name = fleet.peers[lost].control_id
+
+        def is_voter_again():
+            new = set(self.newest_voters()) - before
+            return any(voter.startswith(f'{name}#') for voter in new)
+
+        wait_for(is_voter_again, f'{name} votes as a new member')
+        self.wait_certified(lost, 3)
+        second = (lost + 1) % 3
+        fleet.controls[second].kill()
+        left = [c for c in range(3) if c != second]
+        outcome = self.submit_until_definite(left, 4, 'note-4')
+        self.assertEqual(200, outcome[0])
+        for control in left:
+            self.wait_certified(control, 4)
+            self.assertEqual(
+                {1: 'first', 2: 'note-2', 3: 'note-3', 4: 'note-4'},
+                self.accepted_notes(control),
+            )
+        self.wait_in_force(4)
+
+    def test_empty_control_makes_no_majority_with_a_lagging_one(self):
+        fleet = self.start_fleet(services=['stock'])
+        # Control 2 does not know release 2, control 1 will be away.
+        fleet.controls[2].kill()
+        outcome = self.submit_until_definite([0, 1], 2, 'note-2')
+        self.assertEqual(200, outcome[0])
+        self.lose_disk(0)
+        fleet.controls[1].kill()
+        fleet.controls[2].start()
+        fleet.controls[0].start()
+        fleet.wait_ready_of([fleet.controls[0], fleet.controls[2]])
+        for control in (0, 2):
+            status, _ = self.submit(control, 2, 'rival')
+            self.assertEqual(503, status)
+            self.assertFalse(self.read_releases(control)['certified'])
+        fleet.controls[1].start()
+        for control in range(3):
+            self.wait_certified(control, 2)
+            self.assertEqual(
+                {1: 'first', 2: 'note-2'}, self.accepted_notes(control)
+            )
+        self.assertEqual(409, self.submit_until_definite([2], 2, 'rival')[0])
+
+
+class RaceTest(FleetTestCase):
+    def test_equal_numbers_through_two_controls_have_one_winner(self):
+        self.start_fleet(services=['stock'])
+        with ThreadPoolExecutor() as pool:
+            for number in range(2, 8):
+                answers = {
+                    note: pool.submit(
+                        self.submit_until_definite, [control], number, note
+                    )
+                    for control, note in (
+                        (0, f'a-{number}'),
+                        (1, f'b-{number}'),
+                    )
+                }
+                answers = {n: a.result() for n, a in answers.items()}
+                statuses = sorted(s for s, _ in answers.values())
+                self.assertEqual([200, 409], statuses)
+                [winner] = [n for n, (s, _) in answers.items() if s == 200]
+                [(_, refusal)] = [a for a in answers.values() if a[0] == 409]
+                self.assertIn(winner, refusal['details'].values())
+                for control in range(3):
+                    self.wait_certified(control, number)
+                    notes = self.accepted_notes(control)
+                    self.assertEqual(winner, notes[number])
--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -31,7 +31,7 @@
 WAIT_S = 60.0
 POLL_S = 0.05
 STOP_TIMEOUT_S = 30.0
-HTTP_TIMEOUT_S = 10.0
+HTTP_TIMEOUT_S = 30.0
 
 
 def find_free_addresses(count):
@@ -191,6 +191,7 @@
         self.target_changes = target_changes or {}
         self.peers = _make_peers(controls)
         self.controls = [self._make_control(peer) for peer in self.peers]
+        self.client = httpx.Client(timeout=HTTP_TIMEOUT_S, trust_env=False)
         self.nodes = []
         self.targets = []
         for number, service in enumerate(services):
@@ -202,6 +203,7 @@
     def __exit__(self, *exc_info):
         for process in self.processes:
             process.kill()
+        self.client.close()
 
     @property
     def processes(self):
@@ -222,7 +224,10 @@
     def wait_ready_of(self, processes):
         """Wait until some processes answer their status."""
         for process in processes:
-            wait_for(lambda p=process: is_ready(p), f'{process.name} up')
+            wait_for(
+                lambda p=process: is_ready(self.client, p),
+                f'{process.name} up',
+            )
 
     def settings_of(self, process, **changes):
         """Replace settings of a process that is not started yet."""
@@ -280,19 +285,16 @@
         self.targets.append(Process(settings, name, self.folder))
 
 
-def is_ready(process):
+def is_ready(client, process):
     """Tell whether a process answers its status."""
     match process.settings:
         case ControlSettings(operator_address=address):
-            path = '/v1/fleet'
+            path = '/v1/releases'
         case NodeSettings(admin_address=address):
             path = '/v1/status'
         case TargetSettings(address=address):
             path = '/load'
-    response = httpx.get(
-        f'http://{address}{path}', timeout=HTTP_TIMEOUT_S, trust_env=False
-    )
-    return response.is_success
+    return client.get(f'http://{address}{path}').is_success
 
 
 def _make_peers(count):
