Add the bench of the call under load and faults

Cause: the policy is what the callers feel; it must be compared with baselines in the same run, and each answer checked against run logs. Callers whose node refuses the connection try another one.

--- /dev/null
+++ b/snipelead/bench/tests/test_calls.py
@@ -0,0 +1,66 @@
+from testtools import ExpectedException
+from testtools import TestCase
+import trio
+from trio.testing import MockClock
+
+from snipelead.bench.calls import measure
+from snipelead.bench.calls import OPTIONS
+from snipelead.bench.calls import render
+from snipelead.bench.calls import run
+from snipelead.bench.cases import CASES
+from snipelead.bench.deployments import DEPLOYMENTS
+from snipelead.bench.policies import POLICIES
+from snipelead.emulator.recorder import AnswerKind
+from snipelead.exceptions import InvalidParameterError
+
+
+def measure_case(name, seconds=0.4):
+    return trio.run(
+        measure,
+        DEPLOYMENTS['feriasoft'],
+        CASES[name],
+        POLICIES['default'],
+        seconds,
+        1,
+        clock=MockClock(autojump_threshold=0),
+    )
+
+
+class CallsTest(TestCase):
+    def check_truth(self, result):
+        audit = result.audit
+        self.assertEqual(
+            ([], [], [], []),
+            (audit.doubled, audit.lost, audit.untrue, audit.wrong),
+        )
+
+    def test_even_load_is_all_done(self):
+        result = measure_case('even')
+        self.assertEqual(
+            {AnswerKind.DONE}, {call.kind for call in result.recorder.calls}
+        )
+        self.check_truth(result)
+        lines = render(result)
+        self.assertIn('goodput', lines[1])
+        self.assertEqual(2 + 3 * 2 + 1, len(lines))
+
+    def test_overload_is_refused_truthfully(self):
+        result = measure_case('greedy')
+        kinds = {call.kind for call in result.recorder.calls}
+        self.assertIn(AnswerKind.REFUSED, kinds)
+        self.check_truth(result)
+
+    def test_killed_nodes_double_nothing(self):
+        self.check_truth(measure_case('herd', 0.8))
+
+    def test_silent_cut_doubles_nothing(self):
+        self.check_truth(measure_case('zone-cut', 0.8))
+
+    def test_unknown_case_is_refused(self):
+        with ExpectedException(InvalidParameterError, ".*'even'.*"):
+            run({'case': 'none'})
+
+    def test_options_have_defaults_and_help(self):
+        for default, text in OPTIONS.values():
+            self.assertTrue(default)
+            self.assertTrue(text)
--- a/snipelead/emulator/load.py
+++ b/snipelead/emulator/load.py
@@ -65,7 +65,8 @@
     Parameters
     ----------
     addresses : sequence of Address
-        Caller addresses of nodes; each call takes one at random.
+        Caller addresses of nodes; each call takes one at random, and
+        another one when that refuses the connection.
     kinds : sequence of CallKind
         The mix.
     seed : int
@@ -113,10 +114,18 @@
         call.latency_s = trio.current_time() - intended_at
         self.recorder.add(call)
 
+    async def _connect(self, pool, address):
+        """Connect to a node, or to another one when it refuses."""
+        try:
+            return await pool.acquire(address)
+        except OSError:
+            other = self.random.choice(self.addresses)
+            return await pool.acquire(other)
+
     async def _exchange(self, pool, kind, address, call):
         connection = None
         try:
-            connection = await pool.acquire(address)
+            connection = await self._connect(pool, address)
             answer = await connection.request(
                 kind.method,
                 kind.path,
