--- /dev/null
+++ b/specs/__main__.py
@@ -0,0 +1,48 @@
+"""Checks the models that must hold and prints the searches.
+
+Usage: ``python -m specs [--large]``. The larger bounds take minutes and
+several GiB of memory.
+"""
+
+import sys
+
+from specs.at_most_once import AtMostOnce
+from specs.checking import check_model
+from specs.disk_loss import DiskLoss
+from specs.log_agreement import LogAgreement
+from specs.node_floor import NodeFloor
+from specs.release_race import ReleaseRace
+
+MODELS = (
+    LogAgreement(max_term=2, max_entries=2),
+    LogAgreement(max_term=3),
+    DiskLoss(max_elections=2),
+    NodeFloor(max_lives=1),
+    NodeFloor(zone_fallback=True, max_failovers=0),
+    AtMostOnce(),
+    AtMostOnce(max_attempts=1, max_incarnations=3),
+    ReleaseRace(max_log=5),
+)
+LARGE_MODELS = (
+    LogAgreement(max_term=3, max_entries=2),
+    DiskLoss(),
+    NodeFloor(),
+    AtMostOnce(max_incarnations=3),
+    AtMostOnce(deliveries=3, max_attempts=1, max_incarnations=1),
+    ReleaseRace(max_log=6, max_elections=3),
+)
+
+
+def main(arguments):
+    """Check all models; returns the exit code."""
+    models = LARGE_MODELS if '--large' in arguments else MODELS
+    failed = False
+    for model in models:
+        report = check_model(model)
+        print(report, flush=True)
+        failed |= not report.holds
+    return int(failed)
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/specs/checking.py
+++ b/specs/checking.py
@@ -81,9 +81,10 @@
 class _Search:
     """Adapts a model to the checker; expands no state after a violation."""
 
-    def __init__(self, model, start):
+    def __init__(self, model, start, properties):
         self.model = model
         self.first = start
+        self.properties = properties
         self.depths = {self.first: 0}
         self.depth = 0
         self.violated = False
@@ -118,6 +119,7 @@
             invariants={
                 name: self.predicate(invariant)
                 for name, invariant in self.model.invariants().items()
+                if self.properties is None or name in self.properties
             },
         )
 
@@ -136,7 +138,7 @@
     return state
 
 
-def check_model(model, start=None, max_states=MAX_STATES):
+def check_model(model, start=None, properties=None, max_states=MAX_STATES):
     """Search all reachable states of a model, up to the first violation.
 
     Parameters
@@ -145,6 +147,8 @@
         Model as described in the module's documentation.
     start : NamedTuple or None
         State to search from instead of the initial one.
+    properties : collection of str or None
+        Names of the properties to check, None for all.
     max_states : int
         The search ends, not exhaustive, when it finds more states.
 
@@ -152,7 +156,7 @@
     -------
     Report
     """
-    search = _Search(model, start or model.initial())
+    search = _Search(model, start or model.initial(), properties)
     started = time.perf_counter()
     result = check_safety(search.protocol(), max_states=max_states)
     state_type = type(search.first)
