Answer calls of a stopped server on the in-memory network

Cause: a call in progress was never told when its server stopped: the cancellation passed the statement that sets its event, so that the caller ran into its time limit where a real connection would have been reset.

Ruled out: the transport's own handling, which tells a stopped server apart by its absence.

--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -127,9 +127,13 @@
         answers = []
 
         async def run_handler():
-            with scope:
-                answers.append(await dispatch(self.handlers, method, payload))
-            done.set()
+            try:
+                with scope:
+                    answers.append(
+                        await dispatch(self.handlers, method, payload)
+                    )
+            finally:
+                done.set()
 
         scope = trio.CancelScope()
         done = trio.Event()
