--- a/specs/at_most_once.py
+++ b/specs/at_most_once.py
@@ -64,6 +64,28 @@
     ran: bool = False
     given_back: frozenset[int] = frozenset()
 
+    def claim(self, number, given_back_is_final=True):
+        """Return the register after a claim, and the answer to it."""
+        barred = given_back_is_final and number in self.given_back
+        register = self
+        if self.holder is None and not barred:
+            register = self._replace(holder=number)
+        granted = register.holder == number and not barred
+        ran = Ran.YES if self.ran else Ran.UNKNOWN
+        return register, ClaimAnswer(number, granted, ran)
+
+    def settle(self, number, ran):
+        """Return the register after the end of a claim was reported."""
+        held = self.holder == number
+        if held and ran is Ran.YES:
+            return self._replace(ran=True)
+        if ran is not Ran.NO or (held and self.ran):
+            return self
+        given_back = self.given_back | {number}
+        return self._replace(
+            holder=None if held else self.holder, given_back=given_back
+        )
+
 
 class Gate(NamedTuple):
     """The target's own node; all of it is lost at a restart."""
@@ -275,28 +297,16 @@
                 yield from self._fence(state, message)
 
     def _claim(self, state, number):
-        register = state.register
-        barred = self.given_back_is_final and number in register.given_back
-        if register.holder is None and not barred:
-            register = register._replace(holder=number)
-        granted = register.holder == number and not barred
-        ran = Ran.YES if register.ran else Ran.UNKNOWN
-        answer = ClaimAnswer(number, granted, ran)
+        register, answer = state.register.claim(
+            number, self.given_back_is_final
+        )
         yield (
-            f'the log answers claim {number}: {granted}',
+            f'the log answers claim {number}: {answer.granted}',
             _with(state, {answer})._replace(register=register),
         )
 
     def _settle(self, state, settle):
-        register = state.register
-        if settle.ran is Ran.NO:
-            given_back = register.given_back | {settle.delivery}
-            register = register._replace(given_back=given_back)
-        if register.holder == settle.delivery:
-            if settle.ran is Ran.NO:
-                register = register._replace(holder=None)
-            else:
-                register = register._replace(ran=True)
+        register = state.register.settle(settle.delivery, settle.ran)
         yield f'the log takes {settle}', state._replace(register=register)
 
     def _take_claim_answer(self, state, answer):
