Model the drain of a leaving target

Cause: the rule that a leaving target gets no new work had no check.

Change: a model of the announcement, the late directory, the gate's two checks and the target's stop; state and messages of the model of at most one run have a module of their own.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -9,6 +9,7 @@
 from specs.at_most_once import AtMostOnce
 from specs.checking import check_model
 from specs.disk_loss import DiskLoss
+from specs.drain import Drain
 from specs.log_agreement import LogAgreement
 from specs.node_floor import NodeFloor
 from specs.release_race import ReleaseRace
@@ -22,6 +23,7 @@
     AtMostOnce(),
     AtMostOnce(max_attempts=1, max_incarnations=3),
     ReleaseRace(max_log=5),
+    Drain(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
@@ -30,6 +32,7 @@
     AtMostOnce(max_incarnations=3),
     AtMostOnce(deliveries=3, max_attempts=1, max_incarnations=1),
     ReleaseRace(max_log=6, max_elections=3),
+    Drain(requests=6),
 )
 
 
--- a/specs/tests/test_refinement.py
+++ b/specs/tests/test_refinement.py
@@ -19,8 +19,8 @@
 from snipelead.voters.messages import Settle
 from snipelead.voters.messages import Submit
 from snipelead.voters.state import State
-from specs.at_most_once import Ran
-from specs.at_most_once import Register
+from specs.claims import Ran
+from specs.claims import Register
 from specs.release_race import apply_log
 from specs.release_race import Note
 from specs.release_race import Outcome
