--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -8,7 +8,10 @@
 from snipelead.controls.polling import ControlPoller
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
 from snipelead.messages import SyncRequest
@@ -18,9 +21,6 @@
 from snipelead.types import NodeId
 from snipelead.types import NoteId
 from snipelead.voters.history import History
-from snipelead.voters.messages import CertifyReply
-from snipelead.voters.messages import CertifyRequest
-from snipelead.voters.messages import OutcomesRequest
 
 __all__ = ['RelaySource']
 
--- a/snipelead/messages.py
+++ b/snipelead/messages.py
@@ -17,6 +17,7 @@
 from snipelead.types import IdempotencyKey
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
+from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
 from snipelead.types import ServiceName
@@ -26,6 +27,8 @@
 
 __all__ = [
     'REPLY_TYPES',
+    'CertifyReply',
+    'CertifyRequest',
     'ClaimReply',
     'ClaimRequest',
     'DirectoryUpdate',
@@ -34,6 +37,8 @@
     'FleetReply',
     'FleetRequest',
     'NodeStatus',
+    'OutcomesReply',
+    'OutcomesRequest',
     'Registration',
     'SettleReply',
     'SettleRequest',
@@ -395,6 +400,36 @@
     warming: bool = False
 
 
+class CertifyRequest(Struct, frozen=True):
+    """Asks a voter to prove by a majority which release is the newest."""
+
+
+class CertifyReply(Struct, frozen=True):
+    """Answer to a request for certification.
+
+    Parameters
+    ----------
+    held : Held
+        Newest release that the voter holds.
+    certified : bool
+        Whether, at some moment after the request came, ``held`` was the
+        newest accepted release.
+    """
+
+    held: Held
+    certified: bool
+
+
+class OutcomesRequest(Struct, frozen=True):
+    """Asks a control for the durable outcomes of recent notes."""
+
+
+class OutcomesReply(Struct, frozen=True):
+    """Durable outcomes by note."""
+
+    outcomes: dict[NoteId, SubmitReply]
+
+
 class ExchangeRequest(Struct, frozen=True, omit_defaults=True):
     """A control's long poll for the targets that register with a peer.
 
@@ -425,4 +460,6 @@
 register_reply(SettleRequest, SettleReply)
 register_reply(SubmitRequest, SubmitReply)
 register_reply(FleetRequest, FleetReply)
+register_reply(CertifyRequest, CertifyReply)
+register_reply(OutcomesRequest, OutcomesReply)
 register_reply(ExchangeRequest, ExchangeReply)
--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -5,13 +5,13 @@
 
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.exceptions import InvariantError
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcTimeoutError
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.rpc.grpc import open_transport
-from snipelead.voters.messages import CertifyReply
-from snipelead.voters.messages import CertifyRequest
 
 TIMEOUT_S = 20.0
 REPLY = CertifyReply(True, EMPTY_RELEASE.held)
--- a/snipelead/testing/source.py
+++ b/snipelead/testing/source.py
@@ -6,8 +6,12 @@
 
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.source import ReleaseSource
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimReply
 from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesReply
+from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleReply
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitReply
@@ -15,10 +19,6 @@
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.types import OutcomeKind
-from snipelead.voters.messages import CertifyReply
-from snipelead.voters.messages import CertifyRequest
-from snipelead.voters.messages import OutcomesReply
-from snipelead.voters.messages import OutcomesRequest
 
 __all__ = ['FakeSource']
 
