--- a/snipelead/testing/fleet.py
+++ b/snipelead/testing/fleet.py
@@ -1,6 +1,7 @@
 """Fakes of a release source and a control service, for the interfaces."""
 
 from msgspec import Struct
+import trio
 
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
@@ -10,7 +11,9 @@
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.settings.schema import Peer
+from snipelead.types import ControlId
 from snipelead.types import OutcomeKind
+from snipelead.types import ZoneName
 
 __all__ = ['FakeService', 'FakeSource', 'make_node_status']
 
@@ -34,6 +37,11 @@
         self.failures = []
         self.apply_failed = False
         self.known = {}
+        self.changed = trio.Event()
+
+    async def wait_changed(self):
+        """Wait until ``current`` changes."""
+        await self.changed.wait()
 
     async def certify(self):
         """Tell whether this source counts as current."""
@@ -60,6 +68,8 @@
     def _decide(self, note):
         try:
             self.current = apply_note(self.current, note)
+            self.changed.set()
+            self.changed = trio.Event()
         except SnipeleadError as error:
             return SubmitReply(
                 OutcomeKind.REFUSED,
@@ -70,41 +80,66 @@
         return SubmitReply(OutcomeKind.ACCEPTED, self.current.held)
 
 
-class FakeSettings(Struct):
-    """Part of the settings that the operators' interface reads."""
-
-    peers: tuple[Peer, ...]
-
-
 def make_node_status(node_id, held, sequence=1, live=True):
     """Return a node's status as a control would give it."""
     return NodeStatus(node_id, 'z1', held, 1, sequence, 10, live)
 
 
+class _Settings(Struct):
+    peers: tuple[Peer, ...]
+
+
 class FakeService:
-    """Control service with given views.
+    """Control service with given views of the fleet.
 
     Parameters
     ----------
-    replies : dict of ControlId to FleetReply or None
-        View of each control; None when it cannot be reached.
+    current : Held
+        Release that the only control that answers holds.
+    nodes : sequence of NodeStatus
+        Nodes that it sees.
+    unreachable : sequence of ControlId
+        Controls that do not answer.
+    warming : bool
+        Whether the control has just started.
+
+    Attributes
+    ----------
+    certified : bool
+        Whether the control can prove that it is current.
     """
 
-    def __init__(self, replies):
-        self.replies = replies
-        self.settings = FakeSettings(
+    def __init__(
+        self,
+        current=EMPTY_RELEASE.held,
+        nodes=(),
+        unreachable=(),
+        warming=False,
+    ):
+        self.current = current
+        self.nodes = nodes
+        self.unreachable = unreachable
+        self.warming = warming
+        self.certified = True
+
+    @property
+    def settings(self):
+        """Settings that list all controls."""
+        return _Settings(
             tuple(
                 Peer(control_id=c, zone='z1', address=f'127.0.0.1:{port}')
-                for port, c in enumerate(replies, 7100)
+                for port, c in enumerate(('c1', *self.unreachable), 7_100)
             )
         )
 
-    @classmethod
-    def with_nodes(cls, current, nodes, unreachable=()):
-        """Make a service whose first control sees all nodes."""
-        replies = {'c1': FleetReply('c1', 'z1', current, True, tuple(nodes))}
-        return cls(replies | dict.fromkeys(unreachable))
-
     async def fleet(self):
-        """Return the views of the controls that can be reached."""
-        return [r for r in self.replies.values() if r is not None]
+        """Return the view of the control that answers."""
+        reply = FleetReply(
+            ControlId('c1'),
+            ZoneName('z1'),
+            self.current,
+            certified=self.certified,
+            nodes=tuple(self.nodes),
+            warming=self.warming,
+        )
+        return [reply]
