Give the fields of a certification in their declared order

Cause: a relay filled the reply by position in the order of a message that was replaced; msgspec does not check constructor types. Change: order fixed. Measured: test_relay fails before and passes after.

--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -14,7 +14,7 @@
 from snipelead.rpc.grpc import open_transport
 
 TIMEOUT_S = 20.0
-REPLY = CertifyReply(True, EMPTY_RELEASE.held)
+REPLY = CertifyReply(EMPTY_RELEASE.held, True)
 
 
 def _free_address():
--- a/snipelead/testing/source.py
+++ b/snipelead/testing/source.py
@@ -113,7 +113,7 @@
 
     async def _answer_certify(self, request):
         certified = await self.certify()
-        return CertifyReply(certified, self.current.held)
+        return CertifyReply(self.current.held, certified)
 
     async def _answer_outcomes(self, request):
         return OutcomesReply(dict(self.notes))
