Announce leaving before a node stops

Cause: a node with nothing in flight stopped before its announcement of leaving was sent, since the end of draining cancelled it; its targets then stayed in directories until their lease ended, up to 12 s later. A control held the announcement like any poll when the node subscribed to nothing, so that the node would have waited for 2 s.

Change: the node daemon waits for the announcement, which gives up by itself after 2 s; a control answers it at once.

--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -146,6 +146,8 @@
         self.gate.finish(request.node_id)
         if not self.membership.renew(session, request):
             return SyncReply(register_again=True)
+        if session.left:
+            return SyncReply()
         self._take_offer(request)
         if request.wants_certified:
             return await self._certified_answer(session, request)
--- a/snipelead/controls/tests/test_targets.py
+++ b/snipelead/controls/tests/test_targets.py
@@ -100,6 +100,19 @@
 
         run_mesh(run)
 
+    def test_leaving_is_acknowledged_without_delay(self):
+        async def run():
+            async with open_mesh() as mesh:
+                await mesh.start_control()
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                await trio.sleep(1)
+                began = trio.current_time()
+                self.assertTrue(await node.client.leave())
+                self.assertLess(trio.current_time() - began, 0.1)
+
+        run_mesh(run)
+
     def test_targets_of_a_silent_node_end_with_its_lease(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -99,10 +99,9 @@
         for target_id in list(self.local.targets):
             self.local.change_state(target_id, TargetState.LEAVING)
         async with trio.open_nursery() as nursery:
-            # Draining must not wait for a control that is out of reach.
+            # Leaving gives up by itself if no control can be reached.
             nursery.start_soon(self.client.leave)
             await self.path.drain()
-            nursery.cancel_scope.cancel()
 
 
 async def run_node(settings):
