Turn away from controls that are cut off unnoticed

Cause: a control that is cut off from the majority goes on answering the polls of its nodes and relays, which then lag behind releases that other controls have, for as long as the cut lasts.

Change: each control proves itself current every second. After two failures it tells its nodes and relays that it is doubtful; they prefer controls that are not, and stay with it where there is none. A restarted node that settled for an uncertified release goes back to its own zone's controls at once.

--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -208,6 +208,7 @@
             and release.number > 0
         ):
             self.holder.ready = True
+            self.links.forget_failures()
             log_event(FLOOR_UNCERTIFIED, release=release.number)
             return 0.0
         self.links.defer(link)
--- a/snipelead/controls/events.py
+++ b/snipelead/controls/events.py
@@ -3,6 +3,8 @@
 from snipelead.logs import Event
 
 __all__ = [
+    'CONTROL_CURRENT',
+    'CONTROL_DOUBTFUL',
     'CONTROL_LOST',
     'CONTROL_REACHED',
     'CONTROL_WARM',
@@ -113,3 +115,16 @@
     'A control knows a later incarnation of this node. The clock was set'
     ' back; if this repeats, two processes use the same node id.',
 )
+CONTROL_DOUBTFUL = Event(
+    2018,
+    'control_doubtful',
+    'warning',
+    'This control cannot prove by a majority that its release is the newest;'
+    ' its nodes turn to others where they can. Check the link to the voters.',
+)
+CONTROL_CURRENT = Event(
+    2019,
+    'control_current',
+    'info',
+    'This control proved again that its release is the newest.',
+)
--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -23,6 +23,8 @@
         Whether the last poll was answered, and whether there was any.
     retry_at : float
         Time before which others are preferred, in seconds.
+    doubted_until : float
+        Time before which controls that are not doubtful are preferred.
     registered : int
         Version of the own registration that the control confirmed.
     """
@@ -36,6 +38,7 @@
         self.proven = False
         self.asked = False
         self.retry_at = 0.0
+        self.doubted_until = 0.0
         self.registered = 0
 
     async def aclose(self):
@@ -80,23 +83,41 @@
         ]
 
     def choose(self):
-        """Return the most preferred control that did not fail lately."""
-        now = trio.current_time()
-        for link in self.links:
-            if link.retry_at <= now:
-                return link
-        return min(self.links, key=lambda link: link.retry_at)
+        """Return the control to poll.
+
+        The most preferred one that neither failed nor was doubtful lately;
+        else one that is doubtful; else the one that failed first.
+        """
+        return self.ordered()[0]
 
     def ordered(self):
-        """Return all controls, those that failed lately at the end."""
+        """Return all controls, the one to try first at the front."""
         now = trio.current_time()
-        return sorted(self.links, key=lambda link: max(0, link.retry_at - now))
+        return sorted(
+            self.links,
+            key=lambda link: (
+                max(0.0, link.retry_at - now),
+                link.doubted_until > now,
+            ),
+        )
 
     def defer(self, link):
-        """Prefer other controls for a while."""
+        """Prefer other controls for a while, since this one failed."""
         link.proven = False
-        delay_s = RETURN_S * self.rng.uniform(0.5, 1.5)
-        link.retry_at = trio.current_time() + delay_s
+        link.retry_at = self._return_time()
+
+    def doubt(self, link):
+        """Prefer controls that are not doubtful for a while."""
+        link.doubted_until = self._return_time()
+
+    def forget_failures(self):
+        """Return to the order of preference."""
+        for link in self.links:
+            link.retry_at = 0.0
+
+    def _return_time(self):
+        # Jitter keeps a herd from returning at once.
+        return trio.current_time() + RETURN_S * self.rng.uniform(0.5, 1.5)
 
     async def aclose(self):
         """Close all channels."""
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -82,6 +82,8 @@
         if not link.proven:
             log_event(CONTROL_REACHED, control=link.control_id)
         link.proven = True
+        if reply.doubtful:
+            self.links.doubt(link)
         delay_s = await self.take_reply(link, request, reply)
         if not delay_s:
             self.backoff.reset()
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -7,6 +7,8 @@
 
 from snipelead.controls.certification import SharedCertification
 from snipelead.controls.directory import ControlDirectory
+from snipelead.controls.events import CONTROL_CURRENT
+from snipelead.controls.events import CONTROL_DOUBTFUL
 from snipelead.controls.events import CONTROL_WARM
 from snipelead.controls.events import RELEASE_OFFERED
 from snipelead.controls.events import RELEASE_PUBLISHED
@@ -36,6 +38,8 @@
 
 # No poll is held for longer, whatever it asks for.
 MAX_HOLD_MS = 60_000
+CURRENCY_CHECK_S = 1.0
+DOUBTFUL_FAILURES = 2
 
 
 class ControlService:
@@ -58,6 +62,8 @@
         Newest release that nodes were told of.
     offered : Release or None
         Release of a node that was newer than the source's.
+    doubtful : bool
+        Whether this control could not prove itself current lately.
     """
 
     def __init__(self, settings, source, transport, rng=None):
@@ -87,6 +93,7 @@
         )
         self.published = EMPTY_RELEASE
         self.offered = None
+        self.doubtful = False
         self._published_changed = trio.Event()
 
     @property
@@ -118,6 +125,7 @@
                 nursery.start_soon(self._publish_releases)
                 nursery.start_soon(self.membership.end_leases)
                 nursery.start_soon(self._warm_up)
+                nursery.start_soon(self._watch_currency)
                 for link in self.links.links:
                     exchange = PeerExchange(
                         self.settings.control_id,
@@ -217,6 +225,7 @@
         return replace(
             reply,
             certified=certified,
+            doubtful=self.doubtful,
             current=self.newest.held,
             warming=self.warming,
             directory=self._directory_news(session, request),
@@ -225,25 +234,27 @@
     async def _hold(self, session, request):
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
         order = session.order
+        doubtful = self.doubtful
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while session.order == order:
+            while session.order == order and self.doubtful == doubtful:
                 reply = self._news(session, request)
                 if reply is not None:
                     return reply
                 await session.woken.wait()
-        return SyncReply()
+        return SyncReply(doubtful=self.doubtful)
 
     async def _follow(self, request):
         """Answer a relay, which follows releases alone."""
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
+        doubtful = self.doubtful
         self.gate.finish(request.node_id)
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while True:
-                reply = self._release_news(request, self.source.current)
+            while self.doubtful == doubtful:
+                reply = self._release_news(request, self.published)
                 if reply is not None:
-                    return reply
+                    return replace(reply, doubtful=doubtful)
                 await self._published_changed.wait()
-        return SyncReply()
+        return SyncReply(doubtful=self.doubtful)
 
     def _news(self, session, request):
         """Return a reply, or None when there is no news."""
@@ -251,7 +262,9 @@
         directory = self._directory_news(session, request)
         if reply is None and directory is None:
             return None
-        return replace(reply or SyncReply(), directory=directory)
+        return replace(
+            reply or SyncReply(), directory=directory, doubtful=self.doubtful
+        )
 
     def _directory_news(self, session, request):
         return self.directory.merged.update_since(
@@ -307,10 +320,27 @@
     def _publish(self):
         self.published = self.newest
         log_event(RELEASE_PUBLISHED, release=self.published.number)
+        self._wake_all()
+
+    def _wake_all(self):
         self._published_changed.set()
         self._published_changed = trio.Event()
         self.sessions.wake()
 
+    async def _watch_currency(self):
+        """Doubt this control while it cannot prove itself current."""
+        failures = 0
+        while True:
+            await trio.sleep(CURRENCY_CHECK_S)
+            failures = 0 if await self._certify() else failures + 1
+            doubtful = failures >= DOUBTFUL_FAILURES
+            if doubtful == self.doubtful:
+                continue
+            self.doubtful = doubtful
+            event = CONTROL_DOUBTFUL if doubtful else CONTROL_CURRENT
+            log_event(event, release=self.newest.number)
+            self._wake_all()
+
     async def _warm_up(self):
         await trio.sleep(self.settings.timings.target_lease_ms / MS_PER_S)
         self.directory.set_complete()
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -13,6 +13,7 @@
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
 from snipelead.types import Preference
+from snipelead.types import TargetState
 
 
 async def _answer(control, message):
@@ -180,6 +181,61 @@
 
         run_mesh(run)
 
+    def test_nodes_leave_a_control_that_is_cut_off_from_the_others(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                release = make_release()
+                sources = [FakeSource(release) for _ in range(2)]
+                for index, source in enumerate(sources):
+                    await mesh.start_control(index, source)
+                node = await mesh.start_node()
+                await wait_until(lambda: node.holder.ready)
+                # The own zone's control does not learn of the next release.
+                sources[0].certifies = False
+                sources[1].publish(change_route(release))
+                began = trio.current_time()
+                await wait_until(lambda: node.number == 2)
+                self.assertLess(trio.current_time() - began, 5)
+
+        run_mesh(run)
+
+    def test_nodes_stay_with_a_doubtful_control_when_there_is_no_other(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                sources = [FakeSource(make_release()) for _ in range(2)]
+                controls = [
+                    await mesh.start_control(index, source)
+                    for index, source in enumerate(sources)
+                ]
+                nodes = [await mesh.start_node(index) for index in range(2)]
+                await wait_until(lambda: all(n.holder.ready for n in nodes))
+                sources[0].certifies = False
+                for part in (*nodes, controls[0]):
+                    mesh.network.cut(part.address, controls[1].address)
+                await trio.sleep(60)
+                nodes[0].directory.subscribe('service-0')
+                slowest = 0.0
+                for step in range(20):
+                    state = (TargetState.SERVING, TargetState.LEAVING)[
+                        step % 2
+                    ]
+                    nodes[1].announce(state=state)
+                    began = trio.current_time()
+                    await wait_until(
+                        lambda state=state: (
+                            nodes[0].directory.targets('service-0')
+                            and nodes[0]
+                            .directory.targets('service-0')[0]
+                            .state
+                            is state
+                        )
+                    )
+                    slowest = max(slowest, trio.current_time() - began)
+                    await trio.sleep(5)
+                self.assertLess(slowest, 3)
+
+        run_mesh(run)
+
 
 class HerdTest(TestCase):
     def test_snapshots_of_a_herd_stay_within_bound(self):
--- a/snipelead/messages.py
+++ b/snipelead/messages.py
@@ -228,6 +228,9 @@
         of all its nodes yet.
     wants_release : bool
         The sender holds a newer release than the control, which asks for it.
+    doubtful : bool
+        The control could not prove itself current lately; another one may
+        hold a newer release.
     """
 
     delta: Delta | None = None
@@ -240,6 +243,7 @@
     packed_delta: bytes = b''
     warming: bool = False
     wants_release: bool = False
+    doubtful: bool = False
 
 
 class ClaimRequest(Struct, frozen=True, array_like=True):
