--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -172,7 +172,7 @@
 
     async def _answer_certify(self, request):
         certified = await self.certify()
-        return CertifyReply(self.current.held, certified)
+        return CertifyReply(held=self.current.held, certified=certified)
 
     def _remember(self, release):
         self.history.push(release, NO_NOTE)
--- a/snipelead/testing/source.py
+++ b/snipelead/testing/source.py
@@ -113,7 +113,7 @@
 
     async def _answer_certify(self, request):
         certified = await self.certify()
-        return CertifyReply(self.current.held, certified)
+        return CertifyReply(held=self.current.held, certified=certified)
 
     async def _answer_outcomes(self, request):
         return OutcomesReply(dict(self.notes))
