Bound what is kept of withdrawn targets of other controls

Cause: entries that other controls had withdrawn were kept for good.

Change: they are kept in the same bounded form as the own ones; tests of the order of entries, of tombstones and of both directories.

--- a/snipelead/controls/directory.py
+++ b/snipelead/controls/directory.py
@@ -60,13 +60,13 @@
 
     def apply_peer(self, control_id, update):
         """Take in what a peer says of its own nodes' targets."""
-        entries = self._peers.setdefault(control_id, {})
+        known = self._peers.setdefault(control_id, VersionedEntries())
         touched = {entry.target_id for entry in update.entries}
         if update.whole:
-            touched |= entries.keys()
-            entries.clear()
+            touched |= known.entries.keys()
+            known = self._peers[control_id] = VersionedEntries()
         for entry in update.entries:
-            entries[entry.target_id] = entry
+            known.put(entry)
         self._merge(touched)
 
     def set_reachable(self, control_id, reachable):
@@ -77,11 +77,14 @@
             self._unreachable.discard(control_id)
         else:
             self._unreachable.add(control_id)
-        self._merge(set(self._peers.get(control_id, ())))
+        if control_id in self._peers:
+            self._merge(set(self._peers[control_id].entries))
 
     def drop_peer(self, control_id):
         """Forget what a peer said."""
-        self._merge(set(self._peers.pop(control_id, ())))
+        dropped = self._peers.pop(control_id, None)
+        if dropped is not None:
+            self._merge(set(dropped.entries))
 
     def _merge(self, target_ids):
         services = set()
@@ -104,8 +107,8 @@
 
     def _candidates(self, target_id, unreachable):
         sources = [
-            entries
-            for control_id, entries in self._peers.items()
+            peer.entries
+            for control_id, peer in self._peers.items()
             if (control_id in self._unreachable) == unreachable
         ]
         if not unreachable:
--- /dev/null
+++ b/snipelead/controls/tests/test_entries.py
@@ -0,0 +1,178 @@
+from fixtures import MonkeyPatch
+from msgspec.structs import replace
+from testtools import TestCase
+
+from snipelead.controls.directory import ControlDirectory
+from snipelead.controls.entries import gone_entry
+from snipelead.controls.entries import VersionedEntries
+from snipelead.messages import DirectoryUpdate
+from snipelead.messages import TargetEntry
+from snipelead.nodes.directory import TargetDirectory
+from snipelead.types import TargetState
+
+
+def _entry(name='t', sequence=1, service='s', incarnation=1):
+    return TargetEntry(
+        name, 'n', 'a', service, '127.0.0.1:1', incarnation, sequence
+    )
+
+
+class VersionedEntriesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.entries = VersionedEntries()
+
+    def since(self, version, services=None, unseen=()):
+        return self.entries.update_since(
+            self.entries.epoch, version, services, unseen
+        )
+
+    def test_only_changes_are_sent(self):
+        self.entries.put(_entry('one'))
+        self.entries.put(_entry('two'))
+        update = self.since(1)
+        self.assertEqual((_entry('two'),), update.entries)
+        self.assertFalse(update.whole)
+        self.assertIsNone(self.since(update.version))
+
+    def test_entry_that_is_known_changes_nothing(self):
+        self.entries.put(_entry())
+        self.entries.put(_entry())
+        self.assertEqual(1, self.entries.version)
+
+    def test_other_services_are_left_out(self):
+        self.entries.put(_entry('one', service='other'))
+        self.assertIsNone(self.since(0, ('s',)))
+
+    def test_unseen_service_is_sent_whole(self):
+        self.entries.put(_entry('one', service='other'))
+        update = self.since(1, ('other', 's'), ('other',))
+        self.assertEqual(1, len(update.entries))
+
+    def test_unseen_service_without_targets_is_answered(self):
+        self.assertEqual((), self.since(0, ('s',), ('s',)).entries)
+
+    def test_target_that_changed_its_service_is_told_to_both(self):
+        self.entries.put(_entry())
+        self.entries.put(_entry(service='other', sequence=2))
+        for service in ('s', 'other'):
+            self.assertEqual(1, len(self.since(1, (service,)).entries))
+
+    def test_other_epoch_gets_all(self):
+        self.entries.put(_entry())
+        update = self.entries.update_since('another', 7)
+        self.assertTrue(update.whole)
+        self.assertEqual((_entry(),), update.entries)
+
+    def test_incomplete_entries_are_not_called_whole(self):
+        entries = VersionedEntries(complete=False)
+        self.assertFalse(entries.update_since('', 0).whole)
+        epoch = entries.epoch
+        entries.set_complete()
+        self.assertTrue(entries.update_since(epoch, 0).whole)
+
+    def test_dropped_tombstone_leads_to_whole(self):
+        self.useFixture(
+            MonkeyPatch('snipelead.controls.entries.MAX_TOMBSTONES', 1)
+        )
+        for name in ('one', 'two'):
+            self.entries.put(_entry(name))
+            self.entries.put(gone_entry(_entry(name), final=True))
+        self.assertTrue(self.since(1).whole)
+        self.assertEqual(['two'], list(self.entries.entries))
+        self.assertFalse(self.since(3).whole)
+
+
+class ControlDirectoryTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = ControlDirectory(lambda services: None)
+
+    def peer(self, control_id, *entries, whole=False):
+        self.directory.apply_peer(
+            control_id, DirectoryUpdate('e', 1, whole, entries)
+        )
+
+    def live(self):
+        return self.directory.merged.live()
+
+    def test_newest_entry_wins(self):
+        self.peer('c1', _entry(sequence=2))
+        self.directory.put_own([_entry(sequence=1)])
+        self.assertEqual((_entry(sequence=2),), self.live())
+
+    def test_lease_held_elsewhere_overrules_one_that_ended(self):
+        self.directory.put_own([_entry()])
+        self.peer('c1', _entry())
+        self.directory.put_own([gone_entry(_entry(), final=False)])
+        self.assertEqual((_entry(),), self.live())
+
+    def test_withdrawal_overrules_a_lease_held_elsewhere(self):
+        self.peer('c1', _entry())
+        self.directory.put_own([gone_entry(_entry(), final=True)])
+        self.assertEqual((), self.live())
+
+    def test_whole_update_drops_what_it_lacks(self):
+        self.peer('c1', _entry('one'), _entry('two'))
+        self.peer('c1', _entry('two'), whole=True)
+        self.assertEqual((_entry('two'),), self.live())
+
+    def test_unreachable_peer_counts_only_for_its_own_targets(self):
+        self.peer('c1', _entry('one'), _entry('two'))
+        self.directory.put_own([_entry('one')])
+        self.directory.set_reachable('c1', False)
+        self.directory.put_own([gone_entry(_entry('one'), final=False)])
+        self.assertEqual((_entry('two'),), self.live())
+        self.directory.set_reachable('c1', True)
+        self.assertEqual(2, len(self.live()))
+
+    def test_dropped_peer_takes_its_targets_along(self):
+        self.peer('c1', _entry())
+        self.directory.drop_peer('c1')
+        self.assertEqual((), self.live())
+
+
+class TargetDirectoryTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = TargetDirectory()
+
+    def apply(self, *entries, whole=False):
+        self.directory.apply(DirectoryUpdate('e', 1, whole, entries))
+
+    def test_older_entry_is_dropped(self):
+        self.apply(_entry(sequence=2))
+        self.apply(_entry(sequence=1))
+        self.directory.merge(_entry(sequence=1))
+        self.assertEqual((_entry(sequence=2),), self.directory.targets('s'))
+
+    def test_entry_whose_lease_ended_may_come_back(self):
+        self.apply(_entry())
+        self.apply(gone_entry(_entry(), final=False))
+        self.assertEqual((), self.directory.targets('s'))
+        self.apply(_entry())
+        self.assertEqual((_entry(),), self.directory.targets('s'))
+
+    def test_withdrawn_entry_does_not_come_back(self):
+        self.apply(_entry())
+        self.apply(gone_entry(_entry(), final=True))
+        self.apply(_entry(), whole=True)
+        self.assertEqual((), self.directory.targets('s'))
+        self.apply(_entry(sequence=3))
+        self.assertEqual((_entry(sequence=3),), self.directory.targets('s'))
+
+    def test_update_that_is_not_whole_drops_nothing(self):
+        self.apply(_entry('one'))
+        self.apply(_entry('two'))
+        self.assertEqual(2, len(self.directory.targets('s')))
+        self.apply(_entry('two'), whole=True)
+        self.assertEqual(1, len(self.directory.targets('s')))
+
+    def test_tombstones_are_bounded(self):
+        self.useFixture(
+            MonkeyPatch('snipelead.nodes.directory.MAX_TOMBSTONES', 2)
+        )
+        for index in range(5):
+            entry = _entry(f't{index}')
+            self.apply(replace(entry, state=TargetState.GONE))
+        self.assertEqual(2, len(self.directory.tombstones))
--- a/snipelead/nodes/directory.py
+++ b/snipelead/nodes/directory.py
@@ -28,6 +28,8 @@
     ----------
     epoch, version : str, int
         Directory state last received, sent back with each poll.
+    tombstones : OrderedDict of TargetId to None
+        Targets that were withdrawn, oldest first, of a bounded number.
     subscriptions : set of ServiceName
         Services whose targets are wanted.
     """
@@ -38,7 +40,7 @@
         self.subscriptions = set()
         self._entries = {}
         self._by_service = {}
-        self._tombstones = OrderedDict()
+        self.tombstones = OrderedDict()
         self._subscribed = trio.Event()
         self._changed = trio.Event()
 
@@ -93,19 +95,19 @@
 
     def _track_tombstone(self, target_id, ended):
         """Keep the newest tombstones, which outlive late older entries."""
-        self._tombstones.pop(target_id, None)
+        self.tombstones.pop(target_id, None)
         if not ended:
             return
-        self._tombstones[target_id] = None
-        if len(self._tombstones) > MAX_TOMBSTONES:
-            oldest, _ = self._tombstones.popitem(last=False)
+        self.tombstones[target_id] = None
+        if len(self.tombstones) > MAX_TOMBSTONES:
+            oldest, _ = self.tombstones.popitem(last=False)
             del self._entries[oldest]
 
     def _drop_missing(self, kept):
         self._entries = {
             target_id: entry
             for target_id, entry in self._entries.items()
-            if target_id in kept or target_id in self._tombstones
+            if target_id in kept or target_id in self.tombstones
         }
 
     def _rebuild(self):
