Do not close a connection as idle before its task has started

Cause: a connection accepted just before the tick that closes idle ones had no time of last use yet, so it was closed at once; callers saw a reset.

Change: the time is set when the connection is accepted.

Result: test_connection_not_served_yet_is_not_idle fails without the change and passes with it; 102 tests of callers, nodes and routing pass three times in a row.

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -103,6 +103,7 @@
             except OSError:
                 return False
             connection = Connection(sock)
+            connection.used_at = trio.current_time()
             self.connections.add(connection)
             nursery.start_soon(self.serve, connection)
 
@@ -134,7 +135,6 @@
 
     async def serve(self, connection):
         """Serve one connection until it closes."""
-        connection.used_at = self.now
         reader = CallerReader(connection, self.limits)
         try:
             with connection:
