Let a target's node tell its average service time with each answer

Cause: a node sees only a few answers of each target, so that its own average noticed a slow target late.

Change: the target's node averages over the requests of all nodes, and its average rides on each answer; the caller's node adds the way that it measures itself. Errors do not count into service times. A reported load now loses half its weight in 0.5 s instead of 0.1 s, since each node hears of a target only every 0.1 s or so.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -165,10 +165,9 @@
     def _observe(self, observation, call, answer, started_at):
         now = trio.current_time()
         is_error = answer.response.status >= _FIRST_ERROR_STATUS
-        observation.answer(now - started_at, is_error, now)
         load = answer.load
+        observation.answer(now - started_at, is_error, load, now)
         if load is not None:
-            observation.report(load, now)
             call.queue_wait_s = load.queue_us / 1e6
             call.target_s = load.target_us / 1e6
 
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -49,6 +49,8 @@
         Requests that wait for a slot.
     service_s : float
         Moving average of the target's service time in seconds.
+    is_observed : bool
+        Whether ``service_s`` rests on an answer.
     errors : float
         Moving average of the share of answers with a server error.
     """
@@ -64,6 +66,7 @@
         self.queue = FairQueue()
         self.service_s = INITIAL_SERVICE_S
         self.errors = 0.0
+        self.is_observed = False
 
     @property
     def slots(self):
@@ -141,8 +144,6 @@
             reader.connection.close()
             raise
         self.mark(call, attempt_id, AttemptState.ANSWERED)
-        is_error = response.status >= _FIRST_ERROR_STATUS
-        self.errors += SMOOTHING * (is_error - self.errors)
         return GateAnswer(self, call, address, reader, response, sent_at)
 
     # Slots
@@ -265,10 +266,19 @@
             int(call.queue_wait_s * 1e6),
             int(call.target_s * 1e6),
             round(self.errors, _ERROR_DIGITS),
+            int(self.service_s * 1e6) if self.is_observed else 0,
         )
 
-    def observe(self, service_s):
-        """Take a service time into the moving average."""
+    def observe(self, response, service_s):
+        """Take an answer into the moving averages."""
+        is_error = response.status >= _FIRST_ERROR_STATUS
+        self.errors += SMOOTHING * (is_error - self.errors)
+        if is_error:
+            # The time that an error takes says nothing of the others.
+            return
+        if not self.is_observed:
+            self.is_observed = True
+            self.service_s = service_s
         self.service_s += SMOOTHING * (service_s - self.service_s)
 
 
@@ -282,8 +292,6 @@
     """
 
     __slots__ = ('address', 'call', 'gate', 'reader', 'response', 'sent_at')
-    # The gate itself knows the load; nothing has to ride on the answer.
-    load = None
 
     def __init__(self, gate, call, address, reader, response, sent_at):
         self.gate = gate
@@ -293,9 +301,14 @@
         self.response = response
         self.sent_at = sent_at
 
+    @property
+    def load(self):
+        """Load of the target, as it rides on answers to other nodes."""
+        return self.gate.load(self.call)
+
     def close(self):
         """Release the slot and the connection."""
         gate = self.gate
-        gate.observe(trio.current_time() - self.sent_at)
+        gate.observe(self.response, trio.current_time() - self.sent_at)
         gate.sender.release(self.address, self.reader, self.response)
         gate.leave(self.call)
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -42,6 +42,9 @@
         microseconds.
     errors : float
         Moving average of the share of answers with a server error.
+    service_us : int
+        Moving average of the time that the target takes for a request, in
+        microseconds; 0 when not known.
     """
 
     in_flight: int
@@ -50,6 +53,7 @@
     queue_us: int = 0
     target_us: int = 0
     errors: float = 0.0
+    service_us: int = 0
 
 
 class FenceRequest(Struct, frozen=True, array_like=True):
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -60,7 +60,7 @@
             call, request, info.attempt_id, info.incarnation
         )
         try:
-            load = encode_field(LOAD_FIELD, gate.load(call))
+            load = encode_field(LOAD_FIELD, answer.load)
             await relay_answer(connection, request, call, answer, (load,))
         finally:
             answer.close()
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -6,8 +6,10 @@
 
 __all__ = ['TargetObservation']
 
-# Least weight of the newest sample in a moving average.
+# Least weight of the newest latency in the moving average.
 SMOOTHING = 0.1
+# The same when the target's node has told its own average of all requests.
+REPORT_SMOOTHING = 0.5
 # What is known of a target's latency and errors loses half its weight after
 # this time in seconds, so that a target that was slow is tried again.
 OBSERVATION_HALF_LIFE_S = 10.0
@@ -21,7 +23,7 @@
 # Weight of the newest answer in the share of errors.
 ERROR_SMOOTHING = 0.2
 # A reported load loses half its weight after this time in seconds.
-LOAD_HALF_LIFE_S = 0.1
+LOAD_HALF_LIFE_S = 0.5
 # A new target's share grows to its full size over this time in seconds.
 RAMP_S = 5.0
 MIN_RAMP = 0.1
@@ -38,7 +40,8 @@
     in_flight : int
         Requests of this node that are under way to the target.
     latency_s : float
-        Moving average of the time to a good answer, in seconds.
+        Moving average of the time to a good answer without the queue, in
+        seconds.
     errors : float
         Moving average of the share of answers with a server error, by own
         observation or as told by the target's node, whichever is greater.
@@ -132,7 +135,7 @@
         """Count the end of a request."""
         self.in_flight -= 1
 
-    def answer(self, latency_s, is_error, now):
+    def answer(self, latency_s, is_error, load, now):
         """Record an answer.
 
         Parameters
@@ -141,6 +144,8 @@
             Time that it took, in seconds; that of an error says nothing.
         is_error : bool
             Whether it was a server error.
+        load : Load or None
+            Load of the target that rode on the answer.
         now : float
             Time in seconds of trio's clock.
         """
@@ -152,18 +157,27 @@
             self.errors += ERROR_SMOOTHING * (is_error - self.errors)
             self.failed_at = now
         if not is_error:
-            weight = self._sample_weight(now)
-            self.latency_s += weight * (latency_s - self.latency_s)
-            self.sampled_at = now
-
-    def _sample_weight(self, now):
+            self._take_latency(latency_s, load, now)
+        if load is not None:
+            self._take_load(load, now)
+
+    def _take_latency(self, latency_s, load, now):
+        weight = SMOOTHING
+        if load is not None and load.service_us:
+            # The target's node averages over the requests of all nodes; what
+            # this node adds to that is the way there and back.
+            way_us = latency_s * 1e6 - load.target_us - load.queue_us
+            latency_s = (load.service_us + max(0.0, way_us)) / 1e6
+            weight = REPORT_SMOOTHING
         if self.sampled_at is None:
-            return 1.0
-        age = now - self.sampled_at
-        return max(SMOOTHING, 1.0 - 0.5 ** (age / OBSERVATION_HALF_LIFE_S))
-
-    def report(self, load, now):
-        """Take in the load that rode on an answer."""
+            weight = 1.0
+        else:
+            age = now - self.sampled_at
+            weight = max(weight, 1.0 - 0.5 ** (age / OBSERVATION_HALF_LIFE_S))
+        self.latency_s += weight * (latency_s - self.latency_s)
+        self.sampled_at = now
+
+    def _take_load(self, load, now):
         self.reported_load = load.in_flight + load.queued
         self.reported_at = now
         if load.errors > self.errors:
--- a/snipelead/routing/tests/test_balancer.py
+++ b/snipelead/routing/tests/test_balancer.py
@@ -51,9 +51,9 @@
         observations = self.balancer.observations_of('stock')
         return next(o for o in observations if o.entry.target_id == name)
 
-    def answer(self, name, latency_s=0.01, is_error=False):
+    def answer(self, name, latency_s=0.01, is_error=False, load=None):
         now = trio.current_time()
-        self.observe(name).answer(latency_s, is_error, now)
+        self.observe(name).answer(latency_s, is_error, load, now)
 
     def test_slow_target_gets_less(self):
         names = ('slow', 'quick1', 'quick2')
@@ -78,8 +78,7 @@
     def test_own_zone_first_until_it_is_loaded(self):
         async def test():
             self.assertEqual(CHOICES, self.counts()['near'])
-            now = trio.current_time()
-            self.observe('near').report(Load(10, 5, 10), now)
+            self.answer('near', load=Load(10, 5, 10))
             self.assertEqual(CHOICES, self.counts()['far'])
 
         self.run_with(test, make_entry('near'), make_entry('far', 'b'))
@@ -112,12 +111,23 @@
 
         self.run_with(test, *map(make_entry, ('bad', 'good', 'fair')))
 
+    def test_slowness_seen_by_others_counts(self):
+        async def test():
+            names = ('slow', 'quick1', 'quick2')
+            for name in names:
+                self.answer(name, 0.01)
+            # A quick answer of a target that is slow to all others.
+            load = Load(1, 0, 10, target_us=10_000, service_us=200_000)
+            self.answer('slow', 0.01, load=load)
+            self.assertEqual(0, self.counts()['slow'])
+
+        self.run_with(test, *map(make_entry, ('slow', 'quick1', 'quick2')))
+
     def test_errors_seen_by_others_count(self):
         async def test():
             for name in ('bad', 'good', 'fair'):
                 self.answer(name)
-            load = Load(0, 0, 10, errors=0.5)
-            self.observe('bad').report(load, trio.current_time())
+            self.answer('bad', load=Load(0, 0, 10, errors=0.5))
             self.assertEqual(0, self.counts()['bad'])
 
         self.run_with(test, *map(make_entry, ('bad', 'good', 'fair')))
