--- a/snipelead/cli/exceptions.py
+++ b/snipelead/cli/exceptions.py
@@ -2,7 +2,15 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['BenchUnavailableError', 'NotInForceError', 'UsageError']
+__all__ = [
+    'BenchUnavailableError',
+    'InterruptedCommandError',
+    'NotInForceError',
+    'OperatingSystemError',
+    'QuickstartError',
+    'UnforeseenError',
+    'UsageError',
+]
 
 
 class UsageError(SnipeleadError):
@@ -21,3 +29,27 @@
     """The bench needs a library of the ``bench`` extra."""
 
     code = 'SL4008'
+
+
+class QuickstartError(SnipeleadError):
+    """The quick start did not go as it must."""
+
+    code = 'SL4009'
+
+
+class OperatingSystemError(SnipeleadError):
+    """The operating system refused something, such as an address in use."""
+
+    code = 'SL5003'
+
+
+class UnforeseenError(SnipeleadError):
+    """A command failed in an unforeseen way; its effect is unknown."""
+
+    code = 'SL5004'
+
+
+class InterruptedCommandError(SnipeleadError):
+    """A command was interrupted; what it sent may have taken effect."""
+
+    code = 'SL4011'
--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -12,6 +12,7 @@
 from snipelead.cli.exceptions import NotInForceError
 from snipelead.cli.exceptions import UsageError
 from snipelead.cli.fleet import UNPROVED
+from snipelead.exceptions import SnipeleadError
 from snipelead.operators.client import UNKNOWN_ADVICE
 from snipelead.operators.messages import ReleaseState
 from snipelead.operators.messages import ReleaseStatus
@@ -29,6 +30,7 @@
 
 WAIT_S = 60
 POLL_S = 0.1
+LISTED_NOTES = 20
 
 _FILE = argument('file', 'Release note (YAML).')
 _EXIT_CODE_BY_OUTCOME = {
@@ -42,6 +44,9 @@
     """Return lines that describe a ReleaseStatus."""
     where = f'{status.confirmed} of {status.nodes} live nodes'
     number = status.held.number
+    if number == 0:
+        yield f'no release has been accepted yet; {status.nodes} live nodes'
+        return
     match status.state:
         case ReleaseState.SUPERSEDED:
             yield (
@@ -63,6 +68,20 @@
         yield f'node {node_id} is silent and counts as gone'
     for control_id in status.unreachable_controls:
         yield f'control {control_id} cannot be reached; its nodes are unknown'
+    for control_id in status.warming_controls:
+        yield f'control {control_id} has just started; nodes may be missing'
+
+
+def describe_progress(status):
+    """Return one line on a release that is not yet in force everywhere."""
+    first = next(describe_status(status))
+    waits = [f'{c} cannot be reached' for c in status.unreachable_controls]
+    waits += [f'{c} has just started' for c in status.warming_controls]
+    return '; '.join([first, *waits])
+
+
+def _is_settled(status):
+    return status.in_force or status.state is ReleaseState.SUPERSEDED
 
 
 def describe_answer(answer):
@@ -176,15 +195,23 @@
         )
 
     async def _wait(self, client, held):
-        shown = ()
+        """Follow an accepted release until it is in force or superseded.
+
+        A control that fails meanwhile changes nothing about the release, so
+        failed reads are shown and tried again.
+        """
+        shown = None
         while True:
-            status = await client.show_release(held.number)
-            lines = tuple(describe_status(status))
-            progress = (status.state, status.confirmed, status.nodes)
-            if status.in_force or status.state is ReleaseState.SUPERSEDED:
-                return status
+            try:
+                status = await client.show_release(held.number)
+            except SnipeleadError as error:
+                progress = str(error)
+            else:
+                if _is_settled(status):
+                    return status
+                progress = describe_progress(status)
             if progress != shown:
-                self.show_progress('\n'.join(lines))
+                self.show_progress(progress)
                 shown = progress
             await trio.sleep(POLL_S)
 
@@ -255,12 +282,21 @@
     help = """Exits 3 when no control could prove that it is current.
 
 Example:
-  snipelead release list --control 127.0.0.1:7111"""
-    options = [CONTROL_OPTION, JSON_OPTION]
+  snipelead release list --control 127.0.0.1:7111 --limit 50"""
+    options = [
+        CONTROL_OPTION,
+        JSON_OPTION,
+        option(
+            'limit',
+            description='How many notes, the newest first.',
+            flag=False,
+            default=str(LISTED_NOTES),
+        ),
+    ]
 
     def run_checked(self):
         """Read the notes and print them."""
-        releases = trio.run(self._read)
+        releases = trio.run(self._read, self._limit())
         if self.wants_json:
             self.show_json(releases)
         else:
@@ -277,7 +313,15 @@
                 self.show(f'release {note.held.number}: note {note.note}')
                 continue
             self.show(f'refused: note {note.note}, {note.code}')
+        if releases.remembered > len(releases.notes):
+            self.show(f'{releases.remembered} notes are remembered')
+
+    def _limit(self):
+        given = self.option('limit')
+        if not given.isdecimal() or int(given) == 0:
+            raise UsageError(f'--limit must be above 0, got {given!r}')
+        return int(given)
 
-    async def _read(self):
+    async def _read(self, limit):
         async with self.open_client() as client:
-            return await client.list_releases()
+            return await client.list_releases(limit)
--- a/snipelead/controls/fleet.py
+++ b/snipelead/controls/fleet.py
@@ -8,14 +8,18 @@
 from snipelead.controls.events import PEER_LOST
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
-from snipelead.messages import FleetReply
 from snipelead.messages import FleetRequest
 from snipelead.messages import NodeStatus
-from snipelead.messages import TargetEntry
 from snipelead.releases.document import Held
 from snipelead.types import ControlId
 
-__all__ = ['FleetState', 'FleetStatus', 'collect_replies', 'merge_fleet']
+__all__ = [
+    'FleetState',
+    'FleetStatus',
+    'collect_replies',
+    'merge_fleet',
+    'newest_statuses',
+]
 
 FLEET_TIMEOUT_S = 2.0
 
@@ -61,10 +65,6 @@
         Controls that did not answer.
     warming_controls : tuple of ControlId
         Controls that restarted less than a lease ago.
-    targets : tuple of TargetEntry
-        Targets of all nodes.
-    replies : tuple of FleetReply
-        What the controls said.
     """
 
     release: Held
@@ -77,8 +77,6 @@
     unreachable_nodes: tuple[NodeStatus, ...]
     unreachable_controls: tuple[ControlId, ...]
     warming_controls: tuple[ControlId, ...]
-    targets: tuple[TargetEntry, ...]
-    replies: tuple[FleetReply, ...]
 
 
 async def collect_replies(links):
@@ -112,7 +110,11 @@
     return replies, unreachable
 
 
-def _newest_statuses(replies):
+def newest_statuses(replies):
+    """Return the newest status of each node, in order of their ids.
+
+    A node that changed its control occurs in the views of several.
+    """
     newest = {}
     for status in (status for reply in replies for status in reply.nodes):
         known = newest.get(status.node_id)
@@ -151,7 +153,7 @@
     """
     release = max((r.current for r in replies), key=lambda held: held.number)
     certified = any(r.certified and r.current == release for r in replies)
-    statuses = _newest_statuses(replies)
+    statuses = newest_statuses(replies)
     live = [status for status in statuses if status.live]
     lost = tuple(status for status in statuses if not status.live)
     lagging = tuple(status for status in live if status.held != release)
@@ -170,6 +172,4 @@
         unreachable_nodes=lost,
         unreachable_controls=tuple(sorted(unreachable_controls)),
         warming_controls=warming,
-        targets=tuple(t for reply in replies for t in reply.targets),
-        replies=tuple(replies),
     )
--- a/snipelead/controls/sessions.py
+++ b/snipelead/controls/sessions.py
@@ -72,7 +72,8 @@
         order = (request.incarnation, request.sequence)
         if order < self.order:
             raise StaleRequestError(
-                f'poll {order} of {self.node_id} came after {self.order}'
+                f'poll {order} of {self.node_id} came after {self.order}',
+                incarnation=self.order[0],
             )
         if request.incarnation != self.order[0]:
             self.left = False
@@ -129,19 +130,20 @@
         self._unsubscribe(session)
         session.registration = registration
         for service in session.services:
-            self._subscribers.setdefault(service, set()).add(session)
+            subscribers = self._subscribers.setdefault(service, {})
+            subscribers[session.node_id] = session
 
     def wake(self, services=None):
         """Wake the polls of subscribers of some services, or all polls."""
         if services is None:
-            woken = set(self.by_node.values())
+            woken = self.by_node
         else:
-            woken = set().union(
-                *(self._subscribers.get(service, ()) for service in services)
-            )
-        for session in woken:
+            woken = {}
+            for service in sorted(services):
+                woken |= self._subscribers.get(service, {})
+        for session in woken.values():
             session.wake()
 
     def _unsubscribe(self, session):
         for service in session.services:
-            self._subscribers.get(service, set()).discard(session)
+            self._subscribers.get(service, {}).pop(session.node_id, None)
--- a/snipelead/operators/status.py
+++ b/snipelead/operators/status.py
@@ -1,31 +1,15 @@
 """Read-back of releases and of the fleet, from the controls' views."""
 
+from snipelead.controls.fleet import newest_statuses
 from snipelead.nodes.directory import is_newer
 from snipelead.operators.messages import ControlStatus
-from snipelead.operators.messages import FleetStatus
+from snipelead.operators.messages import FleetReport
 from snipelead.operators.messages import LaggingNode
 from snipelead.operators.messages import ReleaseState
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.types import TargetState
 
-__all__ = ['make_fleet_status', 'make_release_status', 'merge_nodes']
-
-
-def merge_nodes(replies):
-    """Return the newest status of each node, in order of their ids.
-
-    Parameters
-    ----------
-    replies : sequence of FleetReply
-        Views of the controls that answered; a node that changed its control
-        occurs in several.
-    """
-    newest = {}
-    for reply in replies:
-        for status in reply.nodes:
-            if is_newer(status, newest.get(status.node_id)):
-                newest[status.node_id] = status
-    return tuple(newest[node_id] for node_id in sorted(newest))
+__all__ = ['make_fleet_status', 'make_release_status']
 
 
 def merge_targets(replies):
@@ -43,22 +27,27 @@
 
 
 def find_unreachable(peers, replies):
-    """Return the ids of the controls that did not answer."""
+    """Return the ids of the controls that did not answer, in order."""
     answered = {reply.control_id for reply in replies}
     missing = {peer.control_id for peer in peers} - answered
     return tuple(sorted(missing))
 
 
+def find_warming(replies):
+    """Return the ids of the controls that have just started, in order."""
+    return tuple(sorted(r.control_id for r in replies if r.warming))
+
+
 def _runs(status, held):
     return status.held.number > held.number or status.held == held
 
 
-def _state(held, current, live, lagging, unreachable):
+def _state(held, current, live, lagging, unknown):
     if held.number < current.number:
         return ReleaseState.SUPERSEDED
     if lagging or not live:
         return ReleaseState.ACCEPTED
-    if unreachable:
+    if unknown:
         return ReleaseState.IN_FORCE_WHERE_KNOWN
     return ReleaseState.IN_FORCE
 
@@ -85,15 +74,16 @@
     -------
     ReleaseStatus
     """
-    nodes = merge_nodes(replies)
+    nodes = newest_statuses(replies)
+    unreachable = find_unreachable(peers, replies)
+    warming = find_warming(replies)
     live = [status for status in nodes if status.live]
     lagging = tuple(
         LaggingNode(s.node_id, s.zone, s.held, s.age_ms)
         for s in live
         if not _runs(s, held)
     )
-    unreachable = find_unreachable(peers, replies)
-    state = _state(held, current, live, lagging, unreachable)
+    state = _state(held, current, live, lagging, unreachable + warming)
     return ReleaseStatus(
         held=held,
         note=note,
@@ -106,21 +96,42 @@
         lagging=lagging,
         silent_nodes=tuple(s.node_id for s in nodes if not s.live),
         unreachable_controls=unreachable,
+        warming_controls=warming,
     )
 
 
-def make_fleet_status(current, certified, peers, replies):
-    """Put the controls' views together; see :func:`make_release_status`."""
-    return FleetStatus(
+def _number(held):
+    return held.number
+
+
+def _control_id(reply):
+    return reply.control_id
+
+
+def make_fleet_status(peers, replies):
+    """Put the controls' views together.
+
+    Parameters
+    ----------
+    peers : sequence of Peer
+        All controls.
+    replies : sequence of FleetReply
+        Views of those that answered.
+
+    Returns
+    -------
+    FleetReport
+    """
+    current = max((r.current for r in replies), key=_number)
+    return FleetReport(
         current=current,
-        certified=certified,
+        certified=any(r.certified and r.current == current for r in replies),
         controls=tuple(
-            ControlStatus(
-                r.control_id, r.zone, r.current, r.certified, len(r.nodes)
-            )
-            for r in replies
+            ControlStatus(r.control_id, r.zone, r.current, len(r.nodes))
+            for r in sorted(replies, key=_control_id)
         ),
         unreachable_controls=find_unreachable(peers, replies),
-        nodes=merge_nodes(replies),
+        warming_controls=find_warming(replies),
+        nodes=tuple(newest_statuses(replies)),
         targets=merge_targets(replies),
     )
--- a/snipelead/testing/ledger.py
+++ b/snipelead/testing/ledger.py
@@ -2,13 +2,21 @@
 
 from collections import defaultdict
 
+from snipelead.controls.exceptions import NoQuorumError
 from snipelead.exceptions import InvariantError
+from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.types import OutcomeKind
+from snipelead.voters.exceptions import QuorumLostError
 from snipelead.voters.messages import decode_command
 from snipelead.voters.messages import Submit
 
 __all__ = ['Ledger']
 
+# Codes after which a note must never take effect.
+TRUE_REFUSALS = frozenset(
+    error.code for error in (NoQuorumError, QuorumLostError, RpcNotSentError)
+)
+
 
 class Ledger:
     """Record of a randomised run; any contradiction raises at once.
@@ -39,13 +47,13 @@
 
     def watch(self, voter):
         """Compare each entry that a voter applies with the others'."""
-        pass_on = voter.replica.on_result
+        pass_on = voter.replica.journal.on_result
 
         def note_result(entry, result):
             self.note_entry(entry)
             pass_on(entry, result)
 
-        voter.replica.on_result = note_result
+        voter.replica.journal.on_result = note_result
 
     def note_entry(self, entry):
         """Record an applied entry."""
@@ -68,7 +76,7 @@
     def note_error(self, note, code):
         """Record that a submission ended without an outcome."""
         self.counts[code] += 1
-        refused = code in ('SL2001', 'SL1010')
+        refused = code in TRUE_REFUSALS
         self.unsent[note.note] = self.unsent.get(note.note, True) and refused
 
     def note_grant(self, key, claim_id):
@@ -107,7 +115,7 @@
             If something accepted is lost, a refused note took effect or
             the voters differ.
         """
-        states = [v.replica.state for v in voters]
+        states = [v.replica.journal.state for v in voters]
         if len({state.current.held for state in states}) != 1:
             raise InvariantError('voters hold different releases')
         submitted = self._submitted()
--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -14,6 +14,7 @@
 
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import configure_logs
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
@@ -23,7 +24,6 @@
 from snipelead.testing.network import MemoryNetwork
 from snipelead.testing.simulation import run_simulated
 from snipelead.types import Ran
-from snipelead.voters.messages import CertifyRequest
 
 __all__ = ['Soak', 'run_seed']
 
@@ -34,6 +34,8 @@
 KEYS = 25
 KEY_PERIOD_S = 20
 RECOVERY_S = 60
+# One seed in so many runs five voters, the others three.
+FIVE_VOTERS_EVERY = 4
 ROUND_S = 120.0
 
 
@@ -280,7 +282,8 @@
     Soak
         The finished run.
     """
-    soak = Soak(seed, seconds)
+    names = 'abcde' if seed % FIVE_VOTERS_EVERY == 0 else 'abc'
+    soak = Soak(seed, seconds, names)
     run_simulated(soak.run, seed)
     return soak
 
--- a/snipelead/testing/source.py
+++ b/snipelead/testing/source.py
@@ -10,6 +10,8 @@
 from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimReply
 from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesReply
+from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleReply
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitReply
@@ -54,6 +56,7 @@
         """Return the procedures of a voter that do not need consensus."""
         return {
             CertifyRequest: self._answer_certify,
+            OutcomesRequest: self._answer_outcomes,
             SubmitRequest: self._answer_submit,
             ClaimRequest: self.claim,
             SettleRequest: self.settle,
@@ -112,6 +115,9 @@
         certified = await self.certify()
         return CertifyReply(self.current.held, certified)
 
+    async def _answer_outcomes(self, request):
+        return OutcomesReply(dict(self.notes))
+
     async def _answer_submit(self, request):
         return await self.submit(request.note)
 
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -7,23 +7,24 @@
 from snipelead.base import Parametrized
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
+from snipelead.messages import CertifyReply
+from snipelead.messages import CertifyRequest
 from snipelead.messages import ClaimRequest
+from snipelead.messages import OutcomesReply
+from snipelead.messages import OutcomesRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
 from snipelead.settings.schema import ControlSettings
 from snipelead.voters.election import Election
 from snipelead.voters.files import DiskFiles
+from snipelead.voters.forwarding import Forwarding
 from snipelead.voters.joining import Joining
 from snipelead.voters.membership import Membership
 from snipelead.voters.messages import AppendRequest
 from snipelead.voters.messages import BarrierRequest
-from snipelead.voters.messages import CertifyReply
-from snipelead.voters.messages import CertifyRequest
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import InstallRequest
 from snipelead.voters.messages import JoinRequest
-from snipelead.voters.messages import OutcomesReply
-from snipelead.voters.messages import OutcomesRequest
 from snipelead.voters.messages import ProbeRequest
 from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.messages import Settle
@@ -109,7 +110,10 @@
         self.peers = PeerChannels(self.settings, self.transport)
         self.election = Election(self.replica, self.peers)
         self.replication = Replication(self.replica, self.log_peers)
-        self.proposals = Proposals(self.replica, self.peers, self.election)
+        self.forwarding = Forwarding(self.replica, self.peers)
+        self.proposals = Proposals(
+            self.replica, self.forwarding, self.election
+        )
         self.membership = Membership(self.replica)
         self.joining = Joining(self.replica, self.peers, self.proposals)
 
@@ -143,6 +147,7 @@
             self.election.run,
             self.replication.run,
             self.proposals.run,
+            self.forwarding.run,
             self.membership.run,
             self.replica.run_compaction,
             self.run_changes,
@@ -160,7 +165,7 @@
         known = self.current
         while True:
             if self.current is known:
-                await self.replica.applied.wait()
+                await self.replica.journal.applied.wait()
                 continue
             known = self.current
             self.changed.notify()
@@ -185,11 +190,11 @@
     @property
     def current(self):
         """Newest committed release known to this voter."""
-        return self.replica.state.current
+        return self.replica.journal.state.current
 
     def find(self, digest):
         """Return a recent release by digest, or None."""
-        return self.replica.state.history.find(digest)
+        return self.replica.journal.state.history.find(digest)
 
     async def wait_changed(self):
         """Wait until ``current`` changes."""
@@ -221,8 +226,8 @@
         reply = await self.peers.call(
             replica.leader.control_id, BarrierRequest(), CERTIFY_TIMEOUT_S
         )
-        while replica.commit_index < reply.index:
-            await replica.applied.wait()
+        while replica.journal.commit_index < reply.index:
+            await replica.journal.applied.wait()
         return True
 
     async def submit(self, note):
@@ -239,7 +244,7 @@
 
     async def outcomes(self):
         """Return the durable outcome of each recent note."""
-        notes = self.replica.state.notes
+        notes = self.replica.journal.state.notes
         return {o.note_id: o.reply for o in notes.values()}
 
     async def on_submit(self, request):
@@ -249,7 +254,7 @@
     async def on_certify(self, request):
         """Answer with the newest release."""
         certified = await self.certify()
-        return CertifyReply(certified, self.current.held)
+        return CertifyReply(self.current.held, certified)
 
     async def on_outcomes(self, request):
         """Answer with the outcomes of recent notes."""
