Choose targets by expected time, and tell slow targets by the age of their work

Its cost was latency times load, so an idle slow target looked cheaper than busy quick ones, and its slowness was learnt only when slow requests ended.

Change: the cost is the expected time, which grows slowly with the slots in use and steeply from 80% on. The target's node tells the mean age of what is running when that exceeds its average service time.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -77,6 +77,8 @@
         Attempts so far.
     status : int
         HTTP status of the answer, 0 before it.
+    slot_at : float
+        When it took a slot, in seconds of trio's clock; 0 without one.
     queue_wait_s, target_s : float
         Time in the queue and time that the target took, in seconds.
     """
@@ -92,6 +94,7 @@
         'ran',
         'request_class',
         'scope',
+        'slot_at',
         'started_at',
         'status',
         'target_s',
@@ -112,6 +115,7 @@
         self.attempts = 0
         self.queue_wait_s = 0.0
         self.target_s = 0.0
+        self.slot_at = 0.0
         self.status = 0
 
     @property
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -49,6 +49,8 @@
         Requests that wait for a slot.
     service_s : float
         Moving average of the target's service time in seconds.
+    started_sum_s : float
+        Sum of the times at which the requests in flight took their slots.
     is_observed : bool
         Whether ``service_s`` rests on an answer.
     errors : float
@@ -67,6 +69,7 @@
         self.service_s = INITIAL_SERVICE_S
         self.errors = 0.0
         self.is_observed = False
+        self.started_sum_s = 0.0
 
     @property
     def slots(self):
@@ -95,6 +98,8 @@
         except BaseException:
             self.mark(call, attempt_id, AttemptState.REFUSED)
             raise
+        call.slot_at = trio.current_time()
+        self.started_sum_s += call.slot_at
         try:
             return await self.exchange(call, request, attempt_id, incarnation)
         except BaseException:
@@ -128,7 +133,6 @@
 
     async def exchange(self, call, request, attempt_id, incarnation):
         """Send an admitted request and wait for the head of its answer."""
-        sent_at = trio.current_time()
         try:
             # The target may have begun to leave while the request waited.
             address = self.check_target(incarnation).target_address
@@ -144,7 +148,7 @@
             reader.connection.close()
             raise
         self.mark(call, attempt_id, AttemptState.ANSWERED)
-        return GateAnswer(self, call, address, reader, response, sent_at)
+        return GateAnswer(self, call, address, reader, response)
 
     # Slots
 
@@ -173,6 +177,8 @@
     def leave(self, call):
         """Give a slot back and start the next requests."""
         self.in_flight -= 1
+        self.started_sum_s -= call.slot_at
+        call.slot_at = 0.0
         self.batch_in_flight -= call.request_class is RequestClass.BATCH
         self.start_waiting()
 
@@ -266,9 +272,20 @@
             int(call.queue_wait_s * 1e6),
             int(call.target_s * 1e6),
             round(self.errors, _ERROR_DIGITS),
-            int(self.service_s * 1e6) if self.is_observed else 0,
+            int(self.estimate_service_s() * 1e6) if self.is_observed else 0,
         )
 
+    def estimate_service_s(self):
+        """Return the time that the target takes for a request, in seconds.
+
+        The mean age of what it runs tells of a slow target before the slow
+        requests end.
+        """
+        if not self.in_flight:
+            return self.service_s
+        mean_start = self.started_sum_s / self.in_flight
+        return max(self.service_s, trio.current_time() - mean_start)
+
     def observe(self, response, service_s):
         """Take an answer into the moving averages."""
         is_error = response.status >= _FIRST_ERROR_STATUS
@@ -291,15 +308,14 @@
         Response whose body is read as it arrives.
     """
 
-    __slots__ = ('address', 'call', 'gate', 'reader', 'response', 'sent_at')
+    __slots__ = ('address', 'call', 'gate', 'reader', 'response')
 
-    def __init__(self, gate, call, address, reader, response, sent_at):
+    def __init__(self, gate, call, address, reader, response):
         self.gate = gate
         self.call = call
         self.address = address
         self.reader = reader
         self.response = response
-        self.sent_at = sent_at
 
     @property
     def load(self):
@@ -309,6 +325,6 @@
     def close(self):
         """Release the slot and the connection."""
         gate = self.gate
-        gate.observe(self.response, trio.current_time() - self.sent_at)
+        gate.observe(self.response, trio.current_time() - self.call.slot_at)
         gate.sender.release(self.address, self.reader, self.response)
         gate.leave(self.call)
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -22,6 +22,10 @@
 MIN_LATENCY_S = 0.001
 # Weight of the newest answer in the share of errors.
 ERROR_SMOOTHING = 0.2
+# From this share of slots in use on, each further one makes a target so much
+# costlier.
+QUEUE_FROM = 0.8
+QUEUE_WEIGHT = 10.0
 # A reported load loses half its weight after this time in seconds.
 LOAD_HALF_LIFE_S = 0.5
 # A new target's share grows to its full size over this time in seconds.
@@ -122,8 +126,10 @@
     def cost(self, now, once=False):
         """Return the expected cost of one more request; lower is better."""
         ramp = min(1.0, max(MIN_RAMP, (now - self.first_seen_at) / RAMP_S))
-        per_slot = (self.load(now) + 1) / max(1, self.entry.slots)
-        return self.expected_s(now, once) * per_slot / ramp
+        used = (self.load(now) + 1) / max(1, self.entry.slots)
+        # With many slots a request hardly waits until most are in use.
+        queue = QUEUE_WEIGHT * max(0.0, used - QUEUE_FROM)
+        return self.expected_s(now, once) * (1.0 + used + queue) / ramp
 
     def begin(self, now):
         """Count a request that is being sent."""
