Run the hot path bench from the command, check bench options

Cause: snipelead bench hotpath failed, since the module had neither the options nor the function that the command calls; a wrong value of any bench ended in a traceback. Change: hotpath declares its options; values are compared in kind with the default before the bench starts.

--- a/snipelead/bench/hotpath.py
+++ b/snipelead/bench/hotpath.py
@@ -24,7 +24,7 @@
 from snipelead.http.connection import connect
 from snipelead.http.reading import ResponseReader
 
-__all__ = ['HotPathRow', 'main', 'run_hotpath']
+__all__ = ['OPTIONS', 'HotPathRow', 'main', 'run', 'run_hotpath']
 
 CONNECTIONS = (1, 10, 100)
 CALLS_PER_S = 300
@@ -34,6 +34,16 @@
 ALLOWED_US = 480
 MAX_US = 60_000_000
 _DIGITS = 3
+OPTIONS = {
+    'connections': ('1,10,100', 'connections of the client'),
+    'calls': (str(CALLS), 'calls of each round'),
+    'rounds': (str(ROUNDS), 'rounds of each way'),
+    'rate': (str(CALLS_PER_S), 'calls a second'),
+    'closed': ('no', 'yes sends a call as soon as the last is answered'),
+    'untuned': ('no', 'yes leaves the garbage collector as it is'),
+    'profile': ('no', 'yes profiles the nodes'),
+    'json': ('no', 'yes prints JSON'),
+}
 REQUEST = (
     b'GET /levels/7 HTTP/1.1\r\nHost: stock.example\r\nX-Tenant: a\r\n\r\n'
 )
@@ -259,5 +269,22 @@
         print_rows(rows)
 
 
+def run(options):
+    """Run the benchmark and print its results.
+
+    Parameters
+    ----------
+    options : dict of str to str
+        Values by the names of :data:`OPTIONS`.
+    """
+    arguments = []
+    for name, value in options.items():
+        if OPTIONS[name][0] == 'no':
+            arguments += [f'--{name}'] * (value == 'yes')
+        else:
+            arguments += [f'--{name}', *value.split(',')]
+    main(arguments)
+
+
 if __name__ == '__main__':
     main()
--- a/snipelead/cli/bench.py
+++ b/snipelead/cli/bench.py
@@ -19,6 +19,7 @@
     'distribution': 'Convergence time and control bytes, by fleet size.',
     'hotpath': 'Latency that a node adds, against going direct.',
 }
+YES_NO = ('yes', 'no')
 
 
 def load_bench(name):
@@ -60,10 +61,33 @@
             raise UsageError(
                 f'options of this bench are {allowed or "none"}, got {pair!r}'
             )
+        _check_kind(name, options[name], value)
         options[name] = value
     return options
 
 
+def _is_number(text):
+    try:
+        float(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _check_kind(name, default, value):
+    """Refuse text for an option whose default is a number or a list of them.
+
+    The same holds for options that are either yes or no.
+    """
+    if default in YES_NO:
+        if value not in YES_NO:
+            raise UsageError(f'{name} must be yes or no, got {value!r}')
+        return
+    numbers = all(_is_number(part) for part in default.split(','))
+    if numbers and not all(_is_number(part) for part in value.split(',')):
+        raise UsageError(f'{name} must be like {default}, got {value!r}')
+
+
 class BenchCommand(SnipeleadCommand):
     """Runs one benchmark."""
 
