Tell why an outcome is unknown

Cause: the client replaced the controls' reason for an unknown outcome by a general one. Change: the answer of a control is passed on with its code; of a lost answer, the address is named. Result: tests of the client and the command line pass.

--- a/snipelead/cli/releases.py
+++ b/snipelead/cli/releases.py
@@ -95,7 +95,7 @@
                 f' {answer.message}'
             )
         case _:
-            return f'{answer.code}: {UNKNOWN_ADVICE}'
+            return f'{UNKNOWN_ADVICE} ({answer.code}: {answer.message})'
 
 
 class CheckedNote(Struct, frozen=True):
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -5,6 +5,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoControlError
+from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import error_from_info
 from snipelead.exceptions import ErrorInfo
 from snipelead.exceptions import SnipeleadError
@@ -94,27 +95,23 @@
             If no control could be connected to; nothing took effect.
         """
         refusal = None
-        lost = False
+        unknown = None
         for address in self.addresses * self.rounds:
             try:
                 answer = await self._post_note(address, text, note_id)
             except _NOT_SENT:
                 continue
             except (httpx.HTTPError, UnexpectedAnswerError):
-                lost = True
+                unknown = unknown or _lost_answer(note_id, address)
                 continue
             if answer.retry_after_ms is None:
                 return answer
-            lost = lost or answer.outcome is OutcomeKind.UNKNOWN
+            if answer.outcome is OutcomeKind.UNKNOWN:
+                unknown = answer
             refusal = answer
             await trio.sleep(RETRY_PAUSE_S)
-        if lost:
-            return SubmitAnswer(
-                OutcomeKind.UNKNOWN,
-                note_id,
-                code='SL2002',
-                message=UNKNOWN_ADVICE,
-            )
+        if unknown is not None:
+            return unknown
         if refusal is None:
             raise self._no_control()
         return refusal
@@ -178,6 +175,15 @@
         )
 
 
+def _lost_answer(note_id, address):
+    return SubmitAnswer(
+        OutcomeKind.UNKNOWN,
+        note_id,
+        code=OutcomeUnknownError.code,
+        message=f'the answer of {address} was lost',
+    )
+
+
 def _decode(address, response, answer_type):
     try:
         return msgspec.json.decode(response.content, type=answer_type)
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -85,7 +85,14 @@
         self.network.loses_answers = set(self.hosts)
         answer = self.submit()
         self.assertEqual(OutcomeKind.UNKNOWN, answer.outcome)
-        self.assertIn('resend the same note', answer.message)
+        self.assertEqual('SL2002', answer.code)
+        self.assertIn(ADDRESSES[0], answer.message)
+
+    def test_reason_of_an_unknown_outcome_is_kept(self):
+        self.source.failures = [ReleaseNotFoundError('forgotten')] * 6
+        answer = self.submit()
+        self.assertEqual(OutcomeKind.UNKNOWN, answer.outcome)
+        self.assertEqual('SL4001', answer.code)
 
     def test_refusal_after_a_lost_answer_stays_unknown(self):
         self.network.loses_answers = {self.hosts[0]}
