Record convergence time on each control

Cause: the histogram of convergence was declared but nothing observed it, so /metrics of a control showed no figure. Change: a control notes when it learns of an accepted release, before any batching window, and records when each node that was there confirms it; nodes that started since then do not count.

--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -6,6 +6,7 @@
 import trio
 
 from snipelead.controls.certification import SharedCertification
+from snipelead.controls.convergence import ConvergenceRecorder
 from snipelead.controls.directory import ControlDirectory
 from snipelead.controls.events import CONTROL_WARM
 from snipelead.controls.events import RELEASE_OFFERED
@@ -60,7 +61,7 @@
         Release of a node that was newer than the source's.
     """
 
-    def __init__(self, settings, source, transport, rng=None):
+    def __init__(self, settings, source, transport, rng=None, metrics=None):
         self.settings = settings
         self.source = source
         self.transport = transport
@@ -72,6 +73,7 @@
         )
         self.gate = SnapshotGate(settings.max_snapshots, self.rng)
         self.updates = UpdateMaker(source)
+        self.convergence = ConvergenceRecorder(metrics, settings.preference)
         self.certification = SharedCertification(source)
         peers = tuple(
             peer
@@ -142,7 +144,9 @@
         if request.follower:
             return await self._follow(request)
         session = self.sessions.open(request.node_id)
+        before = session.held
         session.accept(request)
+        self.convergence.confirm(session, before)
         self.gate.finish(request.node_id)
         if not self.membership.renew(session, request):
             return SyncReply(register_again=True)
@@ -298,6 +302,7 @@
             if self.published.number >= self.newest.number:
                 await self.source.wait_changed()
                 continue
+            self.convergence.accept(self.newest.held)
             if self.settings.preference is Preference.BYTES:
                 await trio.sleep(window_s)
             self._publish()
--- a/snipelead/controls/sessions.py
+++ b/snipelead/controls/sessions.py
@@ -29,6 +29,8 @@
         Release that the node confirmed last.
     heard_at : float
         Time of the newest request in seconds.
+    since : float
+        Time of the first request of this incarnation in seconds.
     targets_live, live, left : bool
         Whether the lease of the targets and of the node holds, and whether
         the node announced that it stops.
@@ -41,6 +43,7 @@
         self.registered_incarnation = 0
         self.held = EMPTY_RELEASE.held
         self.heard_at = -inf
+        self.since = inf
         self.targets_live = False
         self.live = False
         self.left = False
@@ -77,6 +80,7 @@
             )
         if request.incarnation != self.order[0]:
             self.left = False
+            self.since = trio.current_time()
         superseded = order != self.order
         self.order = order
         self.heard_at = trio.current_time()
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -30,7 +30,9 @@
         self.transport = transport
         self.metrics = ControlMetrics()
         self.source = self._make_source()
-        self.service = ControlService(settings, self.source, transport)
+        self.service = ControlService(
+            settings, self.source, transport, metrics=self.metrics
+        )
 
     def _make_source(self):
         match self.settings.role:
