--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -7,6 +7,7 @@
 import trio
 
 from snipelead.controls.certification import SharedCertification
+from snipelead.controls.convergence import ConvergenceRecorder
 from snipelead.controls.directory import ControlDirectory
 from snipelead.controls.events import CONTROL_CURRENT
 from snipelead.controls.events import CONTROL_DOUBTFUL
@@ -68,7 +69,7 @@
         Whether this control could not prove itself current lately.
     """
 
-    def __init__(self, settings, source, transport, rng=None):
+    def __init__(self, settings, source, transport, rng=None, metrics=None):
         self.settings = settings
         self.source = source
         self.transport = transport
@@ -80,6 +81,7 @@
         )
         self.gate = SnapshotGate(settings.max_snapshots, self.rng)
         self.updates = UpdateMaker(source)
+        self.convergence = ConvergenceRecorder(metrics, settings.preference)
         self.certification = SharedCertification(source)
         peers = tuple(
             peer
@@ -152,7 +154,9 @@
         if request.follower:
             return await self._follow(request)
         session = self.sessions.open(request.node_id)
+        before = session.held
         session.accept(request)
+        self.convergence.confirm(session, before)
         self.gate.finish(request.node_id)
         if not self.membership.renew(session, request):
             return SyncReply(register_again=True)
@@ -340,6 +344,7 @@
             if self.published.number >= self.newest.number:
                 await self.source.wait_changed()
                 continue
+            self.convergence.accept(self.newest.held)
             if self.settings.preference is Preference.BYTES:
                 await trio.sleep(window_s)
             self._publish()
