Let hosts of the bench wait without polling

Cause: each node of a herd asked 200 times a second whether it was ready, which filled the host processes and slowed the return that they measured.

Change: they wait for the swap instead.

--- a/snipelead/bench/node_host.py
+++ b/snipelead/bench/node_host.py
@@ -174,7 +174,7 @@
     async def watch_ready(self):
         """Report when the node may serve."""
         while not self.holder.ready:
-            await trio.sleep(0.005)
+            await self.holder.wait_changed()
         self._tell(ReportKind.READY)
 
     def _swapped(self, release):
