Let a node that was told to return later leave at once

Cause: a node slept through the time that a busy control told it, up to 10 s, and did not announce its leaving or its targets meanwhile.

Change: such a pause ends when there is something to tell. What a control publishes and how sure it is of it is a module of its own.

--- a/snipelead/bench/distribution.py
+++ b/snipelead/bench/distribution.py
@@ -153,12 +153,12 @@
     gate = control.service.gate
     gate.peak = 0
     refused = gate.refused
-    rounds = control.service.certification.rounds
+    rounds = control.service.publisher.certification.rounds
     async with Meter(hosts) as meter:
         began_ns = time.monotonic_ns()
         await hosts.restart()
         ready = await hosts.wait_ready()
-    rounds = control.service.certification.rounds - rounds
+    rounds = control.service.publisher.certification.rounds - rounds
     note = (
         f'snapshots at a time {gate.peak} of {gate.limit},'
         f' told to return {gate.refused - refused}, certifications {rounds}'
--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -128,7 +128,7 @@
             offer=self._make_offer(),
         )
 
-    async def wait_interrupted(self, request):
+    async def wait_interrupted(self):
         """Wait until targets, subscriptions or leaving are news."""
         while self._facts() == self._registered_facts():
             async with trio.open_nursery() as nursery:
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -49,8 +49,8 @@
         """Use a reply; returns the seconds to wait before the next poll."""
         raise NotImplementedError
 
-    async def wait_interrupted(self, request):
-        """Wait until the request no longer says what it should."""
+    async def wait_interrupted(self):
+        """Wait until the last request no longer says what it should."""
         await trio.sleep_forever()
 
     async def poll_forever(self):
@@ -58,8 +58,10 @@
         try:
             while True:
                 delay_s = await self.poll(self.links.choose())
-                if delay_s:
-                    await trio.sleep(delay_s)
+                if not delay_s:
+                    continue
+                with trio.move_on_after(delay_s):
+                    await self.wait_interrupted()
         finally:
             with trio.CancelScope(shield=True):
                 await self.links.aclose()
@@ -102,7 +104,7 @@
         failures = []
 
         async def interrupt():
-            await self.wait_interrupted(request)
+            await self.wait_interrupted()
             nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/snipelead/controls/publisher.py
@@ -0,0 +1,127 @@
+"""Which release a control tells of, and how sure it is of it."""
+
+import trio
+
+from snipelead.controls.certification import SharedCertification
+from snipelead.controls.events import CONTROL_CURRENT
+from snipelead.controls.events import CONTROL_DOUBTFUL
+from snipelead.controls.events import RELEASE_OFFERED
+from snipelead.controls.events import RELEASE_PUBLISHED
+from snipelead.controls.polling import CERTIFY_LIMIT_S
+from snipelead.controls.polling import MS_PER_S
+from snipelead.logs import log_event
+from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.releases.packing import unpack_release
+from snipelead.types import Preference
+
+__all__ = ['Publisher']
+
+CURRENCY_CHECK_S = 1.0
+DOUBTFUL_FAILURES = 2
+
+
+class Publisher:
+    """Follows the source of a control and wakes its polls.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Gives the preference and the batching window.
+    source : ReleaseSource
+        Accepted releases.
+    on_news : callable
+        Called when nodes have to be told of something.
+
+    Attributes
+    ----------
+    published : Release
+        Newest release that nodes are told of.
+    offered : Release or None
+        Release of a node that was newer than the source's.
+    doubtful : bool
+        Whether this control could not prove itself current lately.
+    changed : trio.Event
+        Set, and replaced, before each call of ``on_news``.
+    """
+
+    def __init__(self, settings, source, on_news):
+        self.settings = settings
+        self.source = source
+        self.on_news = on_news
+        self.certification = SharedCertification(source)
+        self.published = EMPTY_RELEASE
+        self.offered = None
+        self.doubtful = False
+        self.changed = trio.Event()
+
+    @property
+    def newest(self):
+        """Newest release known to this control."""
+        current = self.source.current
+        if self.offered and self.offered.number > current.number:
+            return self.offered
+        return current
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Publish releases and watch the own currency until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.certification.run)
+            nursery.start_soon(self._publish_releases)
+            nursery.start_soon(self._watch_currency)
+            task_status.started()
+
+    async def certify(self):
+        """Return whether the newest release was proved to be that."""
+        with trio.move_on_after(CERTIFY_LIMIT_S):
+            certified = await self.certification.certify()
+            return certified and self.newest is self.source.current
+        return False
+
+    def take_offer(self, offer, node_id):
+        """Take over a node's release if it is newer than the own one.
+
+        Raises
+        ------
+        DigestMismatchError, DanglingReferenceError
+            If it is not the release that it claims to be.
+        """
+        if offer.target.number <= self.newest.number:
+            return
+        self.offered = unpack_release(offer.compressed, offer.target)
+        log_event(RELEASE_OFFERED, release=offer.target.number, node=node_id)
+        self._publish()
+
+    async def _publish_releases(self):
+        window_s = self.settings.timings.batch_window_ms / MS_PER_S
+        self._publish()
+        while True:
+            if self.published.number >= self.newest.number:
+                await self.source.wait_changed()
+                continue
+            if self.settings.preference is Preference.BYTES:
+                await trio.sleep(window_s)
+            self._publish()
+
+    async def _watch_currency(self):
+        """Doubt this control while it cannot prove itself current."""
+        failures = 0
+        while True:
+            await trio.sleep(CURRENCY_CHECK_S)
+            failures = 0 if await self.certify() else failures + 1
+            doubtful = failures >= DOUBTFUL_FAILURES
+            if doubtful == self.doubtful:
+                continue
+            self.doubtful = doubtful
+            event = CONTROL_DOUBTFUL if doubtful else CONTROL_CURRENT
+            log_event(event, release=self.newest.number)
+            self._notify()
+
+    def _publish(self):
+        self.published = self.newest
+        log_event(RELEASE_PUBLISHED, release=self.published.number)
+        self._notify()
+
+    def _notify(self):
+        self.changed.set()
+        self.changed = trio.Event()
+        self.on_news()
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -6,24 +6,18 @@
 from msgspec.structs import replace
 import trio
 
-from snipelead.controls.certification import SharedCertification
 from snipelead.controls.directory import ControlDirectory
-from snipelead.controls.events import CONTROL_CURRENT
-from snipelead.controls.events import CONTROL_DOUBTFUL
 from snipelead.controls.events import CONTROL_WARM
-from snipelead.controls.events import RELEASE_OFFERED
-from snipelead.controls.events import RELEASE_PUBLISHED
 from snipelead.controls.exchange import PeerExchange
 from snipelead.controls.fleet import collect_replies
 from snipelead.controls.fleet import merge_fleet
 from snipelead.controls.links import ControlLinks
 from snipelead.controls.membership import Membership
-from snipelead.controls.polling import CERTIFY_LIMIT_S
 from snipelead.controls.polling import MS_PER_S
+from snipelead.controls.publisher import Publisher
 from snipelead.controls.sessions import NodeSessions
 from snipelead.controls.snapshots import SnapshotGate
 from snipelead.controls.updates import UpdateMaker
-from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.messages import ExchangeReply
 from snipelead.messages import ExchangeRequest
@@ -31,17 +25,12 @@
 from snipelead.messages import FleetRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
-from snipelead.releases.document import EMPTY_RELEASE
-from snipelead.releases.packing import unpack_release
-from snipelead.types import Preference
 
 __all__ = ['ControlService']
 
 # No poll is held for longer, whatever it asks for.
 MAX_HOLD_MS = 60_000
-CURRENCY_CHECK_S = 1.0
 DIRECTORY_INTERVAL_S = 0.5
-DOUBTFUL_FAILURES = 2
 
 
 class ControlService:
@@ -57,15 +46,6 @@
         Makes the channels to the other controls.
     rng : random.Random or None
         Source of jitter.
-
-    Attributes
-    ----------
-    published : Release
-        Newest release that nodes were told of.
-    offered : Release or None
-        Release of a node that was newer than the source's.
-    doubtful : bool
-        Whether this control could not prove itself current lately.
     """
 
     def __init__(self, settings, source, transport, rng=None):
@@ -80,7 +60,7 @@
         )
         self.gate = SnapshotGate(settings.max_snapshots, self.rng)
         self.updates = UpdateMaker(source)
-        self.certification = SharedCertification(source)
+        self.publisher = Publisher(settings, source, self.sessions.wake)
         peers = tuple(
             peer
             for peer in settings.peers
@@ -93,18 +73,6 @@
             transport,
             self.rng,
         )
-        self.published = EMPTY_RELEASE
-        self.offered = None
-        self.doubtful = False
-        self._published_changed = trio.Event()
-
-    @property
-    def newest(self):
-        """Newest release known to this control."""
-        current = self.source.current
-        if self.offered and self.offered.number > current.number:
-            return self.offered
-        return current
 
     @property
     def warming(self):
@@ -123,11 +91,9 @@
         """Publish releases, end leases and exchange targets."""
         try:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self.certification.run)
-                nursery.start_soon(self._publish_releases)
+                await nursery.start(self.publisher.run)
                 nursery.start_soon(self.membership.end_leases)
                 nursery.start_soon(self._warm_up)
-                nursery.start_soon(self._watch_currency)
                 for link in self.links.links:
                     exchange = PeerExchange(
                         self.settings.control_id,
@@ -158,7 +124,8 @@
             return SyncReply(register_again=True)
         if session.left:
             return SyncReply()
-        self._take_offer(request)
+        if request.offer is not None:
+            self.publisher.take_offer(request.offer, request.node_id)
         if request.wants_certified:
             return await self._certified_answer(session, request)
         return await self._hold(session, request)
@@ -180,7 +147,7 @@
         return FleetReply(
             self.settings.control_id,
             self.settings.zone,
-            self.newest.held,
+            self.publisher.newest.held,
             False,
             tuple(session.status() for session in self.membership.reported()),
             self.directory.own.live(),
@@ -208,27 +175,20 @@
 
     async def _collect_replies(self):
         replies, unreachable = await collect_replies(self.links.links)
-        certified = await self._certify()
+        certified = await self.publisher.certify()
         own = await self.answer_fleet(FleetRequest())
         return [replace(own, certified=certified), *replies], unreachable
 
-    async def _certify(self):
-        with trio.move_on_after(CERTIFY_LIMIT_S):
-            try:
-                certified = await self.certification.certify()
-            except SnipeleadError:
-                return False
-            return certified and self.newest is self.source.current
-        return False
-
     async def _certified_answer(self, session, request):
-        certified = await self._certify()
-        reply = self._release_news(request, self.newest) or SyncReply()
+        certified = await self.publisher.certify()
+        reply = (
+            self._release_news(request, self.publisher.newest) or SyncReply()
+        )
         return replace(
             reply,
             certified=certified,
-            doubtful=self.doubtful,
-            current=self.newest.held,
+            doubtful=self.publisher.doubtful,
+            current=self.publisher.newest.held,
             warming=self.warming,
             directory=self._directory_news(session, request),
         )
@@ -236,38 +196,42 @@
     async def _hold(self, session, request):
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
         order = session.order
-        doubtful = self.doubtful
+        doubtful = self.publisher.doubtful
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while session.order == order and self.doubtful == doubtful:
+            while (
+                session.order == order and self.publisher.doubtful == doubtful
+            ):
                 woken = session.woken
                 reply = self._news(session, request)
                 if reply is not None:
                     return reply
                 with trio.move_on_at(self._directory_due(session)):
                     await woken.wait()
-        return SyncReply(doubtful=self.doubtful)
+        return SyncReply(doubtful=self.publisher.doubtful)
 
     async def _follow(self, request):
         """Answer a relay, which follows releases alone."""
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
-        doubtful = self.doubtful
+        doubtful = self.publisher.doubtful
         self.gate.finish(request.node_id)
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while self.doubtful == doubtful:
-                reply = self._release_news(request, self.published)
+            while self.publisher.doubtful == doubtful:
+                reply = self._release_news(request, self.publisher.published)
                 if reply is not None:
                     return replace(reply, doubtful=doubtful)
-                await self._published_changed.wait()
-        return SyncReply(doubtful=self.doubtful)
+                await self.publisher.changed.wait()
+        return SyncReply(doubtful=self.publisher.doubtful)
 
     def _news(self, session, request):
         """Return a reply, or None when there is no news."""
-        reply = self._release_news(request, self.published)
+        reply = self._release_news(request, self.publisher.published)
         directory = self._directory_news(session, request)
         if reply is None and directory is None:
             return None
         return replace(
-            reply or SyncReply(), directory=directory, doubtful=self.doubtful
+            reply or SyncReply(),
+            directory=directory,
+            doubtful=self.publisher.doubtful,
         )
 
     def _directory_due(self, session):
@@ -303,11 +267,11 @@
 
     def _release_news(self, request, published):
         held = request.held
-        if held.number > self.newest.number:
+        if held.number > self.publisher.newest.number:
             return SyncReply(wants_release=True)
         if held == published.held or held.number > published.number:
             return None
-        release = self.newest
+        release = self.publisher.newest
         # The first release of a herd is always a snapshot, which is bounded.
         if held.number > 0:
             reply = self.updates.delta(held, release)
@@ -320,54 +284,6 @@
             )
         return SyncReply(snapshot=self.updates.snapshot(release))
 
-    def _take_offer(self, request):
-        """Take over a node's release that is newer than the own one."""
-        offer = request.offer
-        if offer is None or offer.target.number <= self.newest.number:
-            return
-        self.offered = unpack_release(offer.compressed, offer.target)
-        log_event(
-            RELEASE_OFFERED,
-            release=offer.target.number,
-            node=request.node_id,
-        )
-        self._publish()
-
-    async def _publish_releases(self):
-        window_s = self.settings.timings.batch_window_ms / MS_PER_S
-        self._publish()
-        while True:
-            if self.published.number >= self.newest.number:
-                await self.source.wait_changed()
-                continue
-            if self.settings.preference is Preference.BYTES:
-                await trio.sleep(window_s)
-            self._publish()
-
-    def _publish(self):
-        self.published = self.newest
-        log_event(RELEASE_PUBLISHED, release=self.published.number)
-        self._wake_all()
-
-    def _wake_all(self):
-        self._published_changed.set()
-        self._published_changed = trio.Event()
-        self.sessions.wake()
-
-    async def _watch_currency(self):
-        """Doubt this control while it cannot prove itself current."""
-        failures = 0
-        while True:
-            await trio.sleep(CURRENCY_CHECK_S)
-            failures = 0 if await self._certify() else failures + 1
-            doubtful = failures >= DOUBTFUL_FAILURES
-            if doubtful == self.doubtful:
-                continue
-            self.doubtful = doubtful
-            event = CONTROL_DOUBTFUL if doubtful else CONTROL_CURRENT
-            log_event(event, release=self.newest.number)
-            self._wake_all()
-
     async def _warm_up(self):
         await trio.sleep(self.settings.timings.target_lease_ms / MS_PER_S)
         self.directory.set_complete()
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -124,8 +124,8 @@
                 self.assertEqual(sorted(node.numbers), node.numbers)
                 self.assertEqual(2, node.number)
                 # The second control was given the newer release by the node.
-                self.assertEqual(2, second.service.newest.number)
-                self.assertEqual(2, first.service.newest.number)
+                self.assertEqual(2, second.service.publisher.newest.number)
+                self.assertEqual(2, first.service.publisher.newest.number)
 
         run_mesh(run)
 
--- a/snipelead/controls/tests/test_targets.py
+++ b/snipelead/controls/tests/test_targets.py
@@ -131,6 +131,21 @@
 
         run_mesh(run)
 
+    def test_node_that_was_told_to_return_later_still_leaves_at_once(self):
+        async def run():
+            async with open_mesh() as mesh:
+                control = await mesh.start_control()
+                control.service.gate.admit = lambda node_id: 9_000
+                control.source.publish(make_release())
+                node = await mesh.start_node()
+                await trio.sleep(5)
+                self.assertFalse(node.holder.ready)
+                began = trio.current_time()
+                self.assertTrue(await node.client.leave())
+                self.assertLess(trio.current_time() - began, 0.1)
+
+        run_mesh(run)
+
     def test_targets_of_a_silent_node_end_with_its_lease(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
