Leave a control that is cut off without waiting for others to return

A node whose first polls came before there was a majority put off all controls for 15 to 45 s, as if they had failed, and so stayed with the one cut off: the next release took 24.4 s. A relay learned that its voter was cut off only by the silence of the poll, after 8 s.

Change: a control that cannot certify is only passed over for 2 s. A relay that hears of a newer release while it proves itself current turns away from the voter that does not send it. The first repeated poll keeps the plain time limit.

--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -211,7 +211,7 @@
             self.links.forget_failures()
             log_event(FLOOR_UNCERTIFIED, release=release.number)
             return 0.0
-        self.links.defer(link)
+        self.links.skip(link)
         return self.floor_backoff.next_s()
 
     def _facts(self):
--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -9,6 +9,7 @@
 
 # A control that failed is tried again after 0.5 to 1.5 times this.
 RETURN_S = 30.0
+SKIP_S = 2.0
 
 
 class ControlLink:
@@ -106,6 +107,11 @@
         link.proven = False
         link.retry_at = self._return_time()
 
+    def skip(self, link):
+        """Prefer other controls for a moment."""
+        link.proven = False
+        link.retry_at = trio.current_time() + SKIP_S
+
     def doubt(self, link):
         """Prefer controls that are not doubtful for a while."""
         link.doubted_until = self._return_time()
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -95,8 +95,8 @@
         if request.wants_certified:
             timeout_s += CERTIFY_LIMIT_S
         # A herd that gives up on a busy control would only add to its work.
-        doublings = min(self.backoff.failures, MAX_TIMEOUT_DOUBLINGS)
-        return timeout_s * 2**doublings
+        repeated = max(0, self.backoff.failures - 1)
+        return timeout_s * 2 ** min(repeated, MAX_TIMEOUT_DOUBLINGS)
 
     async def _call(self, link, request, timeout_s):
         """Return the reply, or None when the request got out of date."""
--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -28,6 +28,7 @@
 MISS_MS = 1_000
 CALL_TIMEOUT_S = 2.0
 CERTIFY_TIMEOUT_S = 0.8
+ON_ITS_WAY_S = 0.3
 # A relay does not know which note made a release.
 NO_NOTE = NoteId('')
 
@@ -40,10 +41,24 @@
         self.control_id = control_id
         self.follower = ReleaseFollower(holder)
         self.sequence = 0
+        self.polled = None
+        self._turned_away = trio.Event()
+
+    def turn_away(self):
+        """Leave the voter that is polled, since another one has news."""
+        if self.polled is not None:
+            self.links.defer(self.polled)
+        self._turned_away.set()
+        self._turned_away = trio.Event()
+
+    async def wait_interrupted(self):
+        """Wait until the poll is to go to another voter."""
+        await self._turned_away.wait()
 
     def make_request(self, link, hold_ms):
         """Return a poll that follows releases alone."""
         self.sequence += 1
+        self.polled = link
         return SyncRequest(
             node_id=NodeId(self.control_id),
             incarnation=Incarnation(0),
@@ -166,10 +181,17 @@
         if not reply.certified:
             return False
         # The release may still be on its way here.
-        while self.current.number < reply.held.number:
-            await self.wait_changed()
+        with trio.move_on_after(ON_ITS_WAY_S):
+            await self._wait_for(reply.held.number)
+        if self.current.number < reply.held.number:
+            self.poller.turn_away()
+            await self._wait_for(reply.held.number)
         return True
 
+    async def _wait_for(self, number):
+        while self.current.number < number:
+            await self.wait_changed()
+
     async def _answer_certify(self, request):
         certified = await self.certify()
         return CertifyReply(held=self.current.held, certified=certified)
