--- a/snipelead/bench/distribution.py
+++ b/snipelead/bench/distribution.py
@@ -37,9 +37,6 @@
     'idle_s': ('20', 'length of the idle case in seconds'),
     'wire': ('no', 'yes counts bytes on the wire by a TCP relay'),
 }
-BURST_CHANGES = 100
-MISSED_CHANGES = 500
-DOWN_S = 3.0
 SETTLE_S = 1.0
 
 
@@ -52,6 +49,9 @@
     way: Way = Way.NET_DELTA
     preference: Preference = Preference.CONVERGENCE
     changes: int = 5
+    burst: int = 100
+    missed: int = 500
+    down_s: float = 3.0
     idle_s: float = 20.0
     wire: bool = False
 
@@ -129,7 +129,7 @@
 async def measure_burst(control, hosts, options):
     """Accept many changes at once."""
     async with Meter(hosts) as meter:
-        number = await control.change_routes(BURST_CHANGES)
+        number = await control.change_routes(options.burst)
         swaps = await hosts.wait_swapped(number)
     delays_s = [(ns - control.accepted_ns) / 1e9 for ns in swaps]
     return meter.measure(delays_s, note='after the last acceptance')
@@ -138,7 +138,7 @@
 async def measure_missed(control, hosts, options):
     """Let nodes come back that missed many changes."""
     await hosts.pause()
-    number = await control.change_routes(MISSED_CHANGES)
+    number = await control.change_routes(options.missed)
     await trio.sleep(SETTLE_S)
     async with Meter(hosts) as meter:
         began_ns = time.monotonic_ns()
@@ -170,13 +170,13 @@
 async def measure_down(control, hosts, options):
     """Stop distribution for a while; accept a change when it is back."""
     await control.stop()
-    await trio.sleep(DOWN_S)
+    await trio.sleep(options.down_s)
     async with Meter(hosts) as meter:
         await control.start()
         number = await control.change_routes(1)
         swaps = await hosts.wait_swapped(number)
     delays_s = [(ns - control.accepted_ns) / 1e9 for ns in swaps]
-    return meter.measure(delays_s, note=f'down for {DOWN_S:g} s')
+    return meter.measure(delays_s, note=f'down for {options.down_s:g} s')
 
 
 async def measure_idle(control, hosts, options):
