Refuse truly after a lost answer; bound what waits for the leader

Cause: reading the code: a busy leader's refusal was passed on as final although an earlier attempt of the same command might still take effect; the queue of a follower whose leader is silent had no bound. Change: such a refusal leads to another attempt or to an unknown outcome; the queue is bounded and drops abandoned commands; the ledger counts each send.

--- a/snipelead/testing/ledger.py
+++ b/snipelead/testing/ledger.py
@@ -27,8 +27,8 @@
         Applied entry by index; all voters must agree.
     outcomes : dict of str to tuple
         First outcome of each note that an operator was told.
-    unsent : dict of str to bool
-        Whether each note was only ever refused for want of a quorum.
+    attempts, refusals : dict of str to int
+        How often each note was sent, and refused as never appended.
     holders : dict of str to set of str
         Claims of each key that were granted and not given back.
     newest : int
@@ -40,7 +40,8 @@
     def __init__(self):
         self.entries = {}
         self.outcomes = {}
-        self.unsent = {}
+        self.attempts = defaultdict(int)
+        self.refusals = defaultdict(int)
         self.holders = defaultdict(set)
         self.newest = 0
         self.counts = defaultdict(int)
@@ -64,7 +65,6 @@
     def note_reply(self, note, reply):
         """Record the outcome that an operator was told."""
         self.counts[reply.code or 'accepted'] += 1
-        self.unsent[note.note] = False
         told = (reply.outcome, reply.held, reply.code)
         if self.outcomes.setdefault(note.note, told) != told:
             raise InvariantError(
@@ -73,11 +73,14 @@
         if reply.outcome is OutcomeKind.ACCEPTED:
             self.newest = max(self.newest, note.release)
 
+    def note_attempt(self, note):
+        """Record that a note is about to be sent."""
+        self.attempts[note.note] += 1
+
     def note_error(self, note, code):
         """Record that a submission ended without an outcome."""
         self.counts[code] += 1
-        refused = code in TRUE_REFUSALS
-        self.unsent[note.note] = self.unsent.get(note.note, True) and refused
+        self.refusals[note.note] += code in TRUE_REFUSALS
 
     def note_grant(self, key, claim_id):
         """Record that a claimant may run a request."""
@@ -123,8 +126,9 @@
             reply = states[0].notes[note_id].reply
             if (reply.outcome, reply.held) != (outcome, held):
                 raise InvariantError(f'the outcome of {note_id} changed')
-        for note_id, unsent in self.unsent.items():
-            if unsent and note_id in submitted:
+        for note_id, attempts in self.attempts.items():
+            refused = attempts == self.refusals[note_id]
+            if refused and note_id in submitted:
                 raise InvariantError(f'{note_id} was not refused truly')
 
     def _submitted(self):
--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -105,6 +105,7 @@
         await self.cluster.wait_until(self.cluster.is_whole, RECOVERY_S)
         note = make_note(self.seen + 1_000, 'last', 'last')
         leader = await self.cluster.wait_leader()
+        self.ledger.note_attempt(note)
         reply = await self.cluster.voters[leader].submit(note)
         self.ledger.note_reply(note, reply)
         await self.cluster.wait_release(note.release)
@@ -137,6 +138,7 @@
             note_id = self.next_id('note')
             note = make_note(number, note_id, note_id)
             for _ in range(self.random.randint(1, 4)):
+                self.ledger.note_attempt(note)
                 try:
                     reply = await self.call(channels, SubmitRequest(note))
                 except SnipeleadError as error:
--- a/snipelead/voters/forwarding.py
+++ b/snipelead/voters/forwarding.py
@@ -5,12 +5,15 @@
 from snipelead.exceptions import error_from_info
 from snipelead.exceptions import SnipeleadError
 from snipelead.voters.exceptions import NotLeaderError
+from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.signal import Signal
 
 __all__ = ['Forwarding', 'Pending']
 
 MAX_BATCH = 256
+MAX_WAITING = 20_000
+BUSY_RETRY_MS = 200
 SENDERS = 2
 
 
@@ -26,11 +29,14 @@
     ----------
     term : Term or None
         Term of the entry that holds the command.
+    abandoned : bool
+        Whether nobody waits for the result any more.
     """
 
     def __init__(self, command):
         self.command = command
         self.term = None
+        self.abandoned = False
         self.result = None
         self.done = trio.Event()
 
@@ -78,7 +84,7 @@
                 continue
             batch = self.queue[:MAX_BATCH]
             del self.queue[:MAX_BATCH]
-            await self.send(batch)
+            await self.send([p for p in batch if not p.abandoned])
 
     async def forward(self, command):
         """Have the leader apply a command.
@@ -95,17 +101,26 @@
 
         Raises
         ------
+        VoterBusyError
+            Too many commands wait; this one was not sent.
         SnipeleadError
             From the leader or the way to it.
         """
+        if len(self.queue) >= MAX_WAITING:
+            raise VoterBusyError('too many commands wait', BUSY_RETRY_MS)
         pending = Pending(command)
         self.queue.append(pending)
         self.queued.notify()
-        return await pending.wait()
+        try:
+            return await pending.wait()
+        finally:
+            pending.abandoned = not pending.done.is_set()
 
     async def send(self, batch):
         """Send a batch and hand out the results."""
         leader = self.replica.leader
+        if not batch:
+            return
         if leader is None or leader == self.replica.member:
             results = [NotLeaderError('the leader changed')] * len(batch)
         else:
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -17,6 +17,8 @@
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.exceptions import VoterNotRunningError
+from snipelead.voters.forwarding import BUSY_RETRY_MS
+from snipelead.voters.forwarding import MAX_WAITING
 from snipelead.voters.forwarding import Pending
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import encode_command
@@ -29,9 +31,7 @@
 __all__ = ['Proposals']
 
 PROPOSE_TIMEOUT_S = 3.0
-BUSY_RETRY_MS = 200
 MAX_BATCH = 512
-MAX_WAITING = 20_000
 
 _encode = msgspec.msgpack.encode
 
@@ -46,6 +46,9 @@
     MemberReplacedError,
 )
 
+# Final, unless an earlier attempt may still take effect.
+_REFUSALS = (VoterBusyError, ClaimsFullError)
+
 
 def _reply_type(command):
     match command:
@@ -205,9 +208,9 @@
                 with trio.move_on_at(deadline):
                     return await self.attempt(command, packed)
                 sent = True
-            except (VoterBusyError, ClaimsFullError):
-                raise
             except SnipeleadError as error:
+                if isinstance(error, _REFUSALS) and not sent:
+                    raise
                 sent = sent or not isinstance(error, _NOT_APPENDED)
             if trio.current_time() >= deadline or self.is_hopeless():
                 raise _unknown() if sent else self.no_quorum()
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -9,12 +9,14 @@
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SettleRequest
 from snipelead.messages import SubmitRequest
+from snipelead.rpc.exceptions import RpcTimeoutError
 from snipelead.testing.cluster import make_note
 from snipelead.testing.cluster import open_cluster
 from snipelead.testing.simulation import run_simulated
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
 from snipelead.voters.exceptions import StorageWriteError
+from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.replication import Replication
 
 NODE = 'address-node'
@@ -227,6 +229,24 @@
 
         self.run_cluster(test)
 
+    def test_refusal_after_a_lost_answer_is_unknown(self):
+        lost = RpcTimeoutError('lost')
+        busy = VoterBusyError('busy')
+
+        async def test(cluster):
+            proposals = cluster.voters['a'].proposals
+            request = ClaimRequest('r', 'k', 'c')
+            for errors, told in (
+                ([busy], VoterBusyError),
+                ([lost] + [busy] * 100, OutcomeUnknownError),
+            ):
+                attempt = mock.AsyncMock(side_effect=errors)
+                with mock.patch.object(proposals, 'attempt', attempt):
+                    with ExpectedException(told):
+                        await cluster.voters['a'].claim(request)
+
+        self.run_cluster(test)
+
     def test_many_proposals_share_a_write(self):
         async def test(cluster):
             leader = await cluster.wait_leader()
