Make the tests of forwarding independent of the choice of target

Cause: three tests let the node choose between two targets, so that they sometimes did not go over the link that they are about (seen as a failure of test_lost_answer_is_not_run_again under load).

Change: the other target is made costly first. A test shows that a lost connection is reset, not closed, before the fence.

--- a/snipelead/callers/tests/links.py
+++ b/snipelead/callers/tests/links.py
@@ -24,6 +24,9 @@
         self.connections = 0
         self.lose_requests = set()
         self.lose_answers = set()
+        # How connections ended: number, whether by the near end, and
+        # 'closed' or 'reset'.
+        self.ends = []
 
     async def run(self, task_status):
         async with trio.open_nursery() as nursery:
@@ -39,18 +42,20 @@
         with near, await connect(self.target) as far:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    self.pump, near, far, number, self.lose_requests
+                    self.pump, near, far, near, number, self.lose_requests
                 )
                 nursery.start_soon(
-                    self.pump, far, near, number, self.lose_answers
+                    self.pump, far, near, near, number, self.lose_answers
                 )
 
-    async def pump(self, source, sink, number, lost):
+    async def pump(self, source, sink, near, number, lost):
         try:
             while data := await source.receive():
                 if number not in lost:
                     await sink.send(data)
+            self.ends.append((number, source is near, 'closed'))
             if number not in lost:
                 sink.close()
         except ConnectionLostError:
+            self.ends.append((number, source is near, 'reset'))
             sink.close()
--- a/snipelead/callers/tests/test_forwarding.py
+++ b/snipelead/callers/tests/test_forwarding.py
@@ -35,6 +35,14 @@
         changes.setdefault('sequence', entry.sequence + 1)
         self.near.directory.merge(msgspec.structs.replace(entry, **changes))
 
+    def make_costly(self, node):
+        """Let the near node prefer all other targets."""
+        observations = self.near.path.balancer.observations_of('stock')
+        for observation in observations:
+            if observation.entry.node_id == node.settings.node_id:
+                now = trio.current_time()
+                observation.answer(60.0, False, None, now)
+
     async def call(self, path='/orders/1', method='POST', **fields):
         caller = await Caller.open(self.near.path.caller_address)
         return await caller.call(path, method, **fields)
@@ -66,6 +74,7 @@
             link.lose_requests.add(0)
             third.announce(TargetState.SERVING)
             self.near.directory.merge(third.entry)
+            self.make_costly(third)
             response, _ = await self.call()
             self.assertEqual(200, response.status)
             self.assertEqual(['/orders/1'], third.target.runs)
@@ -78,6 +87,7 @@
 
         async def test(nursery):
             link = await self.start_link(nursery)
+            self.make_costly(third)
             await self.call('/reads/1', 'GET')
             link.lose_answers.add(0)
             answer = await self.call()
@@ -98,6 +108,17 @@
 
         self.run_nodes(test, self.near, self.far)
 
+    def test_lost_connection_is_reset_before_the_fence(self):
+        async def test(nursery):
+            link = await self.start_link(nursery)
+            link.lose_answers.add(0)
+            self.far.target.hold = trio.Event()
+            await self.call()
+            await until(lambda: link.ends)
+            self.assertIn((0, True, 'reset'), link.ends)
+
+        self.run_nodes(test, self.near, self.far)
+
     def test_fence_of_another_life_proves_nothing(self):
         async def test(nursery):
             await self.start_link(nursery)
@@ -152,6 +173,7 @@
             await self.start_link(nursery)
             # The directory of the near node lags.
             self.far.announce(TargetState.LEAVING)
+            self.make_costly(third)
             for _ in range(3):
                 response, _ = await self.call()
                 self.assertEqual(200, response.status)
