--- a/snipelead/callers/tests/test_gate.py
+++ b/snipelead/callers/tests/test_gate.py
@@ -193,11 +193,15 @@
     def test_deadline_passes_while_the_target_works(self):
         async def test(nursery):
             self.hold()
-            caller = await self.open()
-            answer = await caller.call('/orders/1', 'POST', X_Deadline_Ms='50')
-            self.assertEqual(504, answer[0].status)
-            self.assertEqual(('SL3013', 'unknown'), refusal_of(answer)[:2])
-            await until(lambda: self.node.gate.in_flight == 0)
+            # The watcher sets long deadlines, the call itself short ones.
+            for deadline_ms in (50, 300):
+                caller = await self.open()
+                answer = await caller.call(
+                    '/orders/1', 'POST', X_Deadline_Ms=deadline_ms
+                )
+                self.assertEqual(504, answer[0].status)
+                self.assertEqual(('SL3013', 'unknown'), refusal_of(answer)[:2])
+                await until(lambda: self.node.gate.in_flight == 0)
 
         self.run_nodes(test, self.node)
 
