Test a body that grows above its limit while it arrives

Cause: a trial left each of 29 mechanisms of the call path out of a scratch copy in turn.

Change: a test of the growing body.

--- a/snipelead/callers/tests/test_path.py
+++ b/snipelead/callers/tests/test_path.py
@@ -154,6 +154,22 @@
             head + b'Transfer-Encoding: chunked\r\n\r\n' + body, 413, 'SL3002'
         )
 
+    def test_body_that_grows_above_the_limit(self):
+        async def test(nursery):
+            caller = await Caller.open(self.node.path.caller_address)
+            await caller.connection.send(
+                b'POST /orders HTTP/1.1\r\nHost: s\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+            await until(lambda: self.node.path.in_flight)
+            for _ in range(3):
+                await caller.connection.send(b'190\r\n' + b'x' * 400 + b'\r\n')
+            response, body = await caller.receive()
+            self.assertEqual(413, response.status)
+            self.assertEqual([], self.node.target.runs)
+
+        self.run_nodes(test, self.node)
+
     def test_head_above_the_limit(self):
         self.refused(
             b'GET /reads HTTP/1.1\r\nX-Long: ' + b'x' * 3_000, 431, 'SL3021'
