Test each form of answer over one hop and over two

Cause: HEAD, 204, chunked, connection-delimited and HTTP/1.0 answers, the 100-continue exchange and forged system headers had no tests.

Change: tests only.

--- /dev/null
+++ b/snipelead/callers/tests/test_framing.py
@@ -0,0 +1,151 @@
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.callers.tests.fakes import FakeNode
+from snipelead.callers.tests.fakes import refusal_of
+from snipelead.types import TargetState
+
+
+class FramingTest(CallPathTestCase):
+    """Answers of each form, over one hop and over two."""
+
+    def setUp(self):
+        super().setUp()
+        self.nodes = [FakeNode('n1'), FakeNode('n2')]
+
+    def run_both(self, answer, test):
+        """Run a test with the target beside the node, then beside another."""
+
+        async def main(nursery):
+            for node in self.nodes:
+                node.target.answer = answer
+            for leaving in reversed(self.nodes):
+                for node in self.nodes:
+                    state = (
+                        TargetState.LEAVING
+                        if node is leaving
+                        else TargetState.SERVING
+                    )
+                    node.announce(state)
+                    self.nodes[0].directory.merge(node.entry)
+                address = self.nodes[0].path.caller_address
+                await test(await Caller.open(address))
+
+        self.run_nodes(main, *self.nodes)
+
+    def test_chunked_answer(self):
+        async def answer(connection, request, body):
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'3\r\nabc\r\n'
+            )
+            await connection.send(b'2\r\nde\r\n0\r\n\r\n')
+
+        async def test(caller):
+            for _ in range(2):
+                response, body = await caller.call('/reads/1')
+                self.assertEqual((200, b'abcde'), (response.status, body))
+
+        self.run_both(answer, test)
+
+    def test_answer_that_ends_with_its_connection(self):
+        async def answer(connection, request, body):
+            await connection.send(b'HTTP/1.1 200 OK\r\n\r\nabc')
+            connection.close()
+
+        async def test(caller):
+            for _ in range(2):
+                _, body = await caller.call('/reads/1')
+                self.assertEqual(b'abc', body)
+
+        self.run_both(answer, test)
+
+    def test_answer_without_a_body(self):
+        async def answer(connection, request, body):
+            await connection.send(b'HTTP/1.1 204 No Content\r\n\r\n')
+
+        async def test(caller):
+            for _ in range(2):
+                response, body = await caller.call('/reads/1')
+                self.assertEqual((204, b''), (response.status, body))
+                self.assertNotIn(b'content-length', response.fields)
+
+        self.run_both(answer, test)
+
+    def test_head_request(self):
+        async def answer(connection, request, body):
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n'
+            )
+
+        async def test(caller):
+            await caller.send('/reads/1', 'HEAD')
+            response = await caller.reader.next_response(head_only=True)
+            self.assertEqual(b'12', response.fields[b'content-length'])
+
+        self.run_both(answer, test)
+
+    def test_caller_of_http_1_0(self):
+        async def answer(connection, request, body):
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'3\r\nabc\r\n'
+            )
+            await connection.send(b'0\r\n\r\n')
+
+        async def test(caller):
+            await caller.connection.send(b'GET /reads/1 HTTP/1.0\r\n\r\n')
+            response, body = await caller.receive()
+            self.assertEqual(b'abc', body)
+            self.assertNotIn(b'transfer-encoding', response.fields)
+
+        self.run_both(answer, test)
+
+    def test_caller_that_waits_for_leave_to_send(self):
+        async def test(caller):
+            await caller.connection.send(
+                b'POST /orders HTTP/1.1\r\nHost: shop\r\n'
+                b'Expect: 100-continue\r\nContent-Length: 3\r\n\r\n'
+            )
+            interim = await caller.reader.next_response()
+            self.assertEqual(100, interim.status)
+            await caller.connection.send(b'abc')
+            _, body = await caller.receive()
+            self.assertEqual(b'abc', body)
+
+        self.run_both(self.nodes[0].target.echo, test)
+
+    def test_fields_of_the_system_cannot_be_forged(self):
+        async def answer(connection, request, body):
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+                b'X-Snipelead-Ran: no\r\nX-Snipelead-Code: SL3006\r\n\r\n'
+            )
+
+        async def test(caller):
+            response, _ = await caller.call('/orders/1', 'POST')
+            self.assertEqual(200, response.status)
+            self.assertNotIn(b'x-snipelead-ran', response.fields)
+
+        self.run_both(answer, test)
+
+    def test_answer_that_is_not_http(self):
+        async def answer(connection, request, body):
+            await connection.send(b'HELLO\r\n\r\n')
+
+        async def test(caller):
+            answer = await caller.call('/orders/1', 'POST')
+            self.assertEqual(('SL3012', 'unknown'), refusal_of(answer)[:2])
+
+        self.run_both(answer, test)
+
+    def test_answer_before_the_body_is_read(self):
+        async def test(caller):
+            await caller.connection.send(
+                b'POST /nothing HTTP/1.1\r\nHost: shop\r\n'
+                b'Content-Length: 5000000\r\n\r\n' + b'x' * 100_000
+            )
+            response, _ = await caller.receive()
+            self.assertEqual(404, response.status)
+            self.assertFalse(response.keep_alive)
+
+        self.run_both(self.nodes[0].target.echo, test)
