Ask the next control when one does not answer a read soon

Cause: reads waited 5 s for each silent control, twice over. Change: the next control is asked after 0.5 s, the first proved answer is taken; an unproved one is taken when all have answered or failed.

--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -24,6 +24,8 @@
 ROUNDS = 2
 LISTED_NOTES = 100
 RETRY_PAUSE_S = 0.5
+# The next control is asked when one has not answered a read for this long.
+STAGGER_S = 0.5
 
 UNKNOWN_ADVICE = 'unknown: read it back or resend the same note'
 # Answers to requests that were not even read as a note.
@@ -32,6 +34,39 @@
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
+class _ReadRace:
+    """Best answer of several controls to one read.
+
+    Attributes
+    ----------
+    scope : trio.CancelScope or None
+        Cancelled once the answer is final.
+    answer : ReleaseStatus, ReleaseList, FleetReport or None
+        Proved answer, or else the first one.
+    not_found, failure : SnipeleadError or None
+        Proof that there is no such release; another error.
+    """
+
+    def __init__(self):
+        self.scope = None
+        self.answer = None
+        self.not_found = None
+        self.failure = None
+
+    def take(self, answer):
+        """Take in an answer; a proved one is final."""
+        if answer.certified:
+            self.answer = answer
+            self.scope.cancel()
+        elif self.answer is None:
+            self.answer = answer
+
+    def refuse(self, error):
+        """Take in the proof that there is no such release."""
+        self.not_found = error
+        self.scope.cancel()
+
+
 class OperatorClient:
     """Talks to the controls on behalf of an operator.
 
@@ -145,29 +180,42 @@
         return _decode(address, response, SubmitAnswer)
 
     async def _read(self, path, answer_type):
-        """Read from the first control that proves itself current.
+        """Read from a control that proves itself current.
 
-        An answer that is not proved is returned when there is no better.
+        A control that does not answer soon does not hold up the others. An
+        answer that is not proved is returned when there is no better.
         """
-        unproved = None
-        failure = None
-        for address in self.addresses * self.rounds:
-            try:
-                response = await self.http.get(f'http://{address}{path}')
-                answer = _open_answer(address, response, answer_type)
-            except ReleaseNotFoundError:
-                raise
-            except httpx.HTTPError:
-                continue
-            except SnipeleadError as error:
-                failure = error
-                continue
-            if answer.certified:
-                return answer
-            unproved = unproved or answer
-        if unproved is not None:
-            return unproved
-        raise failure or self._no_control()
+        for _ in range(self.rounds):
+            race = _ReadRace()
+            await self._ask_in_turn(race, path, answer_type)
+            if race.not_found is not None:
+                raise race.not_found
+            if race.answer is not None:
+                return race.answer
+        raise race.failure or self._no_control()
+
+    async def _ask_in_turn(self, race, path, answer_type):
+        async with trio.open_nursery() as nursery:
+            race.scope = nursery.cancel_scope
+            for address in self.addresses:
+                finished = trio.Event()
+                nursery.start_soon(
+                    self._ask, race, address, path, answer_type, finished
+                )
+                with trio.move_on_after(STAGGER_S):
+                    await finished.wait()
+
+    async def _ask(self, race, address, path, answer_type, finished):
+        try:
+            response = await self.http.get(f'http://{address}{path}')
+            race.take(_open_answer(address, response, answer_type))
+        except ReleaseNotFoundError as error:
+            race.refuse(error)
+        except SnipeleadError as error:
+            race.failure = error
+        except httpx.HTTPError:
+            pass
+        finished.set()
 
     def _no_control(self):
         return NoControlError(
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -11,6 +11,7 @@
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.operators.app import make_app
 from snipelead.operators.client import OperatorClient
+from snipelead.operators.client import STAGGER_S
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.releases.note import load_note
 from snipelead.testing.fleet import FakeService
@@ -31,6 +32,7 @@
             self.apps[host] = httpx.ASGITransport(app)
         self.unreachable = set()
         self.loses_answers = set()
+        self.silent = set()
         self.hosts = []
 
     async def handle_async_request(self, request):
@@ -38,6 +40,8 @@
         self.hosts.append(host)
         if host in self.unreachable:
             raise httpx.ConnectError('refused')
+        if host in self.silent:
+            await trio.sleep_forever()
         response = await self.apps[host].handle_async_request(request)
         if host in self.loses_answers:
             raise httpx.ReadTimeout('no answer')
@@ -135,6 +139,20 @@
         self.source.certified = False
         self.assertFalse(self.run_client('list_releases').certified)
 
+    def test_silent_control_does_not_hold_up_a_read(self):
+        self.network.silent = {self.hosts[0]}
+
+        async def read():
+            client = OperatorClient(ADDRESSES, transport=self.network)
+            async with client:
+                started_s = trio.current_time()
+                answer = await client.list_releases()
+                return answer, trio.current_time() - started_s
+
+        answer, took_s = trio.run(read, clock=MockClock(autojump_threshold=0))
+        self.assertTrue(answer.certified)
+        self.assertEqual(STAGGER_S, took_s)
+
     def test_unknown_release_is_an_error(self):
         self.assertRaises(
             ReleaseNotFoundError, self.run_client, 'show_release', 9
