Build the operators' fake source on the one of the controls

Cause: two fakes of the same interface stood side by side under one name. Change: the operators' fake adds failures on demand to the other. The test of a silent control sets the fake's proof to take no time, so that it still compares with the exact stagger.

--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -19,8 +19,8 @@
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.operators.app import make_app
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
-from snipelead.testing.fleet import FakeSource
 from snipelead.testing.fleet import make_node_status
 
 NOTE = """
@@ -66,7 +66,7 @@
         self.directory = Path(self.useFixture(TempDir()).path)
         self.note = self.directory / 'note.yaml'
         self.note.write_text(NOTE)
-        self.source = FakeSource()
+        self.source = FailingSource()
         self.service = GrowingService(self.source, 2)
         app = make_app(self.service, self.source)
         self.useFixture(EnvironmentVariable(CONTROLS_VARIABLE, '127.0.0.1:1'))
@@ -139,7 +139,7 @@
         self.note.write_text('release: one')
         error = self.read_json(f'release submit {self.note} --json', 1)
         self.assertEqual('SL7001', error['code'])
-        self.assertEqual({}, self.source.known)
+        self.assertEqual({}, self.source.notes)
 
     def test_usage_errors_exit_2(self):
         for arguments in (
@@ -177,7 +177,7 @@
         self.assertEqual('SL4001', error['code'])
 
     def test_unproved_read_exits_3(self):
-        self.source.certified = False
+        self.source.certifies = False
         self.service.certified = False
         self.assertFalse(self.read_json('release list --json', 3)['certified'])
         self.run_command('fleet status', 3)
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -12,8 +12,8 @@
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmitAnswer
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
-from snipelead.testing.fleet import FakeSource
 from snipelead.testing.fleet import make_node_status
 from snipelead.types import OutcomeKind
 
@@ -32,7 +32,7 @@
 class OperatorAppTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.source = FakeSource()
+        self.source = FailingSource()
         self.service = FakeService()
 
     def request(self, method, path, body=None):
@@ -170,7 +170,7 @@
         self.assertIn(b'SL4001', body)
 
     def test_unproved_control_does_not_deny_a_release(self):
-        self.source.certified = False
+        self.source.certifies = False
         response, body = self.request('GET', '/v1/releases/7')
         self.assertEqual(503, response.status_code)
         self.assertIn(b'SL4002', body)
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -14,8 +14,8 @@
 from snipelead.operators.client import STAGGER_S
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.releases.note import load_note
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
-from snipelead.testing.fleet import FakeSource
 from snipelead.types import OutcomeKind
 
 NOTE = 'release: 1\nnote: n1\nchanges: []\n'
@@ -51,7 +51,7 @@
 class OperatorClientTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.source = FakeSource()
+        self.source = FailingSource()
         hosts = [a.split(':')[0] for a in ADDRESSES]
         self.hosts = hosts
         self.network = FakeControls(dict.fromkeys(hosts, self.source))
@@ -115,7 +115,7 @@
         self.assertRaises(NoControlError, self.submit)
 
     def test_failed_server_is_unknown_and_resent(self):
-        broken = FakeSource()
+        broken = FailingSource()
         broken.submit = partial(self._fail, broken)
         app = make_app(FakeService(), broken)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
@@ -126,8 +126,8 @@
         raise ZeroDivisionError
 
     def test_read_prefers_a_control_that_proves_itself_current(self):
-        stale = FakeSource()
-        stale.certified = False
+        stale = FailingSource()
+        stale.certifies = False
         app = make_app(FakeService(), stale)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
         self.source.apply(load_note(NOTE))
@@ -136,11 +136,12 @@
         self.assertEqual(1, listed.current.number)
 
     def test_read_falls_back_to_an_unproved_answer(self):
-        self.source.certified = False
+        self.source.certifies = False
         self.assertFalse(self.run_client('list_releases').certified)
 
     def test_silent_control_does_not_hold_up_a_read(self):
         self.network.silent = {self.hosts[0]}
+        self.source.certify_s = 0.0
 
         async def read():
             client = OperatorClient(ADDRESSES, transport=self.network)
--- a/snipelead/operators/tests/test_real_service.py
+++ b/snipelead/operators/tests/test_real_service.py
@@ -15,7 +15,7 @@
 from snipelead.releases.note import load_note
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import Peer
-from snipelead.testing.fleet import FakeSource
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.network import MemoryNetwork
 
 NOTE = 'release: 1\nnote: n1\nchanges: []\n'
@@ -40,7 +40,7 @@
             data_dir='unused',
             peers=(OWN, OTHER, THIRD),
         )
-        source = FakeSource()
+        source = FailingSource()
         source.apply(load_note(NOTE))
         transport = MemoryNetwork().transport(OWN.address)
         service = ControlService(settings, source, transport)
--- a/snipelead/testing/fleet.py
+++ b/snipelead/testing/fleet.py
@@ -1,9 +1,7 @@
-"""Fakes of a release source and a control service, for the interfaces."""
+"""Fakes for the operators' interface and the command line."""
 
 from msgspec import Struct
-import trio
 
-from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import FleetReply
 from snipelead.messages import NodeStatus
@@ -11,20 +9,19 @@
 from snipelead.releases.changes import apply_note
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.settings.schema import Peer
+from snipelead.testing.source import FakeSource
 from snipelead.types import ControlId
 from snipelead.types import OutcomeKind
 from snipelead.types import ZoneName
 
-__all__ = ['FakeService', 'FakeSource', 'make_node_status']
+__all__ = ['FailingSource', 'FakeService', 'make_node_status']
 
 
-class FakeSource(ReleaseSource):
-    """Release source in memory.
+class FailingSource(FakeSource):
+    """Source of which submissions fail on demand.
 
     Attributes
     ----------
-    certified : bool
-        What :meth:`certify` returns.
     failures : list of SnipeleadError
         Raised by the next submissions, one each.
     apply_failed : bool
@@ -32,27 +29,12 @@
     """
 
     def __init__(self):
-        self.current = EMPTY_RELEASE
-        self.certified = True
+        super().__init__()
         self.failures = []
         self.apply_failed = False
-        self.known = {}
-        self.changed = trio.Event()
-
-    async def wait_changed(self):
-        """Wait until ``current`` changes."""
-        await self.changed.wait()
-
-    async def certify(self):
-        """Tell whether this source counts as current."""
-        return self.certified
-
-    async def outcomes(self):
-        """Return the outcome of each note."""
-        return self.known
 
     async def submit(self, note):
-        """Apply a note once."""
+        """Apply a note once, or fail."""
         if self.failures:
             if self.apply_failed:
                 self.apply(note)
@@ -61,15 +43,13 @@
 
     def apply(self, note):
         """Apply a note once and return its outcome."""
-        if note.note not in self.known:
-            self.known[note.note] = self._decide(note)
-        return self.known[note.note]
+        if note.note not in self.notes:
+            self.notes[note.note] = self._decide(note)
+        return self.notes[note.note]
 
     def _decide(self, note):
         try:
-            self.current = apply_note(self.current, note)
-            self.changed.set()
-            self.changed = trio.Event()
+            self.publish(apply_note(self.current, note))
         except SnipeleadError as error:
             return SubmitReply(
                 OutcomeKind.REFUSED,
