--- a/snipelead/daemons/tests/test_end_to_end.py
+++ b/snipelead/daemons/tests/test_end_to_end.py
@@ -10,7 +10,6 @@
 import time
 
 from fixtures import TempDir
-import httpx
 import pytest
 from testtools.content import text_content
 from testtools.testcase import TestCase
@@ -39,7 +38,6 @@
 NEW_PAIR = 'stock-4'
 LEAVING_S = 3
 COMMAND_TIMEOUT_S = 90
-HTTP_TIMEOUT_S = 30
 LOG_TAIL_CHARS = 4_000
 CALLERS = 6
 PAUSE_S = 0.02
@@ -83,7 +81,7 @@
     """
 
     def __init__(self, folder):
-        self.folder = Path(folder)
+        super().__init__(folder, controls=0, services=())
         self.addresses = {}
         self.free = find_free_addresses(MAX_ADDRESSES)
         self.controls = [self.make(name) for name in CONTROLS]
@@ -157,8 +155,7 @@
         self.fleet = ExampleFleet(self.useFixture(TempDir()).path)
         self.addOnException(self.attach_logs)
         self.addCleanup(self.fleet.__exit__)
-        self.http = httpx.Client(timeout=HTTP_TIMEOUT_S, trust_env=False)
-        self.addCleanup(self.http.close)
+        self.http = self.fleet.client
         self.fleet.start()
 
     def attach_logs(self, exc_info):
