--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -15,7 +15,7 @@
 
 __all__ = [
     'ControlStatus',
-    'FleetStatus',
+    'FleetReport',
     'LaggingNode',
     'NoteOutcome',
     'ReleaseList',
@@ -29,9 +29,9 @@
     """How far an accepted release has got.
 
     ``ACCEPTED``: durable, not yet confirmed by all live nodes.
-    ``IN_FORCE``: confirmed by every live node, and every control answered.
-    ``IN_FORCE_WHERE_KNOWN``: confirmed by every live node heard of, but some
-    controls could not be asked for theirs.
+    ``IN_FORCE``: confirmed by every live node, and every control told of its
+    nodes. ``IN_FORCE_WHERE_KNOWN``: confirmed by every live node heard of,
+    but some controls did not answer or have just started.
     ``SUPERSEDED``: a later release was accepted.
     """
 
@@ -80,10 +80,23 @@
 
 
 class ReleaseList(Struct, frozen=True):
-    """Current release and the remembered outcomes, newest release first."""
+    """Current release and recent outcomes, newest submission first.
+
+    Parameters
+    ----------
+    current : Held
+        Newest release known.
+    certified : bool
+        Whether the control proved itself current by a majority.
+    remembered : int
+        Outcomes that the controls remember, of which these are the newest.
+    notes : tuple of NoteOutcome
+        Outcomes.
+    """
 
     current: Held
     certified: bool
+    remembered: int
     notes: tuple[NoteOutcome, ...] = ()
 
 
@@ -121,6 +134,9 @@
         Nodes whose lease ran out; they count as gone.
     unreachable_controls : tuple of ControlId
         Controls that could not be asked for their nodes.
+    warming_controls : tuple of ControlId
+        Controls that started less than a node lease ago and may not have
+        heard of all their nodes yet.
     """
 
     held: Held
@@ -134,6 +150,7 @@
     lagging: tuple[LaggingNode, ...] = ()
     silent_nodes: tuple[NodeId, ...] = ()
     unreachable_controls: tuple[ControlId, ...] = ()
+    warming_controls: tuple[ControlId, ...] = ()
 
 
 class ControlStatus(Struct, frozen=True):
@@ -142,16 +159,16 @@
     control_id: ControlId
     zone: ZoneName
     current: Held
-    certified: bool
     nodes: int
 
 
-class FleetStatus(Struct, frozen=True):
+class FleetReport(Struct, frozen=True):
     """Read-back of the fleet."""
 
     current: Held
     certified: bool
     controls: tuple[ControlStatus, ...]
     unreachable_controls: tuple[ControlId, ...]
+    warming_controls: tuple[ControlId, ...]
     nodes: tuple[NodeStatus, ...]
     targets: tuple[TargetEntry, ...]
--- a/specs/at_most_once.py
+++ b/specs/at_most_once.py
@@ -10,139 +10,21 @@
 """
 
 from dataclasses import dataclass
-from enum import IntEnum
-from typing import NamedTuple
 
-__all__ = ['AtMostOnce']
-
-
-class Phase(IntEnum):
-    """Progress of a node with one delivery of the request."""
-
-    NOT_RECEIVED = 0
-    CLAIMING = 1
-    GRANTED = 2
-    SENT = 3
-    NOT_RUN = 4
-    ANSWERED = 5
-    CRASHED = 6
-
-
-class Ran(IntEnum):
-    """What is said about whether the request ran."""
-
-    NO = 0
-    YES = 1
-    UNKNOWN = 2
-
-
-class Delivery(NamedTuple):
-    """One delivery of the request to a node.
-
-    Parameters
-    ----------
-    phase : Phase
-        Progress.
-    attempt : int
-        Attempts sent so far.
-    incarnation : int
-        Incarnation of the gate that the last attempt was sent to.
-    answer : Ran or None
-        Answer to the caller.
-    """
-
-    phase: Phase = Phase.NOT_RECEIVED
-    attempt: int = 0
-    incarnation: int = 0
-    answer: Ran | None = None
-
-
-class Register(NamedTuple):
-    """The key in the replicated log; claims carry the delivery's number."""
-
-    holder: int | None = None
-    ran: bool = False
-    given_back: frozenset[int] = frozenset()
-
-
-class Gate(NamedTuple):
-    """The target's own node; all of it is lost at a restart."""
-
-    incarnation: int = 1
-    queued: frozenset = frozenset()
-    started: frozenset = frozenset()
-    fenced: frozenset = frozenset()
-
-
-class AttemptId(NamedTuple):
-    """Names an attempt of a delivery."""
-
-    delivery: int
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Asks the log for the sole right to run the request."""
+from specs.claims import Attempt
+from specs.claims import AttemptAnswer
+from specs.claims import AttemptId
+from specs.claims import Claim
+from specs.claims import ClaimAnswer
+from specs.claims import Delivery
+from specs.claims import Fence
+from specs.claims import Gate
+from specs.claims import Phase
+from specs.claims import Ran
+from specs.claims import Settle
+from specs.claims import State
 
-    delivery: int
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimAnswer:
-    """Answer to a claim."""
-
-    delivery: int
-    granted: bool
-    ran: Ran
-
-
-@dataclass(frozen=True, slots=True)
-class Settle:
-    """Tells the log the end of a claimed request."""
-
-    delivery: int
-    ran: Ran
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """The request itself, for one incarnation of the gate."""
-
-    attempt: AttemptId
-    incarnation: int
-
-
-@dataclass(frozen=True, slots=True)
-class Fence:
-    """Forbids an attempt and asks whether it ran."""
-
-    attempt: AttemptId
-    incarnation: int
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptAnswer:
-    """What the gate says about an attempt."""
-
-    attempt: AttemptId
-    ran: Ran
-
-
-class State(NamedTuple):
-    """State of the nodes, the log, the gate and the messages.
-
-    Parameters
-    ----------
-    runs : tuple of AttemptId
-        Attempts that the target has run.
-    """
-
-    deliveries: tuple[Delivery, ...]
-    register: Register = Register()
-    gate: Gate = Gate()
-    messages: frozenset = frozenset()
-    runs: tuple[AttemptId, ...] = ()
+__all__ = ['AtMostOnce']
 
 
 @dataclass(frozen=True)
@@ -275,28 +157,16 @@
                 yield from self._fence(state, message)
 
     def _claim(self, state, number):
-        register = state.register
-        barred = self.given_back_is_final and number in register.given_back
-        if register.holder is None and not barred:
-            register = register._replace(holder=number)
-        granted = register.holder == number and not barred
-        ran = Ran.YES if register.ran else Ran.UNKNOWN
-        answer = ClaimAnswer(number, granted, ran)
+        register, answer = state.register.claim(
+            number, self.given_back_is_final
+        )
         yield (
-            f'the log answers claim {number}: {granted}',
+            f'the log answers claim {number}: {answer.granted}',
             _with(state, {answer})._replace(register=register),
         )
 
     def _settle(self, state, settle):
-        register = state.register
-        if settle.ran is Ran.NO:
-            given_back = register.given_back | {settle.delivery}
-            register = register._replace(given_back=given_back)
-        if register.holder == settle.delivery:
-            if settle.ran is Ran.NO:
-                register = register._replace(holder=None)
-            else:
-                register = register._replace(ran=True)
+        register = state.register.settle(settle.delivery, settle.ran)
         yield f'the log takes {settle}', state._replace(register=register)
 
     def _take_claim_answer(self, state, answer):
