--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,158 @@
+"""Remeasures the slopes and rewrites the tables of docs/CAPACITY.md.
+
+Run as ``python -m benchmarks.capacity``, or with ``--tables-only`` to
+rewrite the tables from the measurements of the last run.
+"""
+
+import argparse
+from datetime import datetime
+from datetime import UTC
+import os
+from pathlib import Path
+import platform
+
+from benchmarks.measurements import measure_calls
+from benchmarks.measurements import measure_claims
+from benchmarks.measurements import measure_fleet
+from benchmarks.measurements import measure_sizes
+from benchmarks.pages import replace_section
+from benchmarks.plots import plot_lines
+from benchmarks.roles import make_rows
+from benchmarks.slopes import fit_slopes
+from benchmarks.slopes import load_results
+from benchmarks.slopes import Results
+from benchmarks.slopes import save_results
+from snipelead.logs import configure_logs
+
+__all__ = ['main', 'render_roles', 'render_slopes']
+
+DOCS = Path(__file__).resolve().parents[1] / 'docs'
+PAGE = DOCS / 'CAPACITY.md'
+RESULTS = DOCS / 'capacity.json'
+CALL_COUNTS = (800, 1_600, 3_200, 6_400)
+CLAIM_COUNTS = (320, 640, 1_280, 2_560)
+NODE_COUNTS = (25, 50, 100, 200)
+SIZE_COUNTS = (60, 115, 230, 460)
+SERVICES = 230
+
+
+def measure_all(report=print):
+    """Run all measurements; takes several minutes.
+
+    Returns
+    -------
+    Results
+    """
+    report('sizes')
+    sizes = measure_sizes(SIZE_COUNTS)
+    report('calls')
+    calls, node_mb = measure_calls(CALL_COUNTS)
+    report('claims')
+    claims = measure_claims(CLAIM_COUNTS)
+    fleet = []
+    for count in NODE_COUNTS:
+        report(f'{count} nodes')
+        fleet.append(measure_fleet(count, SERVICES))
+    return Results(
+        date=datetime.now(UTC).strftime('%Y-%m-%d %H:%M UTC'),
+        machine=f'{os.cpu_count()} cores, Python {platform.python_version()}',
+        services=SERVICES,
+        node_mb=node_mb,
+        calls=calls,
+        claims=claims,
+        fleet=fleet,
+        sizes=sizes,
+    )
+
+
+def render_slopes(results, slopes):
+    """Return the table of slopes as Markdown lines."""
+    lines = [
+        f'Measured {results.date} on one machine, {results.machine}, shared'
+        ' with other work.',
+        '',
+        '| Slope | Each | Intercept | R² | Points (x: y) |',
+        '| --- | --- | --- | --- | --- |',
+    ]
+    for name in slopes.__struct_fields__:
+        line = getattr(slopes, name)
+        points = ', '.join(f'{x:g}: {y:.4g}' for x, y in line.points)
+        lines.append(
+            f'| `{name}` | {line.slope:.4g} | {line.intercept:.4g}'
+            f' | {line.r_squared:.3f} | {points} |'
+        )
+    return lines
+
+
+def render_roles(rows):
+    """Return the table of roles as Markdown lines."""
+    lines = [
+        '| Role | Quantity | Worked out | Limit | Fits | Working |',
+        '| --- | --- | --- | --- | --- | --- |',
+    ]
+    words = {None: 'no limit set', True: 'yes', False: '**no**'}
+    for row in rows:
+        bound = 'at least' if row.at_least else 'at most'
+        limit = '' if row.limit is None else f'{bound} {row.limit:.4g}'
+        lines.append(
+            f'| {row.role} | {row.quantity} | {row.value:.3g} {row.unit}'
+            f' | {limit} | {words[row.fits]} | {row.working} |'
+        )
+    return lines
+
+
+def write_page(results):
+    """Rewrite the tables and plots from measurements."""
+    slopes = fit_slopes(results)
+    text = PAGE.read_text()
+    text = replace_section(text, 'slopes', render_slopes(results, slopes))
+    rows = make_rows(results, slopes)
+    text = replace_section(text, 'roles', render_roles(rows))
+    PAGE.write_text(text)
+    plot_lines(
+        DOCS / 'capacity-convergence.png',
+        'Convergence of one change',
+        'nodes',
+        'seconds',
+        {'slowest of 10 changes': slopes.convergence},
+    )
+    plot_lines(
+        DOCS / 'capacity-bytes.png',
+        'Control bytes on all links',
+        'nodes',
+        'bytes',
+        {
+            'idle, each second': slopes.idle_bytes,
+            'one change': slopes.change_bytes,
+        },
+    )
+    plot_lines(
+        DOCS / 'capacity-calls.png',
+        'Processor time of calls',
+        'calls',
+        'seconds',
+        {
+            'own target': slopes.call_local,
+            'forwarded, first node': slopes.call_origin,
+            'forwarded, second node': slopes.call_owner,
+        },
+    )
+
+
+def main():
+    """Measure, unless told otherwise, and rewrite the page."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--tables-only',
+        action='store_true',
+        help='rewrite the tables from the last measurements',
+    )
+    arguments = parser.parse_args()
+    configure_logs(level='error')
+    if not arguments.tables_only:
+        save_results(measure_all(), RESULTS)
+    write_page(load_results(RESULTS))
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/measurements.py
+++ b/benchmarks/measurements.py
@@ -85,6 +85,8 @@
     change_bytes, change_control_s, change_node_s : float
         Bytes on all links, processor seconds of the busiest control and of
         the whole swarm, for each change of one setting.
+    change_disk_bytes : float
+        Growth of a control's data folder for each change.
     convergence_s : float
         Longest time from acceptance to in force on all nodes.
     restart_bytes, restart_control_s : float
@@ -102,6 +104,7 @@
     change_bytes: float = 0.0
     change_control_s: float = 0.0
     change_node_s: float = 0.0
+    change_disk_bytes: float = 0.0
     convergence_s: float = 0.0
     restart_bytes: float = 0.0
     restart_control_s: float = 0.0
@@ -295,11 +298,14 @@
 
 async def _measure_changes(point, swarm, read):
     before = read()
+    disk = _disk_bytes(swarm.fleet)
     times = [
         await swarm.time_change(change_revision(n)) for n in range(CHANGES)
     ]
     after = read()
     point.convergence_s = max(times)
+    disk = _disk_bytes(swarm.fleet) - disk
+    point.change_disk_bytes = disk / CHANGES
     point.change_bytes = (after.bytes - before.bytes) / CHANGES
     point.change_control_s = _busiest(before, after) / CHANGES
     point.change_node_s = (after.swarm_s - before.swarm_s) / CHANGES
--- /dev/null
+++ b/benchmarks/roles.py
@@ -0,0 +1,289 @@
+"""What each role needs at the letter's size, worked out from slopes."""
+
+from msgspec import Struct
+
+from benchmarks.letter import LETTER
+from benchmarks.letter import SECONDS_PER_DAY
+from snipelead.settings.schema import NodeTimings
+
+__all__ = ['Row', 'make_rows']
+
+# Share of the calls that may not be repeated and carry a key, assumed.
+CLAIM_SHARE = 0.01
+# Share of the calls that go to a target beside another node; with targets
+# chosen at random nearly all do.
+FORWARDED_SHARE = 1.0
+# Services that the callers of one node use, assumed.
+SUBSCRIPTIONS = 15
+# Controls that shared the nodes while the slopes were measured.
+CONTROLS = 3
+POLL_S = NodeTimings().hold_ms / 1_000
+
+
+class Row(Struct, frozen=True):
+    """One line of the capacity table.
+
+    Parameters
+    ----------
+    role, quantity : str
+        What is told of whom.
+    value, limit : float or None
+        Worked-out value, and the limit that the letter sets, if any.
+    unit : str
+        Unit of both.
+    working : str
+        How the value follows from slopes.
+    at_least : bool
+        Whether the limit is the least value, not the greatest.
+    """
+
+    role: str
+    quantity: str
+    value: float
+    limit: float | None
+    unit: str
+    working: str
+    at_least: bool = False
+
+    @property
+    def fits(self):
+        """Whether the value keeps the limit; None without a limit."""
+        if self.limit is None:
+            return None
+        if self.at_least:
+            return self.value >= self.limit
+        return self.value <= self.limit
+
+
+def make_rows(results, slopes):
+    """Return the rows of all roles.
+
+    Parameters
+    ----------
+    results : Results
+        Measurements, for what is not a slope.
+    slopes : Slopes
+        Fitted lines.
+    """
+    return [
+        *_node_rows(results, slopes),
+        *_call_rows(slopes),
+        *_control_rows(slopes),
+        *_voter_rows(results, slopes),
+        *_operator_rows(slopes),
+    ]
+
+
+def _subscribed_restarts_per_s():
+    """Restarts in a second that one node is told of."""
+    return LETTER.restarts_per_s * SUBSCRIPTIONS / LETTER.services
+
+
+def _node_rows(results, slopes):
+    idle = slopes.idle_bytes.slope
+    changes = slopes.change_bytes.slope * LETTER.changes_per_s
+    restarts = slopes.restart_bytes.slope * _subscribed_restarts_per_s()
+    cpu = (
+        slopes.idle_node.slope
+        + slopes.change_node.slope * LETTER.changes_per_s
+    )
+    targets = SUBSCRIPTIONS * LETTER.targets_per_service
+    memory = (
+        results.node_mb
+        + slopes.release_bytes.at(LETTER.services) / 1e6
+        + slopes.directory_bytes.at(targets) / 1e6
+    )
+    return [
+        Row(
+            'node, control',
+            'bytes',
+            idle + changes + restarts,
+            LETTER.node_bytes_per_s,
+            'B/s',
+            f'idle {idle:.0f} + changes {changes:.1f}'
+            f' + restarts {restarts:.2f}',
+        ),
+        Row(
+            'node, control',
+            'processor',
+            100 * cpu,
+            LETTER.node_core_percent,
+            '% of a core',
+            f'idle {100 * slopes.idle_node.slope:.3f} % +'
+            f' {1e3 * slopes.change_node.slope:.2f} ms a change x'
+            f' {LETTER.changes_per_s:.3f}/s',
+        ),
+        Row(
+            'node, control',
+            'memory',
+            memory,
+            LETTER.node_mb,
+            'MB',
+            f'process {results.node_mb:.0f} + release of {LETTER.services}'
+            f' services + {targets:.0f} targets of {SUBSCRIPTIONS} services',
+        ),
+        Row(
+            'node, control',
+            'polls sent',
+            1 / POLL_S,
+            None,
+            'messages/s',
+            f'one held poll in {POLL_S:g} s, and one for each news',
+        ),
+    ]
+
+
+def _call_rows(slopes):
+    rate = LETTER.calls_per_node_s
+    local, origin, owner = (
+        slopes.call_local.slope,
+        slopes.call_origin.slope,
+        slopes.call_owner.slope,
+    )
+    both = FORWARDED_SHARE * (origin + owner)
+    return [
+        Row(
+            'node, calls',
+            'processor for a call at its own target',
+            1e6 * local,
+            None,
+            'us',
+            'slope',
+        ),
+        Row(
+            'node, calls',
+            'processor for a forwarded call, both nodes',
+            1e6 * (origin + owner),
+            None,
+            'us',
+            f'{1e6 * origin:.0f} where it arrives'
+            f' + {1e6 * owner:.0f} beside the target',
+        ),
+        Row(
+            'node, calls',
+            'processor for all calls',
+            100 * rate * both,
+            None,
+            '% of a core',
+            f'{rate:.0f} calls/s arrive and as many are forwarded to it',
+        ),
+        Row(
+            'node, calls',
+            'most calls of one process',
+            1 / both,
+            rate,
+            'calls/s',
+            'one core; the mean rate is needed, bursts are not in it',
+            at_least=True,
+        ),
+    ]
+
+
+def _control_rows(slopes):
+    nodes = LETTER.nodes_per_control
+    idle = slopes.idle_control.slope * nodes * CONTROLS
+    changes = slopes.change_control.slope * CONTROLS * nodes
+    subscribers = nodes * SUBSCRIPTIONS / LETTER.services
+    restarts = slopes.restart_control.slope * CONTROLS * subscribers
+    cpu = (
+        idle
+        + changes * LETTER.changes_per_s
+        + restarts * LETTER.restarts_per_s
+    )
+    return [
+        Row(
+            'control relay',
+            'processor',
+            100 * cpu,
+            100.0,
+            '% of a core',
+            f'{nodes:.0f} nodes each; idle {100 * idle:.1f} %, a change'
+            f' {1e3 * changes:.0f} ms, a restart {1e3 * restarts:.0f} ms',
+        ),
+        Row(
+            'control relay',
+            'memory',
+            slopes.control_mb.intercept
+            + slopes.control_mb.slope * CONTROLS * nodes,
+            None,
+            'MB',
+            f'{slopes.control_mb.intercept:.0f}'
+            f' + {1e3 * slopes.control_mb.slope * CONTROLS:.0f} KB a node',
+        ),
+        Row(
+            'control relay',
+            'polls answered',
+            nodes / POLL_S,
+            None,
+            'messages/s',
+            f'{nodes:.0f} nodes, one held poll in {POLL_S:g} s each',
+        ),
+        Row(
+            'fleet',
+            'convergence of a change',
+            slopes.convergence.intercept
+            + slopes.convergence.slope * CONTROLS * nodes,
+            LETTER.convergence_s,
+            's',
+            f'{nodes:.0f} nodes on each control, all of them at work at the'
+            ' same time; one more hop to relays is not in the slope',
+        ),
+    ]
+
+
+def _voter_rows(results, slopes):
+    claims = CLAIM_SHARE * LETTER.calls_per_s
+    most = 1 / max(slopes.claim_leader.slope, slopes.claim_elapsed.slope)
+    on_disk = max(point.change_disk_bytes for point in results.fleet)
+    per_day = LETTER.changes_per_day * on_disk
+    return [
+        Row(
+            'control voter',
+            'claims that one leader makes',
+            most,
+            claims,
+            'claims/s',
+            f'slope; {CLAIM_SHARE:.0%} of all calls are assumed to need one',
+            at_least=True,
+        ),
+        Row(
+            'control voter',
+            'log of changes',
+            per_day / 1e6,
+            None,
+            'MB/day',
+            f'{LETTER.changes_per_day} changes of {on_disk:.0f} B;'
+            ' compacted every 1,000 entries',
+        ),
+    ]
+
+
+def _operator_rows(slopes):
+    read_s = slopes.read_control.at(LETTER.nodes)
+    read_mb = slopes.read_bytes.at(LETTER.nodes) / 1e6
+    return [
+        Row(
+            'operator interface',
+            'processor for a read of the fleet',
+            1e3 * read_s,
+            None,
+            'ms',
+            'slope to all nodes',
+        ),
+        Row(
+            'operator interface',
+            'answer to a read of the fleet',
+            read_mb,
+            None,
+            'MB',
+            'slope to all nodes',
+        ),
+        Row(
+            'operator interface',
+            'changes taken',
+            LETTER.changes_per_day / SECONDS_PER_DAY,
+            None,
+            'notes/s',
+            'letter',
+        ),
+    ]
