--- a/snipelead/testing/exceptions.py
+++ b/snipelead/testing/exceptions.py
@@ -2,10 +2,16 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['ConditionTimeoutError']
+__all__ = ['ConditionTimeoutError', 'ProcessEndedError']
 
 
 class ConditionTimeoutError(SnipeleadError):
     """A condition did not come to hold within a test's time limit."""
 
     code = 'SL8010'
+
+
+class ProcessEndedError(SnipeleadError):
+    """A process of a test ended before it was ready."""
+
+    code = 'SL8011'
--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -17,6 +17,7 @@
 from snipelead.settings.schema import Peer
 from snipelead.settings.schema import TargetSettings
 from snipelead.testing.exceptions import ConditionTimeoutError
+from snipelead.testing.exceptions import ProcessEndedError
 from snipelead.types import ControlId
 from snipelead.types import NodeId
 from snipelead.types import ServiceName
@@ -30,6 +31,7 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 30.0
 HTTP_TIMEOUT_S = 30.0
+LOG_TAIL_CHARS = 2_000
 
 
 def wait_for(condition: Callable, what: str, timeout_s: float = WAIT_S):
@@ -111,6 +113,19 @@
         """Tell whether the process was started and has not ended."""
         return self.popen is not None and self.popen.poll() is None
 
+    def check_running(self):
+        """Return True, or raise when the process has ended.
+
+        Raises
+        ------
+        ProcessEndedError
+            With the end of its log.
+        """
+        if self.is_running():
+            return True
+        log = self.log_path.read_text()[-LOG_TAIL_CHARS:]
+        raise ProcessEndedError(f'{self.name} has ended; its log: {log}')
+
     def kill(self):
         """End the process by SIGKILL and wait for its end."""
         if self.is_running():
@@ -211,7 +226,8 @@
         """Wait until some processes answer their status."""
         for process in processes:
             wait_for(
-                lambda p=process: is_ready(self.client, p),
+                lambda p=process: p.check_running()
+                and is_ready(self.client, p),
                 f'{process.name} up',
             )
 
