--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -128,7 +128,7 @@
             offer=self._make_offer(),
         )
 
-    async def wait_interrupted(self, request):
+    async def wait_interrupted(self):
         """Wait until targets, subscriptions or leaving are news."""
         while self._facts() == self._registered_facts():
             async with trio.open_nursery() as nursery:
@@ -211,7 +211,7 @@
             self.links.forget_failures()
             log_event(FLOOR_UNCERTIFIED, release=release.number)
             return 0.0
-        self.links.defer(link)
+        self.links.skip(link)
         return self.floor_backoff.next_s()
 
     def _facts(self):
