Keep hashes of messages in the model of the log

Cause: each step rebuilt the set of messages and hashed them all again.

Change: obsolete messages are taken from the set instead.

--- a/specs/log_agreement.py
+++ b/specs/log_agreement.py
@@ -195,11 +195,9 @@
     def _put(self, state, number, voter, sent=()):
         """Replace a voter and send messages; forget those without effect."""
         voters = (*state.voters[:number], voter, *state.voters[number + 1 :])
-        messages = frozenset(
-            message
-            for message in state.messages.union(sent)
-            if _can_matter(message, voters)
-        )
+        messages = state.messages.union(sent)
+        obsolete = [m for m in messages if not _can_matter(m, voters)]
+        messages = messages.difference(obsolete)
         return state._replace(voters=voters, messages=messages)
 
     def _crash(self, state, number, voter):
