Tell the truth about forgotten notes and about later refusals

Cause: comparing the code with the models of racing operators and of claims showed two answers that could be false. (1) Outcomes are kept for 10,000 notes; the resend of a note accepted before that was refused, as its number was no longer above the current one. (2) When the first attempt of a command timed out and a later one met a busy voter, the busy answer was passed on, which says that nothing took effect, although the first may still be applied.

Proposers and forwarders pass a refusal on only when no earlier attempt may have been taken.

Ruled out: taking refused notes into the mark, since a refused note with a high number would bar all releases below.

--- a/snipelead/controls/exceptions.py
+++ b/snipelead/controls/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     'NoControlError',
     'NoQuorumError',
+    'OutcomeForgottenError',
     'OutcomeUnknownError',
     'StaleRequestError',
 ]
@@ -28,6 +29,12 @@
     code = 'SL2003'
 
 
+class OutcomeForgottenError(OutcomeUnknownError):
+    """The note may have been accepted so long ago that it is not on record."""
+
+    code = 'SL2005'
+
+
 class StaleRequestError(SnipeleadError):
     """A poll came after a newer one of the same node and was dropped."""
 
--- a/snipelead/controls/forwarding.py
+++ b/snipelead/controls/forwarding.py
@@ -3,6 +3,8 @@
 from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
 from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcTimeoutError
@@ -10,6 +12,15 @@
 
 __all__ = ['forward']
 
+_NOT_SENT = (RpcNotSentError, NoControlError)
+_UNREACHED = (RpcUnreachableError, RpcTimeoutError, NoControlError)
+_MAYBE_SENT = (
+    OutcomeUnknownError,
+    RpcUnreachableError,
+    RpcTimeoutError,
+    RpcInternalError,
+)
+
 
 async def forward(links, request, timeout_s):
     """Send an idempotent request to controls until one gives its outcome.
@@ -42,17 +53,19 @@
     for link in links.ordered():
         try:
             return await link.calls.call(request, timeout_s)
-        except (RpcNotSentError, NoControlError):
-            links.defer(link)
-        except NoQuorumError as error:
-            refused = error
-        except OutcomeUnknownError as error:
-            maybe = error
-        except (RpcUnreachableError, RpcTimeoutError) as error:
-            links.defer(link)
-            maybe = error
-        except RpcInternalError as error:
-            maybe = error
+        except SnipeleadError as error:
+            if isinstance(error, _UNREACHED):
+                links.defer(link)
+            if isinstance(error, NoQuorumError):
+                refused = error
+            elif isinstance(error, _NOT_SENT):
+                continue
+            elif isinstance(error, _MAYBE_SENT):
+                maybe = error
+            elif maybe is None or isinstance(error, InvariantError):
+                # Once an earlier control may have taken the request, what
+                # a later one did not do says nothing.
+                raise
     name = type(request).__name__
     if maybe is not None:
         raise OutcomeUnknownError(
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import ClaimReply
@@ -45,6 +46,8 @@
     StorageWriteError,
     MemberReplacedError,
 )
+# Not worth another attempt.
+_FINAL = (OutcomeForgottenError, VoterBusyError, ClaimsFullError)
 
 
 def _reply_type(command):
@@ -193,7 +196,8 @@
         NoQuorumError, QuorumLostError
             The command was never appended.
         OutcomeUnknownError
-            The command may have been appended.
+            The command may have been appended, or its outcome is no
+            longer on record.
         VoterBusyError, ClaimsFullError
             Nothing took effect.
         """
@@ -205,8 +209,10 @@
                 with trio.move_on_at(deadline):
                     return await self.attempt(command, packed)
                 sent = True
-            except (VoterBusyError, ClaimsFullError):
-                raise
+            except _FINAL:
+                # An attempt before this one may still take effect.
+                if not sent:
+                    raise
             except SnipeleadError as error:
                 sent = sent or not isinstance(error, _NOT_APPENDED)
             if trio.current_time() >= deadline or self.is_hopeless():
--- a/snipelead/voters/state.py
+++ b/snipelead/voters/state.py
@@ -7,6 +7,7 @@
 import xxhash
 import zstandard
 
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import SubmitReply
@@ -16,6 +17,7 @@
 from snipelead.releases.exceptions import NumberTakenError
 from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
+from snipelead.types import ReleaseNumber
 from snipelead.voters.claims import ClaimRecord
 from snipelead.voters.claims import Claims
 from snipelead.voters.exceptions import NoteReusedError
@@ -60,6 +62,7 @@
     past: list[PastRelease]
     outcomes: list[NoteOutcome]
     claims: list[ClaimRecord]
+    forgotten_number: ReleaseNumber = ReleaseNumber(0)
 
 
 class State:
@@ -75,6 +78,8 @@
         Newest and recent releases.
     notes : OrderedDict of NoteId to NoteOutcome
         Outcomes, oldest first; at most ``MAX_OUTCOMES``.
+    forgotten_number : ReleaseNumber
+        Newest accepted release whose outcome was dropped from ``notes``.
     claims : Claims
         Claims of requests that may not be repeated.
     """
@@ -84,6 +89,7 @@
         self.time_ms = 0
         self.history = History()
         self.notes = OrderedDict()
+        self.forgotten_number = ReleaseNumber(0)
         self.claims = Claims()
 
     @property
@@ -138,12 +144,30 @@
                     note=note.note,
                 )
             )
+        if self._may_be_forgotten(note):
+            return OutcomeForgottenError(
+                f'note {note.note!r} may have been accepted as release'
+                f' {note.release}, which is no longer on record',
+                current=self.current.number,
+            )
         reply = self._decide(note)
         self.notes[note.note] = NoteOutcome(note.note, contents, reply)
         if len(self.notes) > MAX_OUTCOMES:
-            self.notes.popitem(last=False)
+            self._forget_oldest()
         return reply
 
+    def _may_be_forgotten(self, note):
+        """Tell whether a note without outcome may have been accepted."""
+        winner = self.history.winner_of(note.release)
+        return note.release <= self.forgotten_number and (
+            winner in (None, note.note)
+        )
+
+    def _forget_oldest(self):
+        _, oldest = self.notes.popitem(last=False)
+        if oldest.reply.held is not None:
+            self.forgotten_number = oldest.reply.held.number
+
     def _decide(self, note):
         winner = self.history.winner_of(note.release)
         if winner is not None:
@@ -174,6 +198,7 @@
             self.history.past,
             list(self.notes.values()),
             list(self.claims.records.values()),
+            self.forgotten_number,
         )
         packer = zstandard.ZstdCompressor(COMPRESSION_LEVEL)
         return packer.compress(_encode(saved))
@@ -190,6 +215,7 @@
         state.history = History(current, saved.past)
         state.notes.update((o.note_id, o) for o in saved.outcomes)
         state.claims = Claims(saved.claims)
+        state.forgotten_number = saved.forgotten_number
         return state
 
 
--- a/snipelead/voters/tests/test_state.py
+++ b/snipelead/voters/tests/test_state.py
@@ -3,6 +3,7 @@
 from testtools import ExpectedException
 from testtools import TestCase
 
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.exceptions import InvariantError
 from snipelead.messages import ClaimRequest
 from snipelead.messages import SettleRequest
@@ -75,6 +76,29 @@
                 self.submit(number)
         self.assertEqual(3, len(self.state.notes))
 
+    def test_resend_of_a_forgotten_note_is_not_refused(self):
+        with mock.patch('snipelead.voters.state.MAX_OUTCOMES', 3):
+            for number in range(1, 10):
+                self.submit(number, f'note-{number}')
+            self.restart()
+            # Accepted long ago; to refuse it would be false.
+            result = self.submit(2, 'note-2')
+            self.assertIsInstance(result, OutcomeForgottenError)
+            self.assertEqual(9, self.state.current.number)
+            # Another note took the number, which is still on record.
+            self.assertEqual('SL7003', self.submit(8, 'late').code)
+            self.assertEqual(
+                OutcomeKind.ACCEPTED, self.submit(10, 'new').outcome
+            )
+
+    def test_forgotten_refusal_bars_no_new_release(self):
+        with mock.patch('snipelead.voters.state.MAX_OUTCOMES', 2):
+            self.submit(1, 'first', 'x')
+            self.submit(900, 'refused', 'x')
+            for number in range(2, 6):
+                accepted = self.submit(number, f'note-{number}')
+                self.assertEqual(OutcomeKind.ACCEPTED, accepted.outcome)
+
     def test_old_releases_are_bases_of_deltas(self):
         held = [self.state.current]
         for number in range(1, 651):
