Make durable what is published before nodes are told

Cause: the model of restarted nodes shows a step back when a zone is cut off, its control restarts and a node restarts.

Change: a voter saves its commit index before it tells of a new release, with the lock of the log held, so that all entries up to it are on its own disk; at start it applies its log up to there. A log that ends before the published index has lost synced entries and is refused as corrupt.

--- a/snipelead/voters/journal.py
+++ b/snipelead/voters/journal.py
@@ -6,9 +6,11 @@
 from snipelead.voters.events import MEMBERSHIP_CHANGED
 from snipelead.voters.events import SNAPSHOT_INSTALLED
 from snipelead.voters.events import SNAPSHOT_SAVED
+from snipelead.voters.exceptions import CorruptStorageError
 from snipelead.voters.log import Log
 from snipelead.voters.signal import Signal
 from snipelead.voters.state import State
+from snipelead.voters.storage import Published
 from snipelead.voters.storage import SavedState
 
 __all__ = ['FIRST_INDEX', 'Journal']
@@ -33,6 +35,8 @@
         Entries held in memory.
     state : State
         State after the last committed entry.
+    published : Release
+        Newest release that others may be told of.
     commit_index : LogIndex
         Last entry known to be committed; all up to it are applied.
     configurations : list of tuple of (LogIndex, Configuration)
@@ -48,6 +52,7 @@
         self.snapshot_entries = snapshot_entries
         self.log = Log()
         self.state = State()
+        self.published = self.state.current
         self.commit_index = LogIndex(0)
         self.configurations = []
         self.applied = Signal()
@@ -60,6 +65,30 @@
         if saved is not None:
             self._take_state(saved)
         self.note_configurations(self.log.entries)
+        self._recover_published()
+
+    def _recover_published(self):
+        """Apply what others were told of: it is known to be committed."""
+        index = self.storage.published.index
+        if index > self.log.last_index:
+            raise CorruptStorageError(
+                f'the log ends at {self.log.last_index}, but entries up to'
+                f' {index} were published',
+                file='log',
+            )
+        self.commit_to(index)
+        self.published = self.state.current
+
+    async def publish(self):
+        """Make durable that the newest release is committed.
+
+        Others may be told of it afterwards: this member will know of it
+        also when it starts again without a majority in reach. No write of
+        the log may be under way.
+        """
+        release = self.state.current
+        await self.storage.save_published(Published(self.commit_index))
+        self.published = release
 
     def _take_state(self, saved):
         state = State.decode(saved.state)
--- a/snipelead/voters/storage.py
+++ b/snipelead/voters/storage.py
@@ -20,10 +20,11 @@
 from snipelead.voters.messages import Entry
 from snipelead.voters.messages import Member
 
-__all__ = ['Identity', 'SavedState', 'Storage', 'Vote']
+__all__ = ['Identity', 'Published', 'SavedState', 'Storage', 'Vote']
 
 IDENTITY_NAME = 'identity'
 VOTE_NAME = 'vote'
+PUBLISHED_NAME = 'published'
 SNAPSHOT_PREFIX = 'snapshot-'
 LOG_PREFIX = 'log-'
 EPOCH_BYTES = 8
@@ -45,6 +46,12 @@
     candidate: Member | None = None
 
 
+class Published(Struct, frozen=True):
+    """Index up to which entries were committed when others were told."""
+
+    index: LogIndex = LogIndex(0)
+
+
 class SavedState(Struct, frozen=True):
     """Encoded state after the entry at ``index``."""
 
@@ -75,6 +82,8 @@
         Who the folder belongs to.
     vote : Vote
         Current term and vote.
+    published : Published
+        What others were told of.
     saved : SavedState or None
         Newest snapshot.
     failed : bool
@@ -85,6 +94,7 @@
         self.files = files
         self.identity = None
         self.vote = Vote()
+        self.published = Published()
         self.saved = None
         self.failed = False
         self.generation = 0
@@ -122,6 +132,8 @@
             )
         if VOTE_NAME in names:
             self.vote = await self._load(VOTE_NAME, names, Vote)
+        if PUBLISHED_NAME in names:
+            self.published = await self._load(PUBLISHED_NAME, names, Published)
         return await self._open_log(names)
 
     async def _load(self, name, names, kind):
@@ -199,6 +211,11 @@
         await self._replace(VOTE_NAME, vote)
         self.vote = vote
 
+    async def save_published(self, published):
+        """Replace the index up to which others were told of releases."""
+        await self._replace(PUBLISHED_NAME, published)
+        self.published = published
+
     async def append(self, entries):
         """Write entries; they replace what they overlap in the log."""
         await self._write(
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -14,6 +14,7 @@
 from snipelead.testing.simulation import run_simulated
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
+from snipelead.voters.exceptions import CorruptStorageError
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.replication import Replication
 
@@ -53,6 +54,39 @@
 
 
 class ThreeVotersTest(ClusterCase):
+    def test_lone_restarted_voter_knows_what_was_published(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            for number in (1, 2):
+                self.accept(
+                    await cluster.voters[leader].submit(make_note(number))
+                )
+            await cluster.wait_release(2)
+            for name in cluster.names:
+                await cluster.kill(name)
+            for name in cluster.names:
+                await cluster.start(name)
+                voter = cluster.voters[name]
+                self.assertEqual(2, voter.current.number)
+                self.assertFalse(await voter.certify())
+                await cluster.kill(name)
+
+        self.run_cluster(test)
+
+    def test_log_that_lost_what_was_published_is_refused(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            name = cluster.followers[0]
+            self.accept(await cluster.voters[name].submit(make_note(1)))
+            await cluster.wait_release(1)
+            await cluster.kill(name)
+            disk = cluster.disks[name]
+            del disk.contents[disk.find('log-')][-10:]
+            await cluster.start(name)
+            self.assertIsInstance(cluster.failures[name], CorruptStorageError)
+
+        self.run_cluster(test)
+
     def test_follower_forwards_and_certifies(self):
         async def test(cluster):
             await cluster.wait_leader()
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -161,13 +161,15 @@
             self.replica.fail(error)
 
     async def run_changes(self):
-        """Tell waiters when the newest release changes."""
-        known = self.current
+        """Publish each newest release and tell waiters."""
+        journal = self.replica.journal
         while True:
-            if self.current is known:
-                await self.replica.journal.applied.wait()
+            if journal.published is journal.state.current:
+                await journal.applied.wait()
                 continue
-            known = self.current
+            # With the lock held, all entries in memory are on the disk.
+            async with self.replica.exclusive():
+                await journal.publish()
             self.changed.notify()
 
     def handlers(self):
@@ -190,7 +192,7 @@
     @property
     def current(self):
         """Newest committed release known to this voter."""
-        return self.replica.journal.state.current
+        return self.replica.journal.published
 
     def find(self, digest):
         """Return a recent release by digest, or None."""
@@ -210,11 +212,20 @@
         """
         with trio.move_on_after(CERTIFY_TIMEOUT_S):
             try:
-                return await self.pass_barrier()
+                return (
+                    await self.pass_barrier() and await self.wait_published()
+                )
             except SnipeleadError:
                 return False
         return False
 
+    async def wait_published(self):
+        """Wait until the newest release applied so far is published."""
+        number = self.replica.journal.state.current.number
+        while self.current.number < number:
+            await self.changed.wait()
+        return True
+
     async def pass_barrier(self):
         """Wait until all that was accepted before the call is applied."""
         replica = self.replica
