Count an attempt that the end of a soak interrupts as open

Change: an interrupted attempt is noted, so that the note counts as possibly sent.

Ruled out by a trace of the note: a doubled request, and a refusal told by a voter after an append.

--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -33,6 +33,7 @@
 READERS = 2
 KEYS = 25
 KEY_PERIOD_S = 20
+CANCELLED = 'cancelled'
 RECOVERY_S = 60
 # One seed in so many runs five voters, the others three.
 FIVE_VOTERS_EVERY = 4
@@ -139,6 +140,10 @@
             for _ in range(self.random.randint(1, 4)):
                 try:
                     reply = await self.call(channels, SubmitRequest(note))
+                except trio.Cancelled:
+                    # The run ends, and this attempt may still take effect.
+                    self.ledger.note_error(note, CANCELLED)
+                    raise
                 except SnipeleadError as error:
                     self.ledger.note_error(note, error.code)
                     continue
