Take an uncertified floor from the own zone's control alone

Cause: a restarted node without a certificate settled for what any control gave it, once those of its zone had been asked, also when they had not answered. A control of another zone that is itself cut off may be further behind than what the node ran before (model of restarted nodes).

Change: the answer that a node settles by must come from a control of its own zone, where the zone has one.

Measured: the new test fails before (release 1 after 10 s) and passes after. Price: with the zone's control down and no majority in reach, a restarted node does not serve until one of them is back.

--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -196,14 +196,16 @@
         """Settle for the highest release in reach once time is up."""
         waited_s = trio.current_time() - self.started_at
         release = self.holder.current
-        asked_all = all(
-            other.asked
+        # Another zone's control may be further behind than this node was.
+        home = [
+            other
             for other in self.links.links
             if other.zone == self.settings.zone
-        )
+        ]
         if (
             waited_s >= FLOOR_LIMIT_S
-            and asked_all
+            and (link in home or not home)
+            and all(other.asked for other in home)
             and not reply.warming
             and release.number > 0
         ):
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -224,6 +224,25 @@
 
         run_mesh(run)
 
+    def test_control_of_another_zone_gives_no_uncertified_floor(self):
+        async def run():
+            async with open_mesh(('a', 'b')) as mesh:
+                old = make_release()
+                stale = FakeSource(old)
+                stale.certifies = False
+                await mesh.start_control(1, stale)
+                # In its former life the node ran release 2.
+                node = await mesh.start_node()
+                await trio.sleep(120)
+                self.assertFalse(node.holder.ready)
+                home = FakeSource(change_route(old))
+                home.certifies = False
+                await mesh.start_control(0, home)
+                await wait_until(lambda: node.holder.ready)
+                self.assertEqual(2, node.number)
+
+        run_mesh(run)
+
     def test_without_certificate_highest_in_reach_after_the_limit(self):
         async def run():
             async with open_mesh(('a', 'a')) as mesh:
