Model the read barrier

Cause: that a control which is cut off certifies nothing stale was shown by random runs alone.

Change: a model of rounds, deposed leaders and the entry of the leader's term.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -12,12 +12,14 @@
 from specs.drain import Drain
 from specs.log_agreement import LogAgreement
 from specs.node_floor import NodeFloor
+from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 
 MODELS = (
     LogAgreement(max_term=2, max_entries=2),
     LogAgreement(max_term=3),
     DiskLoss(max_elections=2),
+    ReadBarrier(),
     NodeFloor(max_lives=1),
     NodeFloor(zone_fallback=True, max_failovers=0),
     AtMostOnce(),
@@ -27,10 +29,13 @@
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
+    LogAgreement(max_term=4),
     DiskLoss(),
+    ReadBarrier(max_term=3),
     NodeFloor(),
+    NodeFloor(max_number=3, max_lives=1, max_control_restarts=0),
     AtMostOnce(max_incarnations=3),
-    AtMostOnce(deliveries=3, max_attempts=1, max_incarnations=1),
+    AtMostOnce(deliveries=3, max_attempts=1),
     ReleaseRace(max_log=6, max_elections=3),
     Drain(requests=6),
 )
