Send no truncated body to another target

Cause: after a body of more than 64 KiB had been passed on as it arrived, the request counted as complete, and a server error or a lost answer on a repeatable route led to another attempt, although the body was gone. With a stated length the next target waited for it until the deadline; a chunked one was taken as whole and run without its body.

Change: an attempt may follow only when the whole body was kept or nothing of it has been taken; what goes out with the head counts as taken.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -72,7 +72,9 @@
         if not self.directory.targets(route.service):
             await self._ask_directory(route.service)
         self.balancer.budget(route).earn()
+        # A body that is passed on as it arrives cannot be sent again.
         body = request.take_received() if request.complete else None
+        call.replayable = body is not None
         tried = set()
         failure = None
         while True:
@@ -80,6 +82,7 @@
             tried.add(observation.entry.target_id)
             if body:
                 request.chunks = deque((body,))
+                request.body_size = 0
             try:
                 if await self._attempt(
                     connection, request, call, route, observation, tried
@@ -104,7 +107,7 @@
             error.elsewhere
             and not call.answering
             and (call.ran is Ran.NO or not call.once)
-            and (request.complete or request.body_size == 0)
+            and (call.replayable or request.body_size == 0)
         )
         if not allowed:
             return False
@@ -122,7 +125,7 @@
         return (
             response.status >= _FIRST_ERROR_STATUS
             and not call.once
-            and request.complete
+            and call.replayable
             and self.balancer.has_other(route.service, tried)
             and self._spend(call, route)
         )
--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -71,6 +71,8 @@
         What is known of the earlier attempts.
     gone : bool
         Whether the caller went away.
+    replayable : bool
+        Whether the whole body is kept for further attempts.
     answering : bool
         Whether the answer has begun to be sent.
     attempts : int
@@ -92,6 +94,7 @@
         'once',
         'queue_wait_s',
         'ran',
+        'replayable',
         'request_class',
         'scope',
         'slot_at',
@@ -111,6 +114,7 @@
         self.ran = Ran.NO
         self.earlier_ran = Ran.NO
         self.gone = False
+        self.replayable = False
         self.answering = False
         self.attempts = 0
         self.queue_wait_s = 0.0
