Let log time go by elapsed time, not by wall clocks

Cause: claims expired by the greatest wall clock of any leader.

Change: a leader goes on from the newest log time in its log by the time that it has led; no wall clock is read, and the parameter for it is gone.

--- a/snipelead/testing/cluster.py
+++ b/snipelead/testing/cluster.py
@@ -16,8 +16,6 @@
 
 __all__ = ['Cluster', 'make_note', 'open_cluster']
 
-EPOCH_MS = 1_700_000_000_000
-
 
 def make_note(number, note_id=None, service=None):
     """Return a note that adds one service.
@@ -39,11 +37,6 @@
     )
 
 
-def read_clock_ms():
-    """Return the time of the trio clock in milliseconds."""
-    return EPOCH_MS + int(trio.current_time() * 1_000)
-
-
 class Cluster:
     """Processes of voters, one for each letter of ``names``.
 
@@ -122,7 +115,6 @@
             self.make_settings(name),
             transport,
             MemoryFiles(self.disks[name]),
-            read_clock_ms,
             hash((self.seed, ord(name), self.starts)),
         )
         if self.on_start is not None:
--- a/snipelead/voters/journal.py
+++ b/snipelead/voters/journal.py
@@ -109,6 +109,12 @@
         """Newest configuration in the log, or None."""
         return self.configurations[-1][1] if self.configurations else None
 
+    @property
+    def newest_time_ms(self):
+        """Newest log time in the log, committed or not."""
+        entries = self.log.entries
+        return max(self.state.time_ms, entries[-1].time_ms if entries else 0)
+
     async def append_as_follower(self, entries):
         """Append the leader's entries where they differ from the log.
 
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -10,6 +10,8 @@
 
 __all__ = ['Leadership', 'Progress']
 
+MS_PER_S = 1_000
+
 
 class Progress(Struct):
     """What the leader knows of another member.
@@ -48,6 +50,8 @@
         Index after the last entry when the term began.
     now : float
         Time when it began, in seconds of the trio clock.
+    time_ms : int
+        Log time when it began: the newest one in the leader's log.
 
     Attributes
     ----------
@@ -63,17 +67,27 @@
         Members that asked to be taken in.
     """
 
-    def __init__(self, term, member, next_index, now):
+    def __init__(self, term, member, next_index, now, time_ms=0):
         self.term = Term(term)
         self.member = member
         self.first_index = next_index
         self.synced_index = LogIndex(next_index - 1)
         self.started_at = now
+        self.time_ms = time_ms
         self.writing_since = inf
         self.round = 0
         self.progress: dict[Member, Progress] = {}
         self.joins: dict[str, Member] = {}
 
+    def log_time_ms(self, now):
+        """Return the log time in milliseconds.
+
+        It goes on by the time that the leader has led. A wrong wall clock
+        would expire claims too early, so none is read; the time without a
+        leader does not count.
+        """
+        return self.time_ms + int((now - self.started_at) * MS_PER_S)
+
     def progress_of(self, member):
         """Return the progress of a member, made when first asked for."""
         if member not in self.progress:
--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -128,7 +128,7 @@
     term : Term
         Term of the leader that appended it.
     time_ms : int
-        The leader's time when it appended it, since the epoch.
+        Log time when the leader appended it: time that leaders have led.
     command : bytes
         Encoded :data:`Command`; empty for an entry without effect.
     configuration : Configuration or None
--- a/snipelead/voters/replica.py
+++ b/snipelead/voters/replica.py
@@ -8,7 +8,6 @@
 from contextlib import asynccontextmanager
 from enum import Enum
 from math import inf
-import time
 
 import trio
 
@@ -30,7 +29,7 @@
 from snipelead.voters.storage import Identity
 from snipelead.voters.storage import Vote
 
-__all__ = ['Replica', 'Role', 'read_time_ms']
+__all__ = ['Replica', 'Role']
 
 
 class Role(Enum):
@@ -41,11 +40,6 @@
     LEADER = 'leader'
 
 
-def read_time_ms():
-    """Return the time since the epoch in milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
 class Replica:
     """One member of the cluster.
 
@@ -57,8 +51,6 @@
         Its durable state.
     random : random.Random
         Source of election timeouts.
-    clock : callable
-        Returns the time since the epoch in milliseconds.
 
     Attributes
     ----------
@@ -82,11 +74,10 @@
         Role or leader changed.
     """
 
-    def __init__(self, settings, storage, random, clock=read_time_ms):
+    def __init__(self, settings, storage, random):
         self.settings = settings
         self.storage = storage
         self.random = random
-        self.clock = clock
         self.role = Role.FOLLOWER
         self.leader = None
         self.leadership = None
@@ -305,7 +296,13 @@
         self.role = Role.LEADER
         self.leader = self.member
         first_index = LogIndex(self.journal.log.last_index + 1)
-        self.leadership = Leadership(self.term, self.member, first_index, now)
+        self.leadership = Leadership(
+            self.term,
+            self.member,
+            first_index,
+            now,
+            self.journal.newest_time_ms,
+        )
         log_event(BECAME_LEADER, term=self.term, first_index=first_index)
         self.changed.notify()
         await self.append_as_leader((self.make_entry(0),))
@@ -315,7 +312,8 @@
     def make_entry(self, offset, command=b'', configuration=None):
         """Return the entry ``offset`` places after the end of the log."""
         index = LogIndex(self.journal.log.last_index + 1 + offset)
-        return Entry(index, self.term, self.clock(), command, configuration)
+        time_ms = self.leadership.log_time_ms(trio.current_time())
+        return Entry(index, self.term, time_ms, command, configuration)
 
     async def append_as_leader(self, entries):
         """Append own entries; the others get them while the disk writes."""
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -73,6 +73,29 @@
 
         self.run_cluster(test)
 
+    def test_log_time_goes_by_elapsed_time_alone(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            claim = ClaimRequest('route', 'key', 'claim-1')
+            began = trio.current_time()
+            self.assertTrue(
+                (await cluster.voters[leader].claim(claim)).granted
+            )
+            before_ms = cluster.voters[leader].replica.journal.newest_time_ms
+            await trio.sleep(5)
+            await cluster.kill(leader)
+            # A clock that is years ahead must not expire the claim.
+            with mock.patch('time.time_ns', return_value=2**62):
+                voter = cluster.voters[await cluster.wait_leader(leader)]
+                late = ClaimRequest('route', 'key', 'claim-2')
+                self.assertFalse((await voter.claim(late)).granted)
+            passed_ms = voter.replica.journal.newest_time_ms - before_ms
+            self.assertGreaterEqual(passed_ms, 0)
+            limit_ms = (trio.current_time() - began) * 1_000
+            self.assertLessEqual(passed_ms, limit_ms)
+
+        self.run_cluster(test)
+
     def test_log_that_lost_what_was_published_is_refused(self):
         async def test(cluster):
             await cluster.wait_leader()
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -32,7 +32,6 @@
 from snipelead.voters.messages import VoteRequest
 from snipelead.voters.peers import PeerChannels
 from snipelead.voters.proposals import Proposals
-from snipelead.voters.replica import read_time_ms
 from snipelead.voters.replica import Replica
 from snipelead.voters.replication import Replication
 from snipelead.voters.signal import Signal
@@ -54,8 +53,6 @@
         Reaches the other voters.
     files : Files or None
         The data folder; None for the one of the settings.
-    clock : callable
-        Returns the time since the epoch in milliseconds.
     seed : int or None
         Seed of the election timeouts; None for a random one.
 
@@ -74,7 +71,6 @@
     _parameter_constraints = {
         'settings': [ControlSettings],
         'seed': [int, None],
-        'clock': [callable],
     }
 
     def __init__(
@@ -82,13 +78,11 @@
         settings,
         transport,
         files=None,
-        clock=read_time_ms,
         seed=None,
     ):
         self.settings = settings
         self.transport = transport
         self.files = files
-        self.clock = clock
         self.seed = seed
         self.replica = None
         self.changed = Signal()
@@ -102,7 +96,6 @@
             self.settings,
             self.storage,
             random.Random(self.seed),
-            self.clock,
         )
         # Replication has channels of its own, since a reset after a timeout
         # ends all calls in flight on a channel.
