--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -32,7 +32,6 @@
 from snipelead.voters.messages import VoteRequest
 from snipelead.voters.peers import PeerChannels
 from snipelead.voters.proposals import Proposals
-from snipelead.voters.replica import read_time_ms
 from snipelead.voters.replica import Replica
 from snipelead.voters.replication import Replication
 from snipelead.voters.signal import Signal
@@ -54,8 +53,6 @@
         Reaches the other voters.
     files : Files or None
         The data folder; None for the one of the settings.
-    clock : callable
-        Returns the time since the epoch in milliseconds.
     seed : int or None
         Seed of the election timeouts; None for a random one.
 
@@ -74,7 +71,6 @@
     _parameter_constraints = {
         'settings': [ControlSettings],
         'seed': [int, None],
-        'clock': [callable],
     }
 
     def __init__(
@@ -82,13 +78,11 @@
         settings,
         transport,
         files=None,
-        clock=read_time_ms,
         seed=None,
     ):
         self.settings = settings
         self.transport = transport
         self.files = files
-        self.clock = clock
         self.seed = seed
         self.replica = None
         self.changed = Signal()
@@ -102,7 +96,6 @@
             self.settings,
             self.storage,
             random.Random(self.seed),
-            self.clock,
         )
         # Replication has channels of its own, since a reset after a timeout
         # ends all calls in flight on a channel.
@@ -161,13 +154,15 @@
             self.replica.fail(error)
 
     async def run_changes(self):
-        """Tell waiters when the newest release changes."""
-        known = self.current
+        """Publish each newest release and tell waiters."""
+        journal = self.replica.journal
         while True:
-            if self.current is known:
-                await self.replica.journal.applied.wait()
+            if journal.published is journal.state.current:
+                await journal.applied.wait()
                 continue
-            known = self.current
+            # With the lock held, all entries in memory are on the disk.
+            async with self.replica.exclusive():
+                await journal.publish()
             self.changed.notify()
 
     def handlers(self):
@@ -190,7 +185,7 @@
     @property
     def current(self):
         """Newest committed release known to this voter."""
-        return self.replica.journal.state.current
+        return self.replica.journal.published
 
     def find(self, digest):
         """Return a recent release by digest, or None."""
@@ -210,11 +205,20 @@
         """
         with trio.move_on_after(CERTIFY_TIMEOUT_S):
             try:
-                return await self.pass_barrier()
+                return (
+                    await self.pass_barrier() and await self.wait_published()
+                )
             except SnipeleadError:
                 return False
         return False
 
+    async def wait_published(self):
+        """Wait until the newest release applied so far is published."""
+        number = self.replica.journal.state.current.number
+        while self.current.number < number:
+            await self.changed.wait()
+        return True
+
     async def pass_barrier(self):
         """Wait until all that was accepted before the call is applied."""
         replica = self.replica
