--- a/snipelead/controls/tests/test_with_voters.py
+++ b/snipelead/controls/tests/test_with_voters.py
@@ -13,7 +13,6 @@
 from snipelead.controls.tests.mesh import wait_until
 from snipelead.settings.schema import ControlSettings
 from snipelead.testing.cluster import make_note
-from snipelead.testing.cluster import read_clock_ms
 from snipelead.testing.disk import MemoryDisk
 from snipelead.testing.disk import MemoryFiles
 from snipelead.types import ControlRole
@@ -46,7 +45,7 @@
 
     async def start_node(self, index):
         node = await self.mesh.start_node(
-            index, ZONES[index % 3], int(read_clock_ms())
+            index, ZONES[index % 3], int(trio.current_time() * 1_000)
         )
         self.nodes[index : index + 1] = [node]
 
@@ -66,7 +65,7 @@
             source = RelaySource(settings, transport)
         else:
             files = MemoryFiles(self.disks[index])
-            source = Voter(settings, transport, files, read_clock_ms, index)
+            source = Voter(settings, transport, files, index)
         self.controls[index] = await self.mesh.start_control(index, source)
 
     async def submit(self, through=0):
