Give the hot path bench the options of the other benches

Cause: snipelead bench loads a module's OPTIONS and run; the hot path bench had a parser of its own.

--- a/snipelead/bench/hotpath.py
+++ b/snipelead/bench/hotpath.py
@@ -3,17 +3,13 @@
 Three ways are measured in turn within one run: straight to the target, over
 the target's own node (one hop), and over another node and the target's own
 node (two hops). Calls are paced, so that the clients themselves do not
-queue; ``--closed`` sends the next call as soon as the last is answered.
-
-Run with ``python -m snipelead.bench.hotpath``.
+queue; a rate of 0 sends the next call as soon as the last is answered.
 """
 
-import argparse
 from contextlib import ExitStack
 import random
 
 from hdrh.histogram import HdrHistogram
-import msgspec
 from msgspec import Struct
 import trio
 
@@ -23,13 +19,21 @@
 from snipelead.daemons.process import tune_collector
 from snipelead.http.connection import connect
 from snipelead.http.reading import ResponseReader
-
-__all__ = ['HotPathRow', 'main', 'run_hotpath']
-
-CONNECTIONS = (1, 10, 100)
-CALLS_PER_S = 300
-CALLS = 1_500
-ROUNDS = 3
+from snipelead.logs import configure_logs
+from snipelead.utils.validation import check_parameters
+from snipelead.utils.validation import Interval
+from snipelead.utils.validation import Options
+
+__all__ = ['OPTIONS', 'HotPathOptions', 'HotPathRow', 'run', 'run_hotpath']
+
+OPTIONS = {
+    'connections': ('1,10,100', 'connections of the client, one by one'),
+    'calls': ('1500', 'calls of each way in each round'),
+    'rounds': ('3', 'rounds in which the ways take turns'),
+    'rate': ('300', 'calls a second in all; 0 for no pauses'),
+    'tuned': ('yes', 'whether the garbage collector is set as in the daemon'),
+    'profile': ('no', 'whether to print a profile of the nodes'),
+}
 WARM_UP_CALLS = 300
 ALLOWED_US = 480
 MAX_US = 60_000_000
@@ -39,6 +43,30 @@
 )
 
 
+class HotPathOptions(Struct, frozen=True):
+    """Checked options.
+
+    Parameters
+    ----------
+    connections : tuple of int
+        Numbers of connections to measure.
+    calls, rounds : int
+        Calls of each way in each round, and rounds.
+    rate : float
+        Calls a second in all; 0 for no pauses.
+    tuned, profile : {'yes', 'no'}
+        Whether the garbage collector is set as in the daemon, and whether
+        to print a profile of the nodes.
+    """
+
+    connections: tuple[int, ...]
+    calls: int
+    rounds: int
+    rate: float
+    tuned: str
+    profile: str
+
+
 class HotPathRow(Struct):
     """Result of one way at one number of connections.
 
@@ -121,7 +149,6 @@
 def _measure(ways, connections, options):
     histograms = [HdrHistogram(1, MAX_US, _DIGITS) for _ in ways]
     used_s = [0.0 for _ in ways]
-    rate = 0 if options.closed else options.rate
     # The ways take turns, so that a busy moment does not hit one alone.
     for turn in range(options.rounds):
         for number, way in enumerate(ways):
@@ -131,7 +158,7 @@
                 way.address,
                 connections,
                 options.calls,
-                rate,
+                options.rate,
                 histograms[number],
                 turn,
             )
@@ -168,15 +195,16 @@
 
     Parameters
     ----------
-    options : argparse.Namespace
-        Options of the command line, see :func:`make_parser`.
+    options : HotPathOptions
+        What to measure.
 
     Returns
     -------
     list of HotPathRow
     """
     tune_collector()
-    tuned = not options.untuned
+    tuned = options.tuned == 'yes'
+    profiled = options.profile == 'yes'
     with ExitStack() as stack:
         target = stack.enter_context(BenchProcess(run_bench_target))
         (target_address,) = target.addresses
@@ -187,7 +215,7 @@
                 target_address,
                 None,
                 tuned,
-                options.profile,
+                profiled,
             )
         )
         away = stack.enter_context(
@@ -197,7 +225,7 @@
                 None,
                 beside.addresses[1:],
                 tuned,
-                options.profile,
+                profiled,
             )
         )
         ways = (
@@ -233,31 +261,54 @@
     )
 
 
-def make_parser():
-    """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(description=__doc__.split('\n')[0])
-    parser.add_argument(
-        '--connections', type=int, nargs='+', default=CONNECTIONS
+def _check(options):
+    values = {name: default for name, (default, _) in OPTIONS.items()}
+    values |= options
+    counts = [int(part) for part in values['connections'].split(',')]
+    checked = HotPathOptions(
+        tuple(counts),
+        int(values['calls']),
+        int(values['rounds']),
+        float(values['rate']),
+        values['tuned'],
+        values['profile'],
+    )
+    yes_or_no = [Options(('yes', 'no'))]
+    check_parameters(
+        'bench hotpath',
+        {name: getattr(checked, name) for name in checked.__struct_fields__}
+        | {'connections': min(counts)},
+        {
+            'connections': [Interval(int, 1)],
+            'calls': [Interval(int, 1)],
+            'rounds': [Interval(int, 1)],
+            'rate': [Interval(float, 0)],
+            'tuned': yes_or_no,
+            'profile': yes_or_no,
+        },
     )
-    parser.add_argument('--calls', type=int, default=CALLS)
-    parser.add_argument('--rounds', type=int, default=ROUNDS)
-    parser.add_argument('--rate', type=float, default=CALLS_PER_S)
-    parser.add_argument('--closed', action='store_true')
-    parser.add_argument('--untuned', action='store_true')
-    parser.add_argument('--profile', action='store_true')
-    parser.add_argument('--json', action='store_true')
-    return parser
-
-
-def main(arguments=None):
-    """Run the benchmark from the command line."""
-    options = make_parser().parse_args(arguments)
-    rows = run_hotpath(options)
-    if options.json:
-        print(msgspec.json.encode(rows).decode())
-    else:
-        print_rows(rows)
-
-
-if __name__ == '__main__':
-    main()
+    return checked
+
+
+def run(options):
+    """Run the benchmark and print its results.
+
+    Parameters
+    ----------
+    options : dict of str to str
+        Values that differ from the defaults in :data:`OPTIONS`.
+
+    Returns
+    -------
+    list of HotPathRow
+
+    Raises
+    ------
+    InvalidParameterError
+        If a value is not allowed.
+    """
+    checked = _check(options)
+    configure_logs(level='error')
+    rows = run_hotpath(checked)
+    print_rows(rows)
+    return rows
--- a/snipelead/bench/hotpath_processes.py
+++ b/snipelead/bench/hotpath_processes.py
@@ -12,6 +12,7 @@
 from snipelead.daemons.process import tune_collector
 from snipelead.exceptions import InvariantError
 from snipelead.http.connection import listen
+from snipelead.logs import configure_logs
 from snipelead.messages import TargetEntry
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.directory import TargetDirectory
@@ -186,6 +187,7 @@
     profiled : bool
         Whether to print a profile at the end.
     """
+    configure_logs(level='error')
     if tuned:
         tune_collector()
     profiler = cProfile.Profile() if profiled else None
