--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -14,6 +14,7 @@
 MS_PER_S = 1_000
 FIRST_DELAY_S = 0.2
 MAX_DELAY_S = 2.0
+MAX_TIMEOUT_DOUBLINGS = 3
 # A control proves itself current within this time or says that it cannot.
 CERTIFY_LIMIT_S = 1.0
 
@@ -48,8 +49,8 @@
         """Use a reply; returns the seconds to wait before the next poll."""
         raise NotImplementedError
 
-    async def wait_interrupted(self, request):
-        """Wait until the request no longer says what it should."""
+    async def wait_interrupted(self):
+        """Wait until the last request no longer says what it should."""
         await trio.sleep_forever()
 
     async def poll_forever(self):
@@ -57,8 +58,10 @@
         try:
             while True:
                 delay_s = await self.poll(self.links.choose())
-                if delay_s:
-                    await trio.sleep(delay_s)
+                if not delay_s:
+                    continue
+                with trio.move_on_after(delay_s):
+                    await self.wait_interrupted()
         finally:
             with trio.CancelScope(shield=True):
                 await self.links.aclose()
@@ -68,9 +71,7 @@
         # A control that did not answer lately is asked for a quick answer.
         hold_ms = self.hold_ms if link.proven else 0
         request = self.make_request(link, hold_ms)
-        timeout_s = (hold_ms + self.miss_ms) / MS_PER_S
-        if request.wants_certified:
-            timeout_s += CERTIFY_LIMIT_S
+        timeout_s = self._timeout_s(request)
         try:
             reply = await self._call(link, request, timeout_s)
         except InvariantError:
@@ -82,18 +83,28 @@
         if not link.proven:
             log_event(CONTROL_REACHED, control=link.control_id)
         link.proven = True
+        if reply.doubtful:
+            self.links.doubt(link)
         delay_s = await self.take_reply(link, request, reply)
         if not delay_s:
             self.backoff.reset()
         return delay_s
 
+    def _timeout_s(self, request):
+        timeout_s = (request.hold_ms + self.miss_ms) / MS_PER_S
+        if request.wants_certified:
+            timeout_s += CERTIFY_LIMIT_S
+        # A herd that gives up on a busy control would only add to its work.
+        repeated = max(0, self.backoff.failures - 1)
+        return timeout_s * 2 ** min(repeated, MAX_TIMEOUT_DOUBLINGS)
+
     async def _call(self, link, request, timeout_s):
         """Return the reply, or None when the request got out of date."""
         replies = []
         failures = []
 
         async def interrupt():
-            await self.wait_interrupted(request)
+            await self.wait_interrupted()
             nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -1,26 +1,24 @@
 """What a control answers to nodes, relays and other controls."""
 
+from math import inf
 import random
 
 from msgspec.structs import replace
 import trio
 
-from snipelead.controls.certification import SharedCertification
+from snipelead.controls.convergence import ConvergenceRecorder
 from snipelead.controls.directory import ControlDirectory
 from snipelead.controls.events import CONTROL_WARM
-from snipelead.controls.events import RELEASE_OFFERED
-from snipelead.controls.events import RELEASE_PUBLISHED
 from snipelead.controls.exchange import PeerExchange
 from snipelead.controls.fleet import collect_replies
 from snipelead.controls.fleet import merge_fleet
 from snipelead.controls.links import ControlLinks
 from snipelead.controls.membership import Membership
-from snipelead.controls.polling import CERTIFY_LIMIT_S
 from snipelead.controls.polling import MS_PER_S
+from snipelead.controls.publisher import Publisher
 from snipelead.controls.sessions import NodeSessions
 from snipelead.controls.snapshots import SnapshotGate
 from snipelead.controls.updates import UpdateMaker
-from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.messages import ExchangeReply
 from snipelead.messages import ExchangeRequest
@@ -28,14 +26,12 @@
 from snipelead.messages import FleetRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
-from snipelead.releases.document import EMPTY_RELEASE
-from snipelead.releases.packing import unpack_release
-from snipelead.types import Preference
 
 __all__ = ['ControlService']
 
 # No poll is held for longer, whatever it asks for.
 MAX_HOLD_MS = 60_000
+DIRECTORY_INTERVAL_S = 0.5
 
 
 class ControlService:
@@ -51,16 +47,9 @@
         Makes the channels to the other controls.
     rng : random.Random or None
         Source of jitter.
-
-    Attributes
-    ----------
-    published : Release
-        Newest release that nodes were told of.
-    offered : Release or None
-        Release of a node that was newer than the source's.
     """
 
-    def __init__(self, settings, source, transport, rng=None):
+    def __init__(self, settings, source, transport, rng=None, metrics=None):
         self.settings = settings
         self.source = source
         self.transport = transport
@@ -72,7 +61,10 @@
         )
         self.gate = SnapshotGate(settings.max_snapshots, self.rng)
         self.updates = UpdateMaker(source)
-        self.certification = SharedCertification(source)
+        self.convergence = ConvergenceRecorder(metrics, settings.preference)
+        self.publisher = Publisher(
+            settings, source, self.sessions.wake, self.convergence
+        )
         peers = tuple(
             peer
             for peer in settings.peers
@@ -85,17 +77,6 @@
             transport,
             self.rng,
         )
-        self.published = EMPTY_RELEASE
-        self.offered = None
-        self._published_changed = trio.Event()
-
-    @property
-    def newest(self):
-        """Newest release known to this control."""
-        current = self.source.current
-        if self.offered and self.offered.number > current.number:
-            return self.offered
-        return current
 
     @property
     def warming(self):
@@ -114,8 +95,7 @@
         """Publish releases, end leases and exchange targets."""
         try:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self.certification.run)
-                nursery.start_soon(self._publish_releases)
+                await nursery.start(self.publisher.run)
                 nursery.start_soon(self.membership.end_leases)
                 nursery.start_soon(self._warm_up)
                 for link in self.links.links:
@@ -142,11 +122,16 @@
         if request.follower:
             return await self._follow(request)
         session = self.sessions.open(request.node_id)
+        before = session.held
         session.accept(request)
+        self.convergence.confirm(session, before)
         self.gate.finish(request.node_id)
         if not self.membership.renew(session, request):
             return SyncReply(register_again=True)
-        self._take_offer(request)
+        if session.left:
+            return SyncReply()
+        if request.offer is not None:
+            self.publisher.take_offer(request.offer, request.node_id)
         if request.wants_certified:
             return await self._certified_answer(session, request)
         return await self._hold(session, request)
@@ -168,7 +153,7 @@
         return FleetReply(
             self.settings.control_id,
             self.settings.zone,
-            self.newest.held,
+            self.publisher.newest.held,
             False,
             tuple(session.status() for session in self.membership.reported()),
             self.directory.own.live(),
@@ -196,26 +181,20 @@
 
     async def _collect_replies(self):
         replies, unreachable = await collect_replies(self.links.links)
-        certified = await self._certify()
+        certified = await self.publisher.certify()
         own = await self.answer_fleet(FleetRequest())
         return [replace(own, certified=certified), *replies], unreachable
 
-    async def _certify(self):
-        with trio.move_on_after(CERTIFY_LIMIT_S):
-            try:
-                certified = await self.certification.certify()
-            except SnipeleadError:
-                return False
-            return certified and self.newest is self.source.current
-        return False
-
     async def _certified_answer(self, session, request):
-        certified = await self._certify()
-        reply = self._release_news(request, self.newest) or SyncReply()
+        certified = await self.publisher.certify()
+        reply = (
+            self._release_news(request, self.publisher.newest) or SyncReply()
+        )
         return replace(
             reply,
             certified=certified,
-            current=self.newest.held,
+            doubtful=self.publisher.doubtful,
+            current=self.publisher.newest.held,
             warming=self.warming,
             directory=self._directory_news(session, request),
         )
@@ -223,49 +202,82 @@
     async def _hold(self, session, request):
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
         order = session.order
+        doubtful = self.publisher.doubtful
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while session.order == order:
+            while (
+                session.order == order and self.publisher.doubtful == doubtful
+            ):
+                woken = session.woken
                 reply = self._news(session, request)
                 if reply is not None:
                     return reply
-                await session.woken.wait()
-        return SyncReply()
+                with trio.move_on_at(self._directory_due(session)):
+                    await woken.wait()
+        return SyncReply(doubtful=self.publisher.doubtful)
 
     async def _follow(self, request):
         """Answer a relay, which follows releases alone."""
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
+        doubtful = self.publisher.doubtful
         self.gate.finish(request.node_id)
         with trio.move_on_after(hold_ms / MS_PER_S):
-            while True:
-                reply = self._release_news(request, self.source.current)
+            while self.publisher.doubtful == doubtful:
+                reply = self._release_news(request, self.publisher.published)
                 if reply is not None:
-                    return reply
-                await self._published_changed.wait()
-        return SyncReply()
+                    return replace(reply, doubtful=doubtful)
+                await self.publisher.changed.wait()
+        return SyncReply(doubtful=self.publisher.doubtful)
 
     def _news(self, session, request):
         """Return a reply, or None when there is no news."""
-        reply = self._release_news(request, self.published)
+        reply = self._release_news(request, self.publisher.published)
         directory = self._directory_news(session, request)
         if reply is None and directory is None:
             return None
-        return replace(reply or SyncReply(), directory=directory)
+        return replace(
+            reply or SyncReply(),
+            directory=directory,
+            doubtful=self.publisher.doubtful,
+        )
+
+    def _directory_due(self, session):
+        """Return when the node may be told of targets again.
+
+        Changes that come soon after others wait, so that a herd that
+        registers does not wake each subscriber for each target.
+        """
+        due = session.told_at + DIRECTORY_INTERVAL_S
+        return due if due > trio.current_time() else inf
+
+    def _may_wait(self, session, request):
+        """Tell whether targets may be told of later."""
+        return (
+            request.hold_ms > 0
+            and not request.unseen_services
+            and request.directory_epoch == self.directory.merged.epoch
+            and self._directory_due(session) != inf
+        )
 
     def _directory_news(self, session, request):
-        return self.directory.merged.update_since(
+        if self._may_wait(session, request):
+            return None
+        update = self.directory.merged.update_since(
             request.directory_epoch,
             request.directory_version,
             session.services,
             request.unseen_services,
         )
+        if update is not None:
+            session.told_at = trio.current_time()
+        return update
 
     def _release_news(self, request, published):
         held = request.held
-        if held.number > self.newest.number:
+        if held.number > self.publisher.newest.number:
             return SyncReply(wants_release=True)
         if held == published.held or held.number > published.number:
             return None
-        release = self.newest
+        release = self.publisher.newest
         # The first release of a herd is always a snapshot, which is bounded.
         if held.number > 0:
             reply = self.updates.delta(held, release)
@@ -278,37 +290,6 @@
             )
         return SyncReply(snapshot=self.updates.snapshot(release))
 
-    def _take_offer(self, request):
-        """Take over a node's release that is newer than the own one."""
-        offer = request.offer
-        if offer is None or offer.target.number <= self.newest.number:
-            return
-        self.offered = unpack_release(offer.compressed, offer.target)
-        log_event(
-            RELEASE_OFFERED,
-            release=offer.target.number,
-            node=request.node_id,
-        )
-        self._publish()
-
-    async def _publish_releases(self):
-        window_s = self.settings.timings.batch_window_ms / MS_PER_S
-        self._publish()
-        while True:
-            if self.published.number >= self.newest.number:
-                await self.source.wait_changed()
-                continue
-            if self.settings.preference is Preference.BYTES:
-                await trio.sleep(window_s)
-            self._publish()
-
-    def _publish(self):
-        self.published = self.newest
-        log_event(RELEASE_PUBLISHED, release=self.published.number)
-        self._published_changed.set()
-        self._published_changed = trio.Event()
-        self.sessions.wake()
-
     async def _warm_up(self):
         await trio.sleep(self.settings.timings.target_lease_ms / MS_PER_S)
         self.directory.set_complete()
