Never send a streamed body again

Cause: a request counted as whole once its body had been received, also when the body had been passed on as it came. A repeatable request above 64 KiB whose first target failed was then sent again with what was left of its body. Found by review.

Change: a request can be sent again only when its body was kept whole before the first attempt, or when none of it has been read.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -1,7 +1,5 @@
 """Attempts to get a request answered by a target."""
 
-from collections import deque
-
 import trio
 
 from snipelead.callers.exceptions import CallError
@@ -72,14 +70,13 @@
         if not self.directory.targets(route.service):
             await self._ask_directory(route.service)
         self.balancer.budget(route).earn()
-        body = request.take_received() if request.complete else None
+        request.keep_body()
         tried = set()
         failure = None
         while True:
             observation = self._choose(call, route, tried, failure)
             tried.add(observation.entry.target_id)
-            if body:
-                request.chunks = deque((body,))
+            request.rewind()
             try:
                 if await self._attempt(
                     connection, request, call, route, observation, tried
@@ -104,7 +101,7 @@
             error.elsewhere
             and not call.answering
             and (call.ran is Ran.NO or not call.once)
-            and (request.complete or request.body_size == 0)
+            and request.is_replayable
         )
         if not allowed:
             return False
@@ -122,7 +119,7 @@
         return (
             response.status >= _FIRST_ERROR_STATUS
             and not call.once
-            and request.complete
+            and request.is_replayable
             and self.balancer.has_other(route.service, tried)
             and self._spend(call, route)
         )
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -1,5 +1,7 @@
 """Requests as the call path reads them."""
 
+from collections import deque
+
 from snipelead.callers.exceptions import BadRequestError
 from snipelead.callers.exceptions import BodyTooLargeError
 from snipelead.callers.exceptions import CallerGoneError
@@ -23,19 +25,53 @@
         Largest body.
     body_size : int
         Bytes of the body read so far.
+    whole_body : bytes or None
+        The body when it was received whole before the first attempt; only
+        then, or before any of it was read, can the request be sent again.
     call : Call or None
         The call that the request began.
     """
 
-    __slots__ = ('body_bytes', 'body_size', 'call', 'continued')
+    __slots__ = (
+        'body_bytes',
+        'body_size',
+        'call',
+        'continued',
+        'whole_body',
+    )
 
     def __init__(self, reader):
         super().__init__(reader)
         self.body_bytes = reader.body_bytes
         self.body_size = 0
         self.call = None
+        self.whole_body = None
         self.continued = False
 
+    @property
+    def is_replayable(self):
+        """Whether the request can be sent to another target."""
+        return self.whole_body is not None or self.body_size == 0
+
+    def take_received(self):
+        """Return all bytes of the body received so far."""
+        data = super().take_received()
+        self.body_size += len(data)
+        return data
+
+    def keep_body(self):
+        """Keep a body that is there as a whole for further attempts."""
+        if self.complete:
+            self.whole_body = self.take_received()
+
+    def rewind(self):
+        """Make a kept body readable from its start."""
+        if self.whole_body is None:
+            return
+        self.body_size = 0
+        if self.whole_body:
+            self.chunks = deque((self.whole_body,))
+
     @property
     def expects_continue(self):
         """Whether the sender waits for leave to send the body."""
--- a/snipelead/callers/tests/test_retries.py
+++ b/snipelead/callers/tests/test_retries.py
@@ -2,6 +2,7 @@
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.callers.tests.fakes import FakeNode
 from snipelead.callers.tests.fakes import refusal_of
+from snipelead.callers.tests.fakes import until
 from snipelead.settings.schema import NodeLimits
 from snipelead.types import TargetState
 
@@ -23,9 +24,9 @@
         super().setUp()
         self.nodes = [FakeNode(f'n{n}') for n in (1, 2, 3)]
 
-    async def call(self, path, method='GET'):
+    async def call(self, path, method='GET', body=b''):
         caller = await Caller.open(self.nodes[0].path.caller_address)
-        response, body = await caller.call(path, method)
+        response, body = await caller.call(path, method, body)
         caller.connection.close()
         return response, body
 
@@ -72,6 +73,56 @@
 
         self.run_nodes(test, *self.nodes)
 
+    def test_streamed_body_is_sent_once(self):
+        body = b'x' * 300_000
+
+        async def test(nursery):
+            for answer in (fail, close):
+                before = self.count_runs()
+                for node in self.nodes:
+                    node.target.answer = answer
+                response, _ = await self.call('/reads/1', 'POST', body)
+                self.assertIn(response.status, (500, 502))
+                self.assertEqual(before + 1, self.count_runs())
+
+        self.run_nodes(test, *self.nodes)
+
+    def test_streamed_body_of_an_own_target_is_sent_once(self):
+        other = FakeNode('n2', zone='b')
+
+        async def test(nursery):
+            other.announce(TargetState.LEAVING)
+            self.nodes[0].directory.merge(other.entry)
+            self.nodes[0].target.answer = close
+            caller = await Caller.open(self.nodes[0].path.caller_address)
+            await caller.connection.send(
+                b'POST /reads/1 HTTP/1.1\r\nHost: shop\r\n'
+                b'Content-Length: 300000\r\n\r\n' + b'x' * 100_000
+            )
+            await until(lambda: self.nodes[0].path.in_flight)
+            other.announce(TargetState.SERVING)
+            self.nodes[0].directory.merge(other.entry)
+            await caller.connection.send(b'x' * 200_000)
+            response, _ = await caller.receive()
+            self.assertEqual(502, response.status)
+            self.assertEqual([], other.target.runs)
+
+        self.run_nodes(test, self.nodes[0], other)
+
+    def test_small_body_is_sent_whole_each_time(self):
+        body = b'x' * 900
+
+        async def test(nursery):
+            for node in self.nodes:
+                node.target.answer = fail
+            response, _ = await self.call('/reads/1', 'POST', body)
+            self.assertEqual(500, response.status)
+            bodies = [b for node in self.nodes for b in node.target.bodies]
+            self.assertEqual([body] * 3, bodies)
+
+        self.nodes[0] = FakeNode('n1', limits=NodeLimits(body_bytes=1_000))
+        self.run_nodes(test, *self.nodes)
+
     def test_budget_limits_retries(self):
         calls = 60
 
