--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -71,8 +71,6 @@
         What is known of the earlier attempts.
     gone : bool
         Whether the caller went away.
-    replayable : bool
-        Whether the whole body is kept for further attempts.
     answering : bool
         Whether the answer has begun to be sent.
     attempts : int
@@ -94,7 +92,6 @@
         'once',
         'queue_wait_s',
         'ran',
-        'replayable',
         'request_class',
         'scope',
         'slot_at',
@@ -114,7 +111,6 @@
         self.ran = Ran.NO
         self.earlier_ran = Ran.NO
         self.gone = False
-        self.replayable = False
         self.answering = False
         self.attempts = 0
         self.queue_wait_s = 0.0
