--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -123,12 +123,6 @@
             self.refuse_size()
         return data
 
-    def take_received(self):
-        """Return all bytes of the body received so far."""
-        data = super().take_received()
-        self.body_size += len(data)
-        return data
-
     async def buffer(self, limit):
         """Receive the body up to a number of bytes.
 
