Hand leadership over before a planned stop

Change: Voter.drain() finishes the commands under way and has a complete voter campaign at once; the control daemon calls it; the soak stops leaders so.

--- a/snipelead/controls/source.py
+++ b/snipelead/controls/source.py
@@ -19,6 +19,9 @@
         """Keep up with accepted releases until cancelled."""
         raise NotImplementedError
 
+    async def drain(self):
+        """Prepare for a planned stop; by default there is nothing to do."""
+
     def handlers(self):
         """Return the remote procedures that this source answers."""
         raise NotImplementedError
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -67,6 +67,7 @@
                 task_status.started()
                 await stop.wait()
             # The operators' requests have ended; nobody waits any more.
+            await self.source.drain()
             nursery.cancel_scope.cancel()
 
 
--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -202,6 +202,7 @@
         faults = (
             self.kill,
             self.kill_leader,
+            self.stop_leader,
             self.lose_disk,
             self.cut,
             self.cut_one_way,
@@ -234,6 +235,13 @@
         if self.cluster.leader is not None:
             await self.cluster.kill(self.cluster.leader)
 
+    async def stop_leader(self):
+        """Stop the leader as planned; its successor may fail meanwhile."""
+        name = self.cluster.leader
+        if name is not None:
+            await self.cluster.voters[name].drain()
+            await self.cluster.kill(name)
+
     async def lose_disk(self):
         """Lose a disk, at once after the one before was replaced."""
         if self.cluster.is_whole():
--- a/snipelead/voters/election.py
+++ b/snipelead/voters/election.py
@@ -61,18 +61,27 @@
         )
         return trio.current_time() - answered_at <= self.limit_s
 
-    async def campaign(self):
-        """Try to become leader."""
+    async def campaign(self, trial=True):
+        """Try to become leader.
+
+        Parameters
+        ----------
+        trial : bool
+            Whether a majority must first agree that there is no leader;
+            not so when the leader itself hands over.
+        """
         replica = self.replica
         replica.leader = None
         replica.changed.notify()
         term = replica.term + 1
-        if not await self.gather(term, trial=True):
+        if trial and not await self.gather(term, trial=True):
             return
         async with replica.exclusive():
-            if replica.term + 1 != term or replica.leader is not None:
+            led_again = trial and replica.leader is not None
+            if replica.term + 1 != term or led_again:
                 return
             await replica.save_vote(Vote(term, replica.member))
+            replica.leader = None
             replica.role = Role.CANDIDATE
             replica.reset_deadline()
         if not await self.gather(term, trial=False):
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -59,6 +59,8 @@
         When the write under way began, in seconds; infinite when idle.
     round : int
         Newest round of the read barrier.
+    leaving : bool
+        Whether new commands are left to the successor.
     joins : dict of ControlId to Member
         Members that asked to be taken in.
     """
@@ -71,6 +73,7 @@
         self.started_at = now
         self.writing_since = inf
         self.round = 0
+        self.leaving = False
         self.progress: dict[Member, Progress] = {}
         self.joins: dict[str, Member] = {}
 
--- a/snipelead/voters/membership.py
+++ b/snipelead/voters/membership.py
@@ -79,9 +79,9 @@
         """Return the configuration to append now, or None."""
         replica = self.replica
         leadership = replica.leadership
-        if leadership is None or (
-            replica.journal.commit_index < leadership.first_index
-        ):
+        if leadership is None or leadership.leaving:
+            return None
+        if replica.journal.commit_index < leadership.first_index:
             return None
         index, configuration = replica.journal.configurations[-1]
         if index > replica.journal.commit_index:
--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -25,6 +25,8 @@
     'InstallRequest',
     'JoinReply',
     'JoinRequest',
+    'LeadReply',
+    'LeadRequest',
     'Member',
     'ProbeReply',
     'ProbeRequest',
@@ -242,6 +244,20 @@
     """The leader will take the member in."""
 
 
+class LeadRequest(Struct, frozen=True, array_like=True):
+    """The leader of a term asks a voter to take its place."""
+
+    cluster: str
+    to: Member
+    term: Term
+
+
+class LeadReply(Struct, frozen=True):
+    """Whether the voter leads now."""
+
+    leads: bool
+
+
 class ProposeRequest(Struct, frozen=True, array_like=True):
     """Commands for the leader, which must not pass them on."""
 
@@ -276,5 +292,6 @@
 register_reply(InstallRequest, InstallReply)
 register_reply(ProbeRequest, ProbeReply)
 register_reply(JoinRequest, JoinReply)
+register_reply(LeadRequest, LeadReply)
 register_reply(ProposeRequest, ProposeReply)
 register_reply(BarrierRequest, BarrierReply)
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -135,6 +135,10 @@
         for pending in waiting.values():
             pending.resolve(_unknown())
 
+    def is_busy(self):
+        """Whether commands wait to be appended or applied."""
+        return bool(self.queue or self.waiting)
+
     def enqueue(self, commands):
         """Queue commands for the next append as leader.
 
@@ -154,7 +158,7 @@
         """
         replica = self.replica
         replica.check_running()
-        if replica.leadership is None:
+        if replica.leadership is None or replica.leadership.leaving:
             raise NotLeaderError(f'{replica.member} is not the leader')
         if not self.election.is_in_touch():
             raise self.no_quorum()
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -229,6 +229,31 @@
 
         self.run_cluster(test)
 
+    def test_planned_stop_of_the_leader_cuts_no_command(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            waits = []
+
+            async def claim(name, number):
+                began = trio.current_time()
+                request = ClaimRequest('r', f'{name}{number}', 'c')
+                reply = await cluster.voters[name].claim(request)
+                self.assertTrue(reply.granted)
+                waits.append(trio.current_time() - began)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(50):
+                    for name in cluster.names:
+                        nursery.start_soon(claim, name, number)
+                    await trio.sleep(0.005)
+                    if number == 20:
+                        nursery.start_soon(cluster.voters[old].drain)
+            self.assertNotIn(cluster.leader, (None, old))
+            # No election timeout passed.
+            self.assertTrue(max(waits) < 0.4)
+
+        self.run_cluster(test)
+
     def test_refusal_after_a_lost_answer_is_unknown(self):
         lost = RpcTimeoutError('lost')
         busy = VoterBusyError('busy')
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -18,6 +18,7 @@
 from snipelead.voters.election import Election
 from snipelead.voters.files import DiskFiles
 from snipelead.voters.forwarding import Forwarding
+from snipelead.voters.handover import Handover
 from snipelead.voters.joining import Joining
 from snipelead.voters.membership import Membership
 from snipelead.voters.messages import AppendRequest
@@ -25,6 +26,7 @@
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import InstallRequest
 from snipelead.voters.messages import JoinRequest
+from snipelead.voters.messages import LeadRequest
 from snipelead.voters.messages import ProbeRequest
 from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.messages import Settle
@@ -114,6 +116,9 @@
         self.proposals = Proposals(
             self.replica, self.forwarding, self.election
         )
+        self.handover = Handover(
+            self.replica, self.peers, self.proposals, self.election
+        )
         self.membership = Membership(self.replica)
         self.joining = Joining(self.replica, self.peers, self.proposals)
 
@@ -153,6 +158,10 @@
             self.run_changes,
         )
 
+    async def drain(self):
+        """Hand leadership over before a planned stop."""
+        await self.handover.hand_over()
+
     async def run_part(self, part):
         """Run one task; a coded error stops the voter."""
         try:
@@ -178,6 +187,7 @@
             InstallRequest: self.replication.on_install,
             ProbeRequest: self.joining.on_probe,
             JoinRequest: self.membership.on_join,
+            LeadRequest: self.handover.on_lead,
             ProposeRequest: self.proposals.on_propose,
             BarrierRequest: self.replication.on_barrier,
             CertifyRequest: self.on_certify,
