--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import ClaimReply
@@ -47,7 +48,7 @@
 )
 
 # Final, unless an earlier attempt may still take effect.
-_REFUSALS = (VoterBusyError, ClaimsFullError)
+_REFUSALS = (OutcomeForgottenError, VoterBusyError, ClaimsFullError)
 
 
 def _reply_type(command):
@@ -200,7 +201,8 @@
         NoQuorumError, QuorumLostError
             The command was never appended.
         OutcomeUnknownError
-            The command may have been appended.
+            The command may have been appended, or its outcome is no
+            longer on record.
         VoterBusyError, ClaimsFullError
             Nothing took effect.
         """
