Read release notes as strictly as settings

Cause: a key given twice in a release note silently took its last value; a date that does not exist, deep nesting or a number beyond 64 bits ended in an unforeseen error, so the outcome was said to be unknown; an empty note id was taken. Change: one strict YAML reader for settings and notes; notes are refused when the log could not hold or tell them apart.

--- a/snipelead/releases/note.py
+++ b/snipelead/releases/note.py
@@ -4,7 +4,6 @@
 
 import msgspec
 from msgspec import Struct
-import yaml
 
 from snipelead.releases.document import Route
 from snipelead.releases.document import Service
@@ -12,9 +11,15 @@
 from snipelead.releases.exceptions import InvalidNoteError
 from snipelead.types import NoteId
 from snipelead.types import ReleaseNumber
+from snipelead.utils.documents import load_yaml
+from snipelead.utils.exceptions import DocumentError
 
 __all__ = ['Change', 'ReleaseNote', 'load_note']
 
+MAX_NOTE_ID_CHARS = 200
+# Largest integer that every JSON reader keeps exactly.
+MAX_RELEASE = 2**53 - 1
+
 
 class Change(
     Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
@@ -68,9 +73,35 @@
     Raises
     ------
     InvalidNoteError
-        If the text is not YAML or does not describe a release note.
+        If the text cannot be read strictly as YAML or does not describe a
+        release note.
     """
     try:
-        return msgspec.convert(yaml.safe_load(text), ReleaseNote)
-    except (yaml.YAMLError, msgspec.ValidationError) as error:
+        note = msgspec.convert(load_yaml(text), ReleaseNote)
+    except DocumentError as error:
+        reason = error.message
+        raise InvalidNoteError(f'not a release note: {reason}') from error
+    except msgspec.ValidationError as error:
         raise InvalidNoteError(f'not a release note: {error}') from error
+    _check_note(note)
+    return note
+
+
+def _check_note(note):
+    """Refuse what the log could not hold or tell apart."""
+    if not 0 < len(note.note) <= MAX_NOTE_ID_CHARS:
+        raise InvalidNoteError(
+            f'not a release note: note must be 1 to {MAX_NOTE_ID_CHARS}'
+            f' characters, got {len(note.note)}'
+        )
+    if not 0 < note.release <= MAX_RELEASE:
+        raise InvalidNoteError(
+            f'not a release note: release must be 1 to {MAX_RELEASE},'
+            f' got {note.release}'
+        )
+    try:
+        msgspec.msgpack.encode(note)
+    except OverflowError as error:
+        raise InvalidNoteError(
+            'not a release note: a number is too large'
+        ) from error
--- a/snipelead/releases/tests/test_releases.py
+++ b/snipelead/releases/tests/test_releases.py
@@ -73,6 +73,27 @@
         with ExpectedException(NumberNotAboveCurrentError):
             apply_note(self.second, load_note(SECOND))
 
+    def test_key_given_twice_is_refused(self):
+        with ExpectedException(InvalidNoteError, '.*given twice.*'):
+            load_note('release: 3\nnote: n3\nrelease: 4\nchanges: []')
+
+    def test_values_that_the_log_cannot_hold_are_refused(self):
+        template = (
+            'release: {release}\nnote: "{note}"\nchanges:\n'
+            '  - {{action: add, setting: {{name: s, value: {value}}}}}\n'
+        )
+        good = {'release': 3, 'note': 'n3', 'value': 1}
+        self.assertEqual(3, load_note(template.format(**good)).release)
+        for change in (
+            {'release': 0},
+            {'release': 10**30},
+            {'note': ''},
+            {'note': 'n' * 300},
+            {'value': 10**30},
+        ):
+            with ExpectedException(InvalidNoteError):
+                load_note(template.format(**good | change))
+
     def test_unknown_key_is_refused(self):
         with ExpectedException(InvalidNoteError):
             load_note('release: 1\nnote: n\nchanges: []\nextra: 1')
--- a/snipelead/settings/loading.py
+++ b/snipelead/settings/loading.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 
 import msgspec
-import yaml
 
 from snipelead.exceptions import InvalidParameterError
 from snipelead.settings.constraints import check_settings
@@ -14,6 +13,8 @@
 from snipelead.settings.schema import NodeSettings
 from snipelead.settings.schema import Settings
 from snipelead.settings.schema import TargetSettings
+from snipelead.utils.documents import load_yaml
+from snipelead.utils.exceptions import DocumentError
 
 __all__ = ['load_settings', 'parse_settings']
 
@@ -23,26 +24,12 @@
 }
 
 
-class _UniqueKeyLoader(yaml.SafeLoader):
-    """Safe loader that refuses a key given twice."""
-
-    def construct_mapping(self, node, deep=False):
-        seen = set()
-        for key_node, _ in node.value:
-            key = self.construct_object(key_node, deep=True)
-            if key in seen:
-                raise yaml.constructor.ConstructorError(
-                    problem=f'key {key!r} is given twice',
-                    problem_mark=key_node.start_mark,
-                )
-            seen.add(key)
-        return super().construct_mapping(node, deep=deep)
-
-
 def _read_document(path):
     try:
-        return yaml.load(Path(path).read_text(), _UniqueKeyLoader)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return load_yaml(Path(path).read_bytes())
+    except DocumentError as error:
+        raise SettingsError(f'{path}: {error.message}', file=path) from error
+    except OSError as error:
         raise SettingsError(f'{path}: {error}', file=path) from error
 
 
--- a/snipelead/utils/exceptions.py
+++ b/snipelead/utils/exceptions.py
@@ -1,8 +1,14 @@
-"""Errors of the HTTP interfaces for operators and targets."""
+"""Errors of documents and of the HTTP interfaces."""
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['HttpRequestError', 'HttpServerError']
+__all__ = ['DocumentError', 'HttpRequestError', 'HttpServerError']
+
+
+class DocumentError(SnipeleadError):
+    """A text is not a YAML document that can be read strictly."""
+
+    code = 'SL5005'
 
 
 class HttpRequestError(SnipeleadError):
