Parse submitted notes beside the event loop

Change: notes are parsed in a worker thread. Result: a test finds the parser outside the main thread. Ruled out: the faster loader in C, which recurses without a limit that can be caught.

--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -1,6 +1,7 @@
 """HTTP interface for operators: submit release notes, read them back."""
 
 from quart import request
+import trio
 
 from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
@@ -87,7 +88,9 @@
 
 async def _answer_submit(source):
     try:
-        note = load_note(await request.get_data())
+        text = await request.get_data()
+        # Parsing a large note takes longer than an election timeout.
+        note = await trio.to_thread.run_sync(load_note, text)
     except InvalidNoteError as error:
         answer = SubmitAnswer(
             OutcomeKind.REFUSED,
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -1,3 +1,6 @@
+import threading
+
+from fixtures import MonkeyPatch
 import msgspec
 from testtools import TestCase
 import trio
@@ -12,6 +15,7 @@
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmitAnswer
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.releases.note import load_note
 from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
 from snipelead.testing.fleet import make_node_status
@@ -71,6 +75,18 @@
         self.assertEqual(409, response.status_code)
         self.assertEqual('SL7001', answer.code)
 
+    def test_notes_are_parsed_beside_the_event_loop(self):
+        threads = []
+
+        def load(text):
+            threads.append(threading.current_thread())
+            return load_note(text)
+
+        self.useFixture(MonkeyPatch('snipelead.operators.app.load_note', load))
+        self.submit(make_note())
+        self.assertNotIn(threading.main_thread(), threads)
+        self.assertEqual(1, len(threads))
+
     def test_no_quorum_is_a_refusal_that_may_be_tried_again(self):
         self.source.failures = [NoQuorumError('alone', retry_after_ms=1_500)]
         response, answer = self.submit(make_note())
