--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -128,7 +128,7 @@
             offer=self._make_offer(),
         )
 
-    async def wait_interrupted(self, request):
+    async def wait_interrupted(self):
         """Wait until targets, subscriptions or leaving are news."""
         while self._facts() == self._registered_facts():
             async with trio.open_nursery() as nursery:
@@ -196,14 +196,16 @@
         """Settle for the highest release in reach once time is up."""
         waited_s = trio.current_time() - self.started_at
         release = self.holder.current
-        asked_all = all(
-            other.asked
+        # Another zone's control may be further behind than this node was.
+        home = [
+            other
             for other in self.links.links
             if other.zone == self.settings.zone
-        )
+        ]
         if (
             waited_s >= FLOOR_LIMIT_S
-            and asked_all
+            and (link in home or not home)
+            and all(other.asked for other in home)
             and not reply.warming
             and release.number > 0
         ):
@@ -211,7 +213,7 @@
             self.links.forget_failures()
             log_event(FLOOR_UNCERTIFIED, release=release.number)
             return 0.0
-        self.links.defer(link)
+        self.links.skip(link)
         return self.floor_backoff.next_s()
 
     def _facts(self):
--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -33,6 +33,7 @@
 READERS = 2
 KEYS = 25
 KEY_PERIOD_S = 20
+CANCELLED = 'cancelled'
 RECOVERY_S = 60
 # One seed in so many runs five voters, the others three.
 FIVE_VOTERS_EVERY = 4
@@ -105,6 +106,7 @@
         await self.cluster.wait_until(self.cluster.is_whole, RECOVERY_S)
         note = make_note(self.seen + 1_000, 'last', 'last')
         leader = await self.cluster.wait_leader()
+        self.ledger.note_attempt(note)
         reply = await self.cluster.voters[leader].submit(note)
         self.ledger.note_reply(note, reply)
         await self.cluster.wait_release(note.release)
@@ -137,8 +139,13 @@
             note_id = self.next_id('note')
             note = make_note(number, note_id, note_id)
             for _ in range(self.random.randint(1, 4)):
+                self.ledger.note_attempt(note)
                 try:
                     reply = await self.call(channels, SubmitRequest(note))
+                except trio.Cancelled:
+                    # The run ends, and this attempt may still take effect.
+                    self.ledger.note_error(note, CANCELLED)
+                    raise
                 except SnipeleadError as error:
                     self.ledger.note_error(note, error.code)
                     continue
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import ClaimReply
@@ -17,6 +18,8 @@
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.exceptions import VoterNotRunningError
+from snipelead.voters.forwarding import BUSY_RETRY_MS
+from snipelead.voters.forwarding import MAX_WAITING
 from snipelead.voters.forwarding import Pending
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import encode_command
@@ -29,9 +32,7 @@
 __all__ = ['Proposals']
 
 PROPOSE_TIMEOUT_S = 3.0
-BUSY_RETRY_MS = 200
 MAX_BATCH = 512
-MAX_WAITING = 20_000
 
 _encode = msgspec.msgpack.encode
 
@@ -46,6 +47,9 @@
     MemberReplacedError,
 )
 
+# Final, unless an earlier attempt may still take effect.
+_REFUSALS = (OutcomeForgottenError, VoterBusyError, ClaimsFullError)
+
 
 def _reply_type(command):
     match command:
@@ -193,7 +197,8 @@
         NoQuorumError, QuorumLostError
             The command was never appended.
         OutcomeUnknownError
-            The command may have been appended.
+            The command may have been appended, or its outcome is no
+            longer on record.
         VoterBusyError, ClaimsFullError
             Nothing took effect.
         """
@@ -205,9 +210,9 @@
                 with trio.move_on_at(deadline):
                     return await self.attempt(command, packed)
                 sent = True
-            except (VoterBusyError, ClaimsFullError):
-                raise
             except SnipeleadError as error:
+                if isinstance(error, _REFUSALS) and not sent:
+                    raise
                 sent = sent or not isinstance(error, _NOT_APPENDED)
             if trio.current_time() >= deadline or self.is_hopeless():
                 raise _unknown() if sent else self.no_quorum()
