Answer a busy leader as a refusal

Cause: the voters now raise a busy error only when nothing was appended; the operators' interface still called that unknown. Change: it is a refusal with a time to come back.

--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -26,6 +26,7 @@
 from snipelead.utils.http import make_quart
 from snipelead.utils.http import metrics_response
 from snipelead.utils.http import retry_headers
+from snipelead.voters.exceptions import VoterBusyError
 
 __all__ = ['make_app', 'submit_note']
 
@@ -33,6 +34,8 @@
 RETRY_AFTER_MS = 1_000
 LISTED_NOTES = 100
 
+# Raised only when the note was provably not appended.
+_NO_EFFECT = (NoControlError, NoQuorumError, VoterBusyError)
 _STATUS_BY_OUTCOME = {OutcomeKind.ACCEPTED: 200, OutcomeKind.REFUSED: 409}
 
 
@@ -65,7 +68,7 @@
         reply = await source.submit(note)
     except InvariantError:
         raise
-    except (NoControlError, NoQuorumError) as error:
+    except _NO_EFFECT as error:
         return _failed(OutcomeKind.REFUSED, note.note, error)
     except SnipeleadError as error:
         # Any other failure may have come after the note was appended.
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -20,6 +20,7 @@
 from snipelead.testing.fleet import FakeService
 from snipelead.testing.fleet import make_node_status
 from snipelead.types import OutcomeKind
+from snipelead.voters.exceptions import VoterBusyError
 
 NOTE = """
 release: {number}
@@ -96,11 +97,13 @@
         self.assertEqual('2', response.headers['Retry-After'])
         self.assertEqual(EMPTY_RELEASE, self.source.current)
 
-    def test_note_that_was_not_passed_on_is_refused(self):
-        self.source.failures = [NoControlError('nobody there')]
-        response, answer = self.submit(make_note())
-        self.assertEqual(503, response.status_code)
-        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+    def test_note_that_was_provably_not_appended_is_refused(self):
+        for error in (NoControlError('nobody'), VoterBusyError('full')):
+            self.source.failures = [error]
+            response, answer = self.submit(make_note())
+            self.assertEqual(503, response.status_code)
+            self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+            self.assertEqual(error.code, answer.code)
 
     def test_lost_answer_is_unknown(self):
         self.source.failures = [OutcomeUnknownError('lost')]
