Replace a silent connection also when a certification finds it

Cause: certify() limited the whole and the call inside to the same time; the outer limit came first and cancelled the call, so that the channel was never reset and the silent connection was used again. After a silent cut was healed, a follower could not certify for 9 s and more, and a node that knew only it came up by the uncertified floor. Change: the call inside ends before the limit of the whole.

--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -28,6 +28,8 @@
 MISS_MS = 1_000
 CALL_TIMEOUT_S = 2.0
 CERTIFY_TIMEOUT_S = 0.8
+# Ends before the limit above, so that a silent connection is replaced.
+CERTIFY_CALL_S = 0.6
 ON_ITS_WAY_S = 0.3
 # A relay does not know which note made a release.
 NO_NOTE = NoteId('')
@@ -175,7 +177,7 @@
 
     async def _certify_by(self, link):
         try:
-            reply = await link.calls.call(CertifyRequest(), CERTIFY_TIMEOUT_S)
+            reply = await link.calls.call(CertifyRequest(), CERTIFY_CALL_S)
         except SnipeleadError:
             return False
         if not reply.certified:
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -41,6 +41,9 @@
 __all__ = ['Voter']
 
 CERTIFY_TIMEOUT_S = 1.0
+# Ends before the limit above, which would cancel the call and so leave a
+# silent connection in place; a call that times out replaces it.
+BARRIER_TIMEOUT_S = 0.5
 
 
 class Voter(Parametrized, ReleaseSource):
@@ -224,7 +227,7 @@
         if replica.leader is None:
             return False
         reply = await self.peers.call(
-            replica.leader.control_id, BarrierRequest(), CERTIFY_TIMEOUT_S
+            replica.leader.control_id, BarrierRequest(), BARRIER_TIMEOUT_S
         )
         while replica.journal.commit_index < reply.index:
             await replica.journal.applied.wait()
