Wait for the replaced member, and keep runs side by side apart

Cause: test_repaired_disk_then_loss_of_a_second_control failed once. Its condition "votes as a new member" compared with the voters before the loss, read from events of membership changes alone; the founding configuration is another event, so the set was empty and the old member counted as new. The second control was then killed while two voters were left, where a refusal is right. Ruled out: loss of an accepted release (none was missing) and a fault of the change of membership. test_resend_after_the_target_node_and_a_leader failed on a port that another run on the same machine had taken.

Change: the founding configuration counts; free addresses are drawn on a random loopback host for each call.

--- a/snipelead/daemons/tests/fleet_case.py
+++ b/snipelead/daemons/tests/fleet_case.py
@@ -12,9 +12,12 @@
 from snipelead.testing.processes import wait_for
 from snipelead.testing.relay import RelayThread
 from snipelead.voters.events import BECAME_LEADER
+from snipelead.voters.events import CLUSTER_FOUNDED
 from snipelead.voters.events import MEMBERSHIP_CHANGED
 
 LOG_TAIL_CHARS = 6_000
+# Index of the configuration that a cluster is founded with.
+FOUNDING_INDEX = 1
 
 FIRST_CHANGES = [
     {'action': 'add', 'service': {'name': 'stock'}},
@@ -182,9 +185,10 @@
     def newest_voters(self):
         """Return the voters of the newest configuration in any log."""
         changes = [
-            (event['index'], event['voters'])
+            (event.get('index', FOUNDING_INDEX), event['voters'])
             for control in self.fleet.controls
-            for event in read_events(control, MEMBERSHIP_CHANGED)
+            for kind in (CLUSTER_FOUNDED, MEMBERSHIP_CHANGED)
+            for event in read_events(control, kind)
         ]
         return max(changes, default=(0, []))[1]
 
--- a/snipelead/utils/ports.py
+++ b/snipelead/utils/ports.py
@@ -7,7 +7,9 @@
 
 __all__ = ['find_free_addresses']
 
-LOOPBACK = '127.0.0.1'
+# Addresses of the loopback network that processes started together use; the
+# choice among many hosts keeps runs side by side from meeting.
+LOOPBACK_BYTES = range(1, 250)
 # Below the range that systems take the ports of outgoing connections from,
 # so that none of those takes a port before its process binds it.
 PORTS = range(10_000, 32_000)
@@ -27,15 +29,18 @@
     list of Address
     """
     # The choice is not seeded, so that runs side by side differ in it.
-    ports = random.SystemRandom().sample(PORTS, count + SPARE_PORTS)
-    free = [port for port in ports if _is_free(port)]
-    return [Address(f'{LOOPBACK}:{port}') for port in free[:count]]
+    chooser = random.SystemRandom()
+    network, subnet = chooser.choices(LOOPBACK_BYTES, k=2)
+    host = f'127.{network}.{subnet}.1'
+    ports = chooser.sample(PORTS, count + SPARE_PORTS)
+    free = [port for port in ports if _is_free(host, port)]
+    return [Address(f'{host}:{port}') for port in free[:count]]
 
 
-def _is_free(port):
+def _is_free(host, port):
     with socket.socket() as sock:
         try:
-            sock.bind((LOOPBACK, port))
+            sock.bind((host, port))
         except OSError:
             return False
     return True
