Accept a mount point as data folder; sync the folders that are made

Cause: a file such as lost+found made an empty folder look damaged (SL1004), and the folder itself was not synced into its parents.

--- a/snipelead/voters/files.py
+++ b/snipelead/voters/files.py
@@ -72,6 +72,14 @@
         view = view[os.write(descriptor, view) :]
 
 
+def _sync_folder(folder):
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 class DiskFiles(Files):
     """Files on a disk; system calls that wait run in worker threads.
 
@@ -91,7 +99,11 @@
         return await trio.to_thread.run_sync(self._open)
 
     def _open(self):
+        path = self.folder.absolute()
+        missing = [p for p in (path, *path.parents) if not p.exists()]
         self.folder.mkdir(parents=True, exist_ok=True)
+        for created in missing:
+            _sync_folder(created.parent)
         lock = os.open(self.folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -136,7 +148,7 @@
         finally:
             os.close(descriptor)
         os.rename(temporary, self.folder / name)
-        self._sync_folder()
+        _sync_folder(self.folder)
 
     async def append(self, name, data):
         """Append and sync."""
@@ -172,16 +184,9 @@
     def _remove(self, name):
         self._forget(name)
         (self.folder / name).unlink()
-        self._sync_folder()
+        _sync_folder(self.folder)
 
     def _forget(self, name):
         descriptor = self.appending.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
-
-    def _sync_folder(self):
-        descriptor = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
--- a/snipelead/voters/storage.py
+++ b/snipelead/voters/storage.py
@@ -65,6 +65,15 @@
     term: Term
 
 
+def _is_own(name):
+    """Whether a file belongs here; a mount point may hold others."""
+    return name in (
+        IDENTITY_NAME,
+        VOTE_NAME,
+        PUBLISHED_NAME,
+    ) or name.startswith((SNAPSHOT_PREFIX, LOG_PREFIX))
+
+
 class Storage:
     """Identity, vote, snapshot and log of one member.
 
@@ -117,7 +126,7 @@
         FolderInUseError, CorruptStorageError, WrongFolderError
             If the folder cannot be used.
         """
-        names = await self.files.open()
+        names = [n for n in await self.files.open() if _is_own(n)]
         if not names:
             member = Member(control_id, secrets.token_hex(EPOCH_BYTES))
             await self.save_identity(Identity(member))
--- a/snipelead/voters/tests/test_storage.py
+++ b/snipelead/voters/tests/test_storage.py
@@ -104,6 +104,11 @@
                 self.reopen()
             self.disk.contents[name] = data
 
+    def test_other_files_in_an_empty_folder_are_ignored(self):
+        self.disk.contents['lost+found'] = bytearray()
+        self.write(entries(1, 1))
+        self.assertEqual(1, self.reopen()[1].last_index)
+
     def test_folder_of_another_control_is_refused(self):
         self.write()
         with ExpectedException(WrongFolderError):
