--- a/snipelead/voters/tests/test_membership.py
+++ b/snipelead/voters/tests/test_membership.py
@@ -7,6 +7,7 @@
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.testing.cluster import make_note
 from snipelead.testing.cluster import open_cluster
+from snipelead.testing.disk import MemoryDisk
 from snipelead.testing.simulation import run_simulated
 from snipelead.voters.exceptions import MemberReplacedError
 from snipelead.voters.exceptions import NotThisMemberError
@@ -136,6 +137,28 @@
 
         self.run_cluster(test)
 
+    def test_voters_added_to_the_settings_are_taken_in(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            await cluster.voters[leader].submit(make_note(1))
+            cluster.names = 'abcde'
+            for name in 'abc':
+                await cluster.kill(name)
+                await cluster.start(name)
+                await cluster.wait_leader()
+            for name in 'de':
+                cluster.disks[name] = MemoryDisk()
+                await cluster.start(name)
+            await cluster.wait_whole()
+            await cluster.wait_release(1)
+            for name in 'ab':
+                await cluster.kill(name)
+            leader = await cluster.wait_leader()
+            await cluster.voters[leader].submit(make_note(2))
+            await cluster.wait_release(2)
+
+        self.run_cluster(test)
+
     def test_all_but_one_lost_founds_nothing(self):
         async def test(cluster):
             leader = await cluster.wait_leader()
