--- a/snipelead/voters/tests/test_membership.py
+++ b/snipelead/voters/tests/test_membership.py
@@ -137,6 +137,28 @@
 
         self.run_cluster(test)
 
+    def test_old_disk_that_returns_before_it_is_replaced_goes_on(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            one = cluster.followers[0]
+            disk = cluster.disks[one]
+            await cluster.kill(one)
+            saved = dict(disk.contents)
+            disk.erase()
+            await cluster.start(one)
+            disk.max_write_s = 1e9
+            journal = cluster.voters[leader].replica.journal
+            await cluster.wait_until(lambda: journal.configuration.learners)
+            await cluster.kill(one)
+            disk.contents = saved
+            disk.max_write_s = 0.002
+            await cluster.start(one)
+            await cluster.voters[leader].submit(make_note(1))
+            await cluster.wait_release(1)
+            await cluster.wait_whole()
+
+        self.run_cluster(test)
+
     def test_voters_added_to_the_settings_are_taken_in(self):
         async def test(cluster):
             leader = await cluster.wait_leader()
--- a/snipelead/voters/tests/test_replica.py
+++ b/snipelead/voters/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 from testtools import ExpectedException
 from testtools import TestCase
+import trio
 
 from snipelead.exceptions import InvariantError
 from snipelead.settings.schema import ControlSettings
@@ -97,6 +98,31 @@
 
         self.run_replica(test)
 
+    def test_new_leader_answers_no_barrier_before_its_own_entry(self):
+        async def test(replica, replication):
+            await self.install(replication, 1, 1, 1)
+            # Entry 3 may have been accepted; the new leader cannot tell.
+            await self.append(replication, 2, entries(2, 3, 2), 1)
+            async with replica.exclusive():
+                await replica.save_vote(Vote(4, replica.member))
+                await replica.lead()
+            progress = replica.leadership.progress_of(OTHER)
+            progress.acked_round = 99
+            indexes = []
+
+            async def wait_round():
+                indexes.append(await replication.wait_round())
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait_round)
+                await trio.sleep(1)
+                self.assertEqual([], indexes)
+                progress.match_index = 4
+                replica.advance_commit()
+            self.assertEqual([4], indexes)
+
+        self.run_replica(test)
+
     def test_late_snapshot_keeps_acknowledged_entries(self):
         async def test(replica, replication):
             await self.install(replication, 1, 1, 1)
--- a/snipelead/voters/tests/test_state.py
+++ b/snipelead/voters/tests/test_state.py
@@ -54,6 +54,8 @@
         self.submit(1)
         clash = self.submit(2, 'late', 'service-1')
         self.assertEqual('SL7001', clash.code)
+        # By now the number is taken, which would be another refusal.
+        self.submit(2)
         self.restart()
         self.assertEqual(clash, self.submit(2, 'late', 'service-1'))
 
