Print each fleet of the bench when it is measured

Cause: a baseline that did not finish within its limit (500 deltas one by one to each of 200 nodes, 120 s) ended the run, and all results with it.

Change: such a case is printed as not finished, and rows come out as soon as a fleet is measured.

--- a/snipelead/bench/distribution.py
+++ b/snipelead/bench/distribution.py
@@ -7,18 +7,21 @@
 """
 
 from contextlib import AsyncExitStack
+from math import inf
 import tempfile
 import time
 
 from msgspec import Struct
-from msgspec.structs import asdict
+from msgspec.structs import astuple
 import trio
 
 from snipelead.bench.baselines import Way
 from snipelead.bench.fleet_hosts import FleetHosts
+from snipelead.bench.fleet_hosts import TIMEOUT_S
 from snipelead.bench.lossy import run_lossy
 from snipelead.bench.source_process import BenchControl
-from snipelead.bench.tables import print_table
+from snipelead.bench.tables import print_header
+from snipelead.bench.tables import print_row
 from snipelead.bench.tables import summarize_ms
 from snipelead.logs import configure_logs
 from snipelead.rpc.grpc import open_transport
@@ -38,6 +41,7 @@
     'wire': ('no', 'yes counts bytes on the wire by a TCP relay'),
 }
 SETTLE_S = 1.0
+KEYS = ('nodes', 'way', 'preference', 'case')
 
 
 class DistributionOptions(Struct, frozen=True, kw_only=True):
@@ -84,6 +88,11 @@
     note: str = ''
 
 
+NOT_FINISHED = Measurement(
+    inf, inf, inf, 0.0, 0.0, 0.0, f'not finished within {TIMEOUT_S:g} s'
+)
+
+
 class Meter:
     """Bytes and processor time between two moments."""
 
@@ -235,7 +244,12 @@
         await hosts.wait_ready()
         await trio.sleep(SETTLE_S)
         for case in cases:
-            results[case] = await CASES[case](control, hosts, options)
+            try:
+                results[case] = await CASES[case](control, hosts, options)
+            except trio.TooSlowError:
+                # What follows would be measured on a fleet that is behind.
+                results[case] = NOT_FINISHED
+                break
         nursery.cancel_scope.cancel()
     return results
 
@@ -269,31 +283,25 @@
     """
     configure_logs(level='error')
     cases = options['cases'].split(',')
-    rows = []
+    print_header((*KEYS, *Measurement.__struct_fields__))
     for run_options in _expand(options):
-        print(
-            f'# {run_options.nodes} nodes, {run_options.way.value},'
-            f' {run_options.preference.value}',
-            flush=True,
-        )
         known = [case for case in cases if case in CASES]
-        results = trio.run(run_bench, run_options, known)
+        results = trio.run(run_bench, run_options, known) if known else {}
         if 'loss' in cases and run_options.way is Way.NET_DELTA:
             delays_s = run_lossy(run_options)
             results['loss'] = Measurement(
                 *summarize_ms(delays_s), 0.0, 0.0, 0.0, 'virtual time'
             )
         for case, result in results.items():
-            rows.append(
-                {
-                    'nodes': run_options.nodes,
-                    'way': run_options.way.value,
-                    'preference': run_options.preference.value,
-                    'case': case,
-                }
-                | asdict(result)
+            print_row(
+                (
+                    run_options.nodes,
+                    run_options.way.value,
+                    run_options.preference.value,
+                    case,
+                    *astuple(result),
+                )
             )
-    print_table(rows)
 
 
 def main():
--- a/snipelead/bench/tables.py
+++ b/snipelead/bench/tables.py
@@ -2,7 +2,7 @@
 
 import math
 
-__all__ = ['print_table', 'summarize_ms']
+__all__ = ['print_header', 'print_row', 'summarize_ms']
 
 
 def _quantile(ordered, share):
@@ -22,10 +22,12 @@
     return tuple(round(1_000 * value, 1) for value in values)
 
 
-def print_table(rows):
-    """Print rows with equal keys as a Markdown table."""
-    columns = list(rows[0])
+def print_header(columns):
+    """Print the head of a Markdown table."""
     print('| ' + ' | '.join(columns) + ' |')
-    print('|' + ' --- |' * len(columns))
-    for row in rows:
-        print('| ' + ' | '.join(str(row[name]) for name in columns) + ' |')
+    print('|' + ' --- |' * len(columns), flush=True)
+
+
+def print_row(values):
+    """Print a row of a Markdown table."""
+    print('| ' + ' | '.join(str(value) for value in values) + ' |', flush=True)
