Take the time of acceptance when a release is applied

Cause: the bench took the next number from the voter's newest release, which may follow the answer to a note by a moment; about half of the 100 notes of a burst then were resends, and a run waited for a number that the nodes had passed.

Change: a note is finished when its release is the newest one, which is also the time of acceptance.

--- a/snipelead/bench/source_process.py
+++ b/snipelead/bench/source_process.py
@@ -116,11 +116,18 @@
         before = self.voter.current
         number = before.number + 1
         note = ReleaseNote(number, f'note-{number}', tuple(changes))
-        await self.voter.submit(note)
-        self.accepted_ns = time.monotonic_ns()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._note_acceptance, number)
+            await self.voter.submit(note)
         if isinstance(self.updates, StepUpdates):
             self.updates.record(before, self.voter.current)
 
+    async def _note_acceptance(self, number):
+        """Take the time at which a release is accepted and applied."""
+        while self.voter.current.number < number:
+            await self.voter.wait_changed()
+        self.accepted_ns = time.monotonic_ns()
+
     async def _serve(self, *, task_status=trio.TASK_STATUS_IGNORED):
         handlers = self.voter.handlers() | self.service.handlers()
         # Notes come from this process alone.
