--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -18,6 +18,7 @@
 from snipelead.voters.election import Election
 from snipelead.voters.files import DiskFiles
 from snipelead.voters.forwarding import Forwarding
+from snipelead.voters.handover import Handover
 from snipelead.voters.joining import Joining
 from snipelead.voters.membership import Membership
 from snipelead.voters.messages import AppendRequest
@@ -25,6 +26,7 @@
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import InstallRequest
 from snipelead.voters.messages import JoinRequest
+from snipelead.voters.messages import LeadRequest
 from snipelead.voters.messages import ProbeRequest
 from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.messages import Settle
@@ -40,6 +42,9 @@
 __all__ = ['Voter']
 
 CERTIFY_TIMEOUT_S = 1.0
+# Ends before the limit above, which would cancel the call and so leave a
+# silent connection in place; a call that times out replaces it.
+BARRIER_TIMEOUT_S = 0.5
 
 
 class Voter(Parametrized, ReleaseSource):
@@ -107,6 +112,9 @@
         self.proposals = Proposals(
             self.replica, self.forwarding, self.election
         )
+        self.handover = Handover(
+            self.replica, self.peers, self.proposals, self.election
+        )
         self.membership = Membership(self.replica)
         self.joining = Joining(self.replica, self.peers, self.proposals)
 
@@ -146,6 +154,10 @@
             self.run_changes,
         )
 
+    async def drain(self):
+        """Hand leadership over before a planned stop."""
+        await self.handover.hand_over()
+
     async def run_part(self, part):
         """Run one task; a coded error stops the voter."""
         try:
@@ -173,6 +185,7 @@
             InstallRequest: self.replication.on_install,
             ProbeRequest: self.joining.on_probe,
             JoinRequest: self.membership.on_join,
+            LeadRequest: self.handover.on_lead,
             ProposeRequest: self.proposals.on_propose,
             BarrierRequest: self.replication.on_barrier,
             CertifyRequest: self.on_certify,
@@ -228,7 +241,7 @@
         if replica.leader is None:
             return False
         reply = await self.peers.call(
-            replica.leader.control_id, BarrierRequest(), CERTIFY_TIMEOUT_S
+            replica.leader.control_id, BarrierRequest(), BARRIER_TIMEOUT_S
         )
         while replica.journal.commit_index < reply.index:
             await replica.journal.applied.wait()
