--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -11,6 +11,7 @@
 from snipelead.callers.exceptions import TooManyConnectionsError
 from snipelead.callers.exceptions import UpgradeUnsupportedError
 from snipelead.callers.execution import end_cancelled
+from snipelead.callers.execution import end_failed
 from snipelead.callers.execution import send_refusal
 from snipelead.callers.request import CallerReader
 from snipelead.callers.request import Request
@@ -199,7 +200,7 @@
         except Exception as error:
             # One request must not end the calls of all others.
             log_event(CALL_FAILED, error=repr(error))
-            connection.abort()
+            await end_failed(connection, request)
         # After a cancellation the entry stays for end_cancelled.
         del self.active[connection]
         if connection.scope.deadline != inf:
--- a/snipelead/callers/events.py
+++ b/snipelead/callers/events.py
@@ -45,6 +45,5 @@
     3006,
     'call_failed',
     'error',
-    'A call ended by an unforeseen error and its connection was reset;'
-    ' please report the error shown.',
+    'A call ended by an unforeseen error; please report the error shown.',
 )
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -20,6 +20,7 @@
     'ClaimUnknownError',
     'DeadlineError',
     'HeadRefusedError',
+    'InternalCallError',
     'KeyMismatchError',
     'KeyTakenError',
     'NoRouteError',
@@ -211,3 +212,10 @@
 
     code = 'SL3022'
     status = 501
+
+
+class InternalCallError(CallError):
+    """The node failed in an unforeseen way while it handled the call."""
+
+    code = 'SL3023'
+    status = 500
--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -3,9 +3,11 @@
 from snipelead.callers.answers import encode_refusal
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import DeadlineError
+from snipelead.callers.exceptions import InternalCallError
 from snipelead.callers.relay import LOST_ERRORS
+from snipelead.types import Ran
 
-__all__ = ['end_cancelled', 'run_call', 'send_refusal']
+__all__ = ['end_cancelled', 'end_failed', 'run_call', 'send_refusal']
 
 
 async def run_call(connection, request, call, work, *args):
@@ -50,6 +52,17 @@
     await send_refusal(connection, request, error, call.outcome)
 
 
+async def end_failed(connection, request):
+    """End a call that failed in an unforeseen way."""
+    call = request.call
+    if call is not None and call.answering:
+        connection.abort()
+        return
+    error = InternalCallError('the node failed while it handled the call')
+    ran = call.outcome if call is not None else Ran.NO
+    await send_refusal(connection, request, error, ran)
+
+
 async def send_refusal(connection, request, error, ran):
     """Answer a request with a coded error.
 
--- a/snipelead/callers/tests/test_framing.py
+++ b/snipelead/callers/tests/test_framing.py
@@ -128,6 +128,31 @@
 
         self.run_both(answer, test)
 
+    def test_fields_named_for_one_hop_are_dropped(self):
+        seen = []
+
+        async def answer(connection, request, body):
+            seen.append(request.lines)
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+                b'Connection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n'
+            )
+
+        async def test(caller):
+            await caller.send(
+                '/reads/1',
+                Connection='keep-alive, X-Mine',
+                X_Mine='1',
+                X_All='2',
+            )
+            response, _ = await caller.receive()
+            self.assertIn(b'X-All: 2', seen[-1])
+            self.assertNotIn(b'X-Mine: 1', seen[-1])
+            self.assertIn(b'X-End: 2', response.lines)
+            self.assertNotIn(b'X-Hop: 1', response.lines)
+
+        self.run_both(answer, test)
+
     def test_answer_that_is_not_http(self):
         async def answer(connection, request, body):
             await connection.send(b'HELLO\r\n\r\n')
--- a/snipelead/callers/tests/test_path.py
+++ b/snipelead/callers/tests/test_path.py
@@ -75,6 +75,20 @@
 
         self.run_nodes(test, self.node)
 
+    def test_unforeseen_error_ends_only_its_call(self):
+        async def test(nursery):
+            caller = await self.open()
+            balancer = self.node.path.balancer
+            choose, balancer.choose = balancer.choose, None
+            answer = await caller.call('/orders/1', 'POST')
+            self.assertEqual(500, answer[0].status)
+            self.assertEqual(('SL3023', 'no'), refusal_of(answer)[:2])
+            balancer.choose = choose
+            response, _ = await caller.call('/orders/2', 'POST')
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.node)
+
     def test_unknown_path_is_refused(self):
         async def test(nursery):
             caller = await self.open()
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -41,6 +41,9 @@
 )
 
 
+_PLAIN_CONNECTION = (b'keep-alive', b'close')
+
+
 class Message:
     """A request or a response whose body is read as it arrives.
 
@@ -97,6 +100,15 @@
         stated = self.fields.get(b'content-length')
         return None if stated is None else int(stated)
 
+    def drop_fields(self, names):
+        """Drop the fields that a Connection field names for this hop."""
+        prefixes = tuple(name.strip() + b':' for name in names.split(b','))
+        self.lines = [
+            line
+            for line in self.lines
+            if not line.lower().startswith(prefixes)
+        ]
+
     def take_received(self):
         """Return all bytes of the body received so far."""
         data = b''.join(self.chunks)
@@ -172,6 +184,9 @@
                 f'the head exceeds {self.head_bytes} bytes'
             )
         message = self.filling
+        named = message.fields.get(b'connection', b'keep-alive').lower()
+        if named not in _PLAIN_CONNECTION:
+            message.drop_fields(named)
         message.keep_alive = self.parser.should_keep_alive()
         message.version = self.parser.get_http_version()
         self.ready.append(message)
