--- a/snipelead/daemons/tests/fleet_case.py
+++ b/snipelead/daemons/tests/fleet_case.py
@@ -10,6 +10,7 @@
 from snipelead.emulator.run_log import read_runs
 from snipelead.testing.processes import Fleet
 from snipelead.testing.processes import wait_for
+from snipelead.testing.relay import RelayThread
 from snipelead.voters.events import BECAME_LEADER
 from snipelead.voters.events import MEMBERSHIP_CHANGED
 
@@ -75,6 +76,13 @@
         self.client = self.fleet.client
         return self.fleet
 
+    def start_relays(self):
+        """Return a thread of relays that ends with the test."""
+        thread = RelayThread()
+        thread.__enter__()
+        self.addCleanup(thread.__exit__)
+        return thread
+
     def start_fleet(self, **parameters):
         """Start a fleet that runs release 1 and has its targets."""
         fleet = self.make_fleet(**parameters)
@@ -84,7 +92,9 @@
 
     def begin_service(self):
         """Submit release 1 and wait until every node serves it."""
-        self.assertEqual(200, self.submit(0, 1, 'first', FIRST_CHANGES)[0])
+        # The controls may answer before they have founded their cluster.
+        outcome = self.submit_until_definite([0], 1, 'first', FIRST_CHANGES)
+        self.assertEqual(200, outcome[0])
         self.wait_in_force(1)
         for node in self.fleet.nodes:
             self.wait_served(node)
--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -1,6 +1,7 @@
 """HTTP interface for operators: submit release notes, read them back."""
 
 from quart import request
+import trio
 
 from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
@@ -25,6 +26,7 @@
 from snipelead.utils.http import make_quart
 from snipelead.utils.http import metrics_response
 from snipelead.utils.http import retry_headers
+from snipelead.voters.exceptions import VoterBusyError
 
 __all__ = ['make_app', 'submit_note']
 
@@ -32,6 +34,8 @@
 RETRY_AFTER_MS = 1_000
 LISTED_NOTES = 100
 
+# Raised only when the note was provably not appended.
+_NO_EFFECT = (NoControlError, NoQuorumError, VoterBusyError)
 _STATUS_BY_OUTCOME = {OutcomeKind.ACCEPTED: 200, OutcomeKind.REFUSED: 409}
 
 
@@ -64,7 +68,7 @@
         reply = await source.submit(note)
     except InvariantError:
         raise
-    except (NoControlError, NoQuorumError) as error:
+    except _NO_EFFECT as error:
         return _failed(OutcomeKind.REFUSED, note.note, error)
     except SnipeleadError as error:
         # Any other failure may have come after the note was appended.
@@ -87,7 +91,9 @@
 
 async def _answer_submit(source):
     try:
-        note = load_note(await request.get_data())
+        text = await request.get_data()
+        # Parsing a large note takes longer than an election timeout.
+        note = await trio.to_thread.run_sync(load_note, text)
     except InvalidNoteError as error:
         answer = SubmitAnswer(
             OutcomeKind.REFUSED,
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -1,3 +1,6 @@
+import threading
+
+from fixtures import MonkeyPatch
 import msgspec
 from testtools import TestCase
 import trio
@@ -12,10 +15,12 @@
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmitAnswer
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.releases.note import load_note
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
-from snipelead.testing.fleet import FakeSource
 from snipelead.testing.fleet import make_node_status
 from snipelead.types import OutcomeKind
+from snipelead.voters.exceptions import VoterBusyError
 
 NOTE = """
 release: {number}
@@ -32,7 +37,7 @@
 class OperatorAppTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.source = FakeSource()
+        self.source = FailingSource()
         self.service = FakeService()
 
     def request(self, method, path, body=None):
@@ -71,6 +76,18 @@
         self.assertEqual(409, response.status_code)
         self.assertEqual('SL7001', answer.code)
 
+    def test_notes_are_parsed_beside_the_event_loop(self):
+        threads = []
+
+        def load(text):
+            threads.append(threading.current_thread())
+            return load_note(text)
+
+        self.useFixture(MonkeyPatch('snipelead.operators.app.load_note', load))
+        self.submit(make_note())
+        self.assertNotIn(threading.main_thread(), threads)
+        self.assertEqual(1, len(threads))
+
     def test_no_quorum_is_a_refusal_that_may_be_tried_again(self):
         self.source.failures = [NoQuorumError('alone', retry_after_ms=1_500)]
         response, answer = self.submit(make_note())
@@ -80,11 +97,13 @@
         self.assertEqual('2', response.headers['Retry-After'])
         self.assertEqual(EMPTY_RELEASE, self.source.current)
 
-    def test_note_that_was_not_passed_on_is_refused(self):
-        self.source.failures = [NoControlError('nobody there')]
-        response, answer = self.submit(make_note())
-        self.assertEqual(503, response.status_code)
-        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+    def test_note_that_was_provably_not_appended_is_refused(self):
+        for error in (NoControlError('nobody'), VoterBusyError('full')):
+            self.source.failures = [error]
+            response, answer = self.submit(make_note())
+            self.assertEqual(503, response.status_code)
+            self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+            self.assertEqual(error.code, answer.code)
 
     def test_lost_answer_is_unknown(self):
         self.source.failures = [OutcomeUnknownError('lost')]
@@ -170,7 +189,7 @@
         self.assertIn(b'SL4001', body)
 
     def test_unproved_control_does_not_deny_a_release(self):
-        self.source.certified = False
+        self.source.certifies = False
         response, body = self.request('GET', '/v1/releases/7')
         self.assertEqual(503, response.status_code)
         self.assertIn(b'SL4002', body)
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -11,10 +11,11 @@
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.operators.app import make_app
 from snipelead.operators.client import OperatorClient
+from snipelead.operators.client import STAGGER_S
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.releases.note import load_note
+from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
-from snipelead.testing.fleet import FakeSource
 from snipelead.types import OutcomeKind
 
 NOTE = 'release: 1\nnote: n1\nchanges: []\n'
@@ -31,6 +32,7 @@
             self.apps[host] = httpx.ASGITransport(app)
         self.unreachable = set()
         self.loses_answers = set()
+        self.silent = set()
         self.hosts = []
 
     async def handle_async_request(self, request):
@@ -38,6 +40,8 @@
         self.hosts.append(host)
         if host in self.unreachable:
             raise httpx.ConnectError('refused')
+        if host in self.silent:
+            await trio.sleep_forever()
         response = await self.apps[host].handle_async_request(request)
         if host in self.loses_answers:
             raise httpx.ReadTimeout('no answer')
@@ -47,7 +51,7 @@
 class OperatorClientTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.source = FakeSource()
+        self.source = FailingSource()
         hosts = [a.split(':')[0] for a in ADDRESSES]
         self.hosts = hosts
         self.network = FakeControls(dict.fromkeys(hosts, self.source))
@@ -111,7 +115,7 @@
         self.assertRaises(NoControlError, self.submit)
 
     def test_failed_server_is_unknown_and_resent(self):
-        broken = FakeSource()
+        broken = FailingSource()
         broken.submit = partial(self._fail, broken)
         app = make_app(FakeService(), broken)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
@@ -122,8 +126,8 @@
         raise ZeroDivisionError
 
     def test_read_prefers_a_control_that_proves_itself_current(self):
-        stale = FakeSource()
-        stale.certified = False
+        stale = FailingSource()
+        stale.certifies = False
         app = make_app(FakeService(), stale)
         self.network.apps[self.hosts[0]] = httpx.ASGITransport(app)
         self.source.apply(load_note(NOTE))
@@ -132,9 +136,24 @@
         self.assertEqual(1, listed.current.number)
 
     def test_read_falls_back_to_an_unproved_answer(self):
-        self.source.certified = False
+        self.source.certifies = False
         self.assertFalse(self.run_client('list_releases').certified)
 
+    def test_silent_control_does_not_hold_up_a_read(self):
+        self.network.silent = {self.hosts[0]}
+        self.source.certify_s = 0.0
+
+        async def read():
+            client = OperatorClient(ADDRESSES, transport=self.network)
+            async with client:
+                started_s = trio.current_time()
+                answer = await client.list_releases()
+                return answer, trio.current_time() - started_s
+
+        answer, took_s = trio.run(read, clock=MockClock(autojump_threshold=0))
+        self.assertTrue(answer.certified)
+        self.assertEqual(STAGGER_S, took_s)
+
     def test_unknown_release_is_an_error(self):
         self.assertRaises(
             ReleaseNotFoundError, self.run_client, 'show_release', 9
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.controls.exceptions import NoQuorumError
+from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import ClaimReply
@@ -47,7 +48,7 @@
 )
 
 # Final, unless an earlier attempt may still take effect.
-_REFUSALS = (VoterBusyError, ClaimsFullError)
+_REFUSALS = (OutcomeForgottenError, VoterBusyError, ClaimsFullError)
 
 
 def _reply_type(command):
@@ -135,6 +136,10 @@
         for pending in waiting.values():
             pending.resolve(_unknown())
 
+    def is_busy(self):
+        """Whether commands wait to be appended or applied."""
+        return bool(self.queue or self.waiting)
+
     def enqueue(self, commands):
         """Queue commands for the next append as leader.
 
@@ -154,7 +159,7 @@
         """
         replica = self.replica
         replica.check_running()
-        if replica.leadership is None:
+        if replica.leadership is None or replica.leadership.leaving:
             raise NotLeaderError(f'{replica.member} is not the leader')
         if not self.election.is_in_touch():
             raise self.no_quorum()
@@ -196,7 +201,8 @@
         NoQuorumError, QuorumLostError
             The command was never appended.
         OutcomeUnknownError
-            The command may have been appended.
+            The command may have been appended, or its outcome is no
+            longer on record.
         VoterBusyError, ClaimsFullError
             Nothing took effect.
         """
