Do not take an own stall for silence or idleness

Cause: after a node's process was stopped for a while (SIGSTOP, a long pause) its next tick saw old times, reset all connections to peers that owed an answer, and closed idle connections of callers, though answers and requests waited in its sockets.

Change: a late tick renews the time since which peers are silent; an idle connection is closed only when nothing waits to be read.

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -113,7 +113,10 @@
         self.now = now
         for connection in tuple(self.connections):
             idle_s = now - connection.used_at
-            if idle_s > self.idle_s and connection not in self.active:
+            if idle_s <= self.idle_s or connection in self.active:
+                continue
+            # After a stall of this process a request may wait to be read.
+            if connection.is_silent():
                 connection.close()
 
     def drain(self, nursery):
--- a/snipelead/callers/tests/test_connections.py
+++ b/snipelead/callers/tests/test_connections.py
@@ -54,6 +54,19 @@
 
         self.run_server(test)
 
+    def test_request_that_waits_is_read_before_its_connection_is_idle(self):
+        async def test(nursery):
+            caller = await Caller.open(self.address)
+            await trio.lowlevel.wait_readable(self.server.listener)
+            self.server.accept_pending(nursery)
+            await caller.send('/')
+            # The process was stopped for long before its task could read.
+            self.server.tick(trio.current_time() + 2 * IDLE_S)
+            response, _ = await caller.receive()
+            self.assertEqual(204, response.status)
+
+        self.run_server(test)
+
     def test_connections_above_the_limit_are_refused(self):
         async def test(nursery):
             nursery.start_soon(self.server.run, nursery)
--- a/snipelead/callers/tests/test_forwarding.py
+++ b/snipelead/callers/tests/test_forwarding.py
@@ -166,6 +166,25 @@
 
         self.run_nodes(test, self.near, self.far)
 
+    def test_own_stall_is_not_taken_for_a_silent_peer(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            hold = self.far.target.hold = trio.Event()
+            caller = await Caller.open(self.near.path.caller_address)
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: self.far.target.running == 1)
+            # As if the process had been stopped for a minute.
+            forwarder = self.near.path.forwarder
+            for reader in forwarder.heard_at:
+                forwarder.heard_at[reader] -= 60.0
+            forwarder.ticked_at -= 60.0
+            forwarder.tick(trio.current_time())
+            hold.set()
+            response, _ = await caller.receive()
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.near, self.far)
+
     def test_leaving_refusal_is_retried_elsewhere(self):
         third = FakeNode('n3', zone='b')
 
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -37,6 +37,8 @@
 MAX_IDLE = 64
 CONNECT_TIMEOUT_S = 1.0
 FENCE_TIMEOUT_S = 1.0
+# Time between two ticks from which on this process counts as stalled.
+STALL_S = 0.5
 # Time taken off the deadline so that a peer's answer arrives before it.
 DEADLINE_MARGIN_MS = 5
 _CONTINUE = 100
@@ -95,6 +97,7 @@
     def __init__(self):
         self.pool = ConnectionPool(IDLE_S, MAX_IDLE)
         self.heard_at = {}
+        self.ticked_at = 0.0
 
     def __enter__(self):
         return self
@@ -210,6 +213,12 @@
 
     def tick(self, now):
         """Close connections whose peer gives no sign of life."""
+        stalled_s = now - self.ticked_at
+        self.ticked_at = now
+        if stalled_s > STALL_S:
+            # This process did not listen; answers may wait in its sockets.
+            for reader in self.heard_at:
+                self.heard_at[reader] = max(now, self.heard_at[reader])
         for reader, heard_at in tuple(self.heard_at.items()):
             if now - heard_at > SILENCE_S:
                 reader.connection.abort()
