Count the end of every call

Cause: the counter of calls was declared but never counted, and calls that were cancelled by their deadline or their caller were in no histogram. The latency of a target that had not answered would have counted as added by the node.

Change: each call is counted by status and by whether it ran; latencies only of calls that were answered by a target.

--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -51,10 +51,13 @@
             call = self.make_call(request, route)
             request.check_size()
         except CallError as error:
+            self.metrics.count(error.status, Ran.NO)
             await send_refusal(connection, request, error, Ran.NO)
             return
-        await run_call(connection, request, call, self._run, route)
-        self.metrics.observe_call(call)
+        try:
+            await run_call(connection, request, call, self._run, route)
+        finally:
+            self.metrics.observe_call(call)
 
     def match(self, request):
         """Return the route of a request.
--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -36,6 +36,7 @@
         if call.answering:
             connection.abort()
         else:
+            call.status = error.status
             await send_refusal(connection, request, error, call.outcome)
     except LOST_ERRORS:
         # Either end was lost in the middle of the answer.
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -1,13 +1,17 @@
 """Metrics of the processes, kept by aioprometheus."""
 
+from collections import Counter as PlainCounter
+from http import HTTPStatus
+
 from aioprometheus.collectors import Counter
-from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
 from aioprometheus.collectors import Registry
 from aioprometheus.histogram import Histogram as Buckets
 from aioprometheus.renderer import render
 import trio
 
+from snipelead.types import Ran
+
 __all__ = ['ControlMetrics', 'NodeMetrics']
 
 ADDED_BUCKETS_S = (0.0001, 0.00024, 0.00048, 0.001, 0.002, 0.005, 0.02, 0.1, 1)
@@ -18,6 +22,8 @@
 # memory by inventing names.
 MAX_TENANTS = 100
 OTHER_TENANTS = 'other'
+# Counted for callers that went away; no answer has this status.
+CALLER_GONE_STATUS = 499
 
 
 class _Metrics:
@@ -60,6 +66,11 @@
     return buckets
 
 
+def _status_of_cancelled(call):
+    """Return the status of a call that has no answer of its own yet."""
+    return CALLER_GONE_STATUS if call.gone else HTTPStatus.GATEWAY_TIMEOUT
+
+
 class NodeMetrics(_Metrics):
     """Histograms of a node by tenant and request class.
 
@@ -105,24 +116,37 @@
             'Calls by status of the answer and by whether they ran.',
             registry=self.registry,
         )
-        self.in_flight = Gauge(
-            'snipelead_calls_in_flight',
-            'Calls being handled.',
-            registry=self.registry,
-        )
         self.by_label = {}
+        # Counted here and handed to the library when it renders, since its
+        # counters encode their labels each time.
+        self.counts = PlainCounter()
         self.tenants = set()
 
     def observe_call(self, call):
         """Record the end of a call."""
         key = (call.tenant, call.request_class)
         buckets = self.by_label.get(key) or self._add_label(key)
-        total_s = trio.current_time() - call.started_at
-        added_s = max(0.0, total_s - call.target_s - call.queue_wait_s)
-        buckets.added.observe(added_s)
-        buckets.target.observe(call.target_s)
+        if call.ran is Ran.YES:
+            # Without an answer the target's share of the time is not known.
+            total_s = trio.current_time() - call.started_at
+            added_s = max(0.0, total_s - call.target_s - call.queue_wait_s)
+            buckets.added.observe(added_s)
+            buckets.target.observe(call.target_s)
         buckets.queue.observe(call.queue_wait_s)
         buckets.attempts.observe(call.attempts)
+        status = call.status or _status_of_cancelled(call)
+        self.count(status, call.outcome)
+
+    def count(self, status, ran):
+        """Count an answer by its status and by whether the request ran."""
+        self.counts[status, ran] += 1
+
+    def render(self, accept=()):
+        """Return the exposition of all metrics; see the base class."""
+        for (status, ran), count in self.counts.items():
+            labels = {'status': f'{status:d}', 'ran': ran.value}
+            self.calls.set(labels, count)
+        return super().render(accept)
 
     def _add_label(self, key):
         tenant, request_class = key
