--- a/snipelead/testing/exceptions.py
+++ b/snipelead/testing/exceptions.py
@@ -2,7 +2,7 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['ConditionTimeoutError', 'ProcessEndedError']
+__all__ = ['ConditionTimeoutError', 'KnownRedError', 'ProcessEndedError']
 
 
 class ConditionTimeoutError(SnipeleadError):
@@ -15,3 +15,9 @@
     """A process of a test ended before it was ready."""
 
     code = 'SL8011'
+
+
+class KnownRedError(SnipeleadError):
+    """The list of tests that are known to fail cannot be read."""
+
+    code = 'SL8012'
