Let an address that takes no notes settle nothing

Cause: after a lost answer, a 404 or 413 from another address was given as the outcome, so a note that may have been accepted was called refused. Change: such an answer counts as a refusal only when no answer was lost. Result: a test with one lost answer and two addresses that take no notes: refused before, unknown after.

--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -133,12 +133,16 @@
         unknown = None
         for address in self.addresses * self.rounds:
             try:
-                answer = await self._post_note(address, text, note_id)
+                answer = await self._post_note(address, text)
             except _NOT_SENT:
                 continue
             except (httpx.HTTPError, UnexpectedAnswerError):
                 unknown = unknown or _lost_answer(note_id, address)
                 continue
+            except SnipeleadError as error:
+                # Says nothing of an earlier attempt elsewhere.
+                refusal = refusal or _refusal(note_id, error)
+                continue
             if answer.retry_after_ms is None:
                 return answer
             if answer.outcome is OutcomeKind.UNKNOWN:
@@ -163,20 +167,14 @@
         """Read back the fleet; returns a :class:`FleetReport`."""
         return await self._read('/v1/fleet', FleetReport)
 
-    async def _post_note(self, address, text, note_id):
+    async def _post_note(self, address, text):
         response = await self.http.post(
             f'http://{address}/v1/releases',
             content=text.encode(),
             headers={'Content-Type': 'application/yaml'},
         )
         if response.status_code in _NOT_TAKEN:
-            info = _decode(address, response, ErrorInfo)
-            return SubmitAnswer(
-                OutcomeKind.REFUSED,
-                note_id,
-                code=info.code,
-                message=info.message,
-            )
+            raise error_from_info(_decode(address, response, ErrorInfo))
         return _decode(address, response, SubmitAnswer)
 
     async def _read(self, path, answer_type):
@@ -223,6 +221,12 @@
         )
 
 
+def _refusal(note_id, error):
+    return SubmitAnswer(
+        OutcomeKind.REFUSED, note_id, code=error.code, message=error.message
+    )
+
+
 def _lost_answer(note_id, address):
     return SubmitAnswer(
         OutcomeKind.UNKNOWN,
--- a/snipelead/operators/tests/test_client.py
+++ b/snipelead/operators/tests/test_client.py
@@ -17,6 +17,7 @@
 from snipelead.testing.fleet import FailingSource
 from snipelead.testing.fleet import FakeService
 from snipelead.types import OutcomeKind
+from snipelead.utils.http import make_quart
 
 NOTE = 'release: 1\nnote: n1\nchanges: []\n'
 ADDRESSES = ['127.0.0.1:1', '127.0.0.2:1', '127.0.0.3:1']
@@ -104,6 +105,17 @@
         self.source.failures = failures
         self.assertEqual(OutcomeKind.UNKNOWN, self.submit().outcome)
 
+    def test_address_that_takes_no_notes_settles_nothing(self):
+        other = httpx.ASGITransport(make_quart(__name__, 1_000))
+        for host in self.hosts[1:]:
+            self.network.apps[host] = other
+        self.network.loses_answers = {self.hosts[0]}
+        self.assertEqual(OutcomeKind.UNKNOWN, self.submit().outcome)
+        self.network.unreachable = {self.hosts[0]}
+        answer = self.submit()
+        self.assertEqual(OutcomeKind.REFUSED, answer.outcome)
+        self.assertEqual('SL4006', answer.code)
+
     def test_no_quorum_everywhere_is_refused(self):
         self.source.failures = [NoQuorumError('alone') for _ in range(6)]
         answer = self.submit()
