Prove that a silent link is noticed before the deadline

Cause: with the limit on a silent peer left out (a trial), the test of the link between nodes still passed, since the deadline ended the call.

--- a/snipelead/daemons/tests/test_failures_links.py
+++ b/snipelead/daemons/tests/test_failures_links.py
@@ -3,12 +3,16 @@
 import msgspec
 import pytest
 
+from snipelead.callers.exceptions import AnswerLostError
 from snipelead.daemons.tests.fleet_case import FleetTestCase
 from snipelead.testing.processes import wait_for
 from snipelead.testing.relay import RelayThread
 
 pytestmark = pytest.mark.processes
 
+# Much longer than it takes to notice a silent connection.
+LONG_MS = 30_000
+
 
 class SilentLinkTest(FleetTestCase):
     def test_node_leaves_a_silent_link_to_its_control(self):
@@ -43,20 +47,23 @@
             self.assertGreater(accepted, 0)
             with ThreadPoolExecutor() as pool:
                 pending = pool.submit(
-                    self.order, caller, 'k', 'r1', '/orders?ms=1000', 4_000
+                    self.order, caller, 'k', 'r1', '/orders?ms=4000', LONG_MS
                 )
                 self.wait_run('k')
                 thread.silence([relay])
                 answer = pending.result()
-            if answer.status_code != 200:
-                self.assertNotEqual('no', answer.headers['X-Snipelead-Ran'])
+            # Noticed by the silence and not by the deadline.
+            self.assertEqual(
+                AnswerLostError.code, answer.headers['X-Snipelead-Code']
+            )
+            self.assertNotEqual('no', answer.headers['X-Snipelead-Ran'])
             wait_for(
                 lambda: self.call(caller, '/levels').status_code == 200,
                 'calls over a fresh connection',
             )
             self.assertGreater(relay.accepted, accepted)
             thread.silence([relay])
-            idle = self.order(caller, 'k2', 'r2', '/orders', 4_000)
+            idle = self.order(caller, 'k2', 'r2', '/orders', LONG_MS)
             if idle.headers.get('X-Snipelead-Ran') == 'no':
                 self.assertEqual([], self.runs_of('k2'))
             for key in ('k', 'k2'):
