--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -33,6 +33,7 @@
 READERS = 2
 KEYS = 25
 KEY_PERIOD_S = 20
+CANCELLED = 'cancelled'
 RECOVERY_S = 60
 # One seed in so many runs five voters, the others three.
 FIVE_VOTERS_EVERY = 4
@@ -141,6 +142,10 @@
                 self.ledger.note_attempt(note)
                 try:
                     reply = await self.call(channels, SubmitRequest(note))
+                except trio.Cancelled:
+                    # The run ends, and this attempt may still take effect.
+                    self.ledger.note_error(note, CANCELLED)
+                    raise
                 except SnipeleadError as error:
                     self.ledger.note_error(note, error.code)
                     continue
@@ -202,6 +207,7 @@
         faults = (
             self.kill,
             self.kill_leader,
+            self.stop_leader,
             self.lose_disk,
             self.cut,
             self.cut_one_way,
@@ -234,6 +240,13 @@
         if self.cluster.leader is not None:
             await self.cluster.kill(self.cluster.leader)
 
+    async def stop_leader(self):
+        """Stop the leader as planned; its successor may fail meanwhile."""
+        name = self.cluster.leader
+        if name is not None:
+            await self.cluster.voters[name].drain()
+            await self.cluster.kill(name)
+
     async def lose_disk(self):
         """Lose a disk, at once after the one before was replaced."""
         if self.cluster.is_whole():
--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -25,6 +25,8 @@
     'InstallRequest',
     'JoinReply',
     'JoinRequest',
+    'LeadReply',
+    'LeadRequest',
     'Member',
     'ProbeReply',
     'ProbeRequest',
@@ -128,7 +130,7 @@
     term : Term
         Term of the leader that appended it.
     time_ms : int
-        The leader's time when it appended it, since the epoch.
+        Log time when the leader appended it: time that leaders have led.
     command : bytes
         Encoded :data:`Command`; empty for an entry without effect.
     configuration : Configuration or None
@@ -242,6 +244,20 @@
     """The leader will take the member in."""
 
 
+class LeadRequest(Struct, frozen=True, array_like=True):
+    """The leader of a term asks a voter to take its place."""
+
+    cluster: str
+    to: Member
+    term: Term
+
+
+class LeadReply(Struct, frozen=True):
+    """Whether the voter leads now."""
+
+    leads: bool
+
+
 class ProposeRequest(Struct, frozen=True, array_like=True):
     """Commands for the leader, which must not pass them on."""
 
@@ -276,5 +292,6 @@
 register_reply(InstallRequest, InstallReply)
 register_reply(ProbeRequest, ProbeReply)
 register_reply(JoinRequest, JoinReply)
+register_reply(LeadRequest, LeadReply)
 register_reply(ProposeRequest, ProposeReply)
 register_reply(BarrierRequest, BarrierReply)
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -15,6 +15,7 @@
 from snipelead.testing.simulation import run_simulated
 from snipelead.types import OutcomeKind
 from snipelead.types import Ran
+from snipelead.voters.exceptions import CorruptStorageError
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.replication import Replication
@@ -55,6 +56,62 @@
 
 
 class ThreeVotersTest(ClusterCase):
+    def test_lone_restarted_voter_knows_what_was_published(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            for number in (1, 2):
+                self.accept(
+                    await cluster.voters[leader].submit(make_note(number))
+                )
+            await cluster.wait_release(2)
+            for name in cluster.names:
+                await cluster.kill(name)
+            for name in cluster.names:
+                await cluster.start(name)
+                voter = cluster.voters[name]
+                self.assertEqual(2, voter.current.number)
+                self.assertFalse(await voter.certify())
+                await cluster.kill(name)
+
+        self.run_cluster(test)
+
+    def test_log_time_goes_by_elapsed_time_alone(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            claim = ClaimRequest('route', 'key', 'claim-1')
+            began = trio.current_time()
+            self.assertTrue(
+                (await cluster.voters[leader].claim(claim)).granted
+            )
+            before_ms = cluster.voters[leader].replica.journal.newest_time_ms
+            await trio.sleep(5)
+            await cluster.kill(leader)
+            # A clock that is years ahead must not expire the claim.
+            with mock.patch('time.time_ns', return_value=2**62):
+                voter = cluster.voters[await cluster.wait_leader(leader)]
+                late = ClaimRequest('route', 'key', 'claim-2')
+                self.assertFalse((await voter.claim(late)).granted)
+            passed_ms = voter.replica.journal.newest_time_ms - before_ms
+            self.assertGreaterEqual(passed_ms, 0)
+            limit_ms = (trio.current_time() - began) * 1_000
+            self.assertLessEqual(passed_ms, limit_ms)
+
+        self.run_cluster(test)
+
+    def test_log_that_lost_what_was_published_is_refused(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            name = cluster.followers[0]
+            self.accept(await cluster.voters[name].submit(make_note(1)))
+            await cluster.wait_release(1)
+            await cluster.kill(name)
+            disk = cluster.disks[name]
+            del disk.contents[disk.find('log-')][-10:]
+            await cluster.start(name)
+            self.assertIsInstance(cluster.failures[name], CorruptStorageError)
+
+        self.run_cluster(test)
+
     def test_follower_forwards_and_certifies(self):
         async def test(cluster):
             await cluster.wait_leader()
@@ -229,6 +286,31 @@
 
         self.run_cluster(test)
 
+    def test_planned_stop_of_the_leader_cuts_no_command(self):
+        async def test(cluster):
+            old = await cluster.wait_leader()
+            waits = []
+
+            async def claim(name, number):
+                began = trio.current_time()
+                request = ClaimRequest('r', f'{name}{number}', 'c')
+                reply = await cluster.voters[name].claim(request)
+                self.assertTrue(reply.granted)
+                waits.append(trio.current_time() - began)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(50):
+                    for name in cluster.names:
+                        nursery.start_soon(claim, name, number)
+                    await trio.sleep(0.005)
+                    if number == 20:
+                        nursery.start_soon(cluster.voters[old].drain)
+            self.assertNotIn(cluster.leader, (None, old))
+            # No election timeout passed.
+            self.assertTrue(max(waits) < 0.4)
+
+        self.run_cluster(test)
+
     def test_refusal_after_a_lost_answer_is_unknown(self):
         lost = RpcTimeoutError('lost')
         busy = VoterBusyError('busy')
