Let a leader without successor take commands again

Cause: a planned hand-over that found no successor in time left the mark of leaving on the leadership.

Change: the mark ends with the hand-over.

Ruled out: a lost quorum; all three voters followed the leader throughout.

--- a/snipelead/voters/handover.py
+++ b/snipelead/voters/handover.py
@@ -36,16 +36,20 @@
         """Finish the commands under way, then stop leading.
 
         Returns when this member does not lead, or when no other voter could
-        take over in time.
+        take over in time; it then takes commands again.
         """
         leadership = self.replica.leadership
         if leadership is None:
             return
         leadership.leaving = True
-        with trio.move_on_after(HANDOVER_TIMEOUT_S):
-            while self.proposals.is_busy():
-                await self.replica.journal.applied.wait()
-            await self.appoint(leadership)
+        try:
+            with trio.move_on_after(HANDOVER_TIMEOUT_S):
+                while self.proposals.is_busy():
+                    await self.replica.journal.applied.wait()
+                await self.appoint(leadership)
+        finally:
+            # Without a successor this member goes on with its work.
+            leadership.leaving = False
 
     async def appoint(self, leadership):
         """Ask voters that have the whole log until one of them leads."""
--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -18,6 +18,7 @@
 from snipelead.voters.exceptions import CorruptStorageError
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import VoterBusyError
+from snipelead.voters.handover import Handover
 from snipelead.voters.replication import Replication
 
 NODE = 'address-node'
@@ -286,6 +287,17 @@
 
         self.run_cluster(test)
 
+    def test_leader_without_successor_takes_commands_again(self):
+        async def test(cluster):
+            voter = cluster.voters[await cluster.wait_leader()]
+            with mock.patch.object(Handover, 'find_successors') as find:
+                find.return_value = []
+                await voter.drain()
+            self.assertIsNotNone(voter.replica.leadership)
+            self.accept(await voter.submit(make_note(1)))
+
+        self.run_cluster(test)
+
     def test_planned_stop_of_the_leader_cuts_no_command(self):
         async def test(cluster):
             old = await cluster.wait_leader()
