--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -1,7 +1,7 @@
 """Checks the models that must hold and prints the searches.
 
 Usage: ``python -m specs [--large]``. The larger bounds take minutes and
-several GiB of memory.
+more than one GiB of memory.
 """
 
 import sys
