Part the shared messages by conversation

Cause: one file of 469 lines held the messages of five conversations, and the install rule fetched a build tool twice.

Change: a package with a module for each conversation; importers go on importing from snipelead.messages. The install rule leaves build tools to pip.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,6 @@
 # The stamp keeps repeated targets from reinstalling unchanged dependencies.
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --no-build-isolation setuptools 2>/dev/null || $(BIN)/pip install --quiet setuptools
 	$(BIN)/pip install --quiet -c constraints.txt -e '.[test,bench]'
 	touch $@
 
--- /dev/null
+++ b/snipelead/messages/__init__.py
@@ -0,0 +1,57 @@
+"""Messages between the system's own processes.
+
+Every request type has one reply type, declared in ``REPLY_TYPES``; the name
+of the request type is the name of the remote procedure. Messages that
+belong to one package alone (such as those among voters) are declared there
+and added with :func:`register_reply`.
+"""
+
+from snipelead.messages.claims import ClaimReply
+from snipelead.messages.claims import ClaimRequest
+from snipelead.messages.claims import SettleReply
+from snipelead.messages.claims import SettleRequest
+from snipelead.messages.fleet import FleetReply
+from snipelead.messages.fleet import FleetRequest
+from snipelead.messages.fleet import NodeStatus
+from snipelead.messages.outcomes import CertifyReply
+from snipelead.messages.outcomes import CertifyRequest
+from snipelead.messages.outcomes import OutcomesReply
+from snipelead.messages.outcomes import OutcomesRequest
+from snipelead.messages.outcomes import SubmitReply
+from snipelead.messages.outcomes import SubmitRequest
+from snipelead.messages.registry import register_reply
+from snipelead.messages.registry import REPLY_TYPES
+from snipelead.messages.sync import Registration
+from snipelead.messages.sync import Snapshot
+from snipelead.messages.sync import SyncReply
+from snipelead.messages.sync import SyncRequest
+from snipelead.messages.targets import DirectoryUpdate
+from snipelead.messages.targets import ExchangeReply
+from snipelead.messages.targets import ExchangeRequest
+from snipelead.messages.targets import TargetEntry
+
+__all__ = [
+    'CertifyReply',
+    'CertifyRequest',
+    'ClaimReply',
+    'ClaimRequest',
+    'DirectoryUpdate',
+    'ExchangeReply',
+    'ExchangeRequest',
+    'FleetReply',
+    'FleetRequest',
+    'NodeStatus',
+    'OutcomesReply',
+    'OutcomesRequest',
+    'REPLY_TYPES',
+    'Registration',
+    'SettleReply',
+    'SettleRequest',
+    'Snapshot',
+    'SubmitReply',
+    'SubmitRequest',
+    'SyncReply',
+    'SyncRequest',
+    'TargetEntry',
+    'register_reply',
+]
