Refuse routes whose deadline nodes would cut

Cause: a release could state a deadline of an hour, while nodes cut every deadline to a minute, since attempts are remembered for twice that.

Change: one constant, next to the route; a longer deadline is refused when the note is submitted.

Measured: the new test fails before and passes after; the tests of releases, nodes and callers pass.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -12,8 +12,6 @@
 
 __all__ = ['Call', 'CallInfo']
 
-# Longest deadline that is accepted, in milliseconds.
-MAX_DEADLINE_MS = 60_000
 # Shorter deadlines are set at once; twice the time between two looks of the
 # watcher, in seconds.
 SHORT_DEADLINE_S = 0.1
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -1,7 +1,6 @@
 """From a caller's request to the answer of a target."""
 
 from snipelead.callers.call import Call
-from snipelead.callers.call import MAX_DEADLINE_MS
 from snipelead.callers.claims import MAX_KEY_CHARS
 from snipelead.callers.exceptions import BadRequestError
 from snipelead.callers.exceptions import CallError
@@ -9,6 +8,7 @@
 from snipelead.callers.exceptions import NoRouteError
 from snipelead.callers.execution import run_call
 from snipelead.callers.execution import send_refusal
+from snipelead.releases.document import MAX_DEADLINE_MS
 from snipelead.routing.table import RouteTable
 from snipelead.types import Ran
 from snipelead.types import TenantName
@@ -125,7 +125,7 @@
 def _read_deadline_ms(request, route):
     stated = request.fields.get(b'x-deadline-ms')
     if stated is None:
-        return min(route.deadline_ms, MAX_DEADLINE_MS)
+        return route.deadline_ms
     if not stated.isdigit() or int(stated) == 0:
         raise BadRequestError(
             'X-Deadline-Ms must be a whole number of milliseconds above 0,'
--- a/snipelead/nodes/gates.py
+++ b/snipelead/nodes/gates.py
@@ -1,9 +1,9 @@
 """The gates of all targets beside a node."""
 
-from snipelead.callers.call import MAX_DEADLINE_MS
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.nodes.attempts import AttemptTable
 from snipelead.nodes.gate import Gate
+from snipelead.releases.document import MAX_DEADLINE_MS
 
 __all__ = ['Gates']
 
--- a/snipelead/nodes/tests/test_peer_limits.py
+++ b/snipelead/nodes/tests/test_peer_limits.py
@@ -1,9 +1,9 @@
 from testtools import TestCase
 
-from snipelead.callers.call import MAX_DEADLINE_MS
 from snipelead.nodes import forwarding
 from snipelead.nodes import gates
 from snipelead.nodes import peer_service
+from snipelead.releases.document import MAX_DEADLINE_MS
 from snipelead.targets import sender
 
 
--- a/snipelead/releases/checks.py
+++ b/snipelead/releases/checks.py
@@ -2,6 +2,7 @@
 
 from snipelead.exceptions import InvalidParameterError
 from snipelead.releases.document import EMPTY_RELEASE
+from snipelead.releases.document import MAX_DEADLINE_MS
 from snipelead.releases.exceptions import DanglingReferenceError
 from snipelead.releases.exceptions import InvalidNoteError
 from snipelead.utils.validation import check_interval
@@ -13,7 +14,7 @@
 # Kept beside the digest in the dictionary of a release.
 _CHECKED = '_checked'
 _SLOTS = Interval(int, 1, 100_000)
-_DEADLINE_MS = Interval(int, 1, 3_600_000)
+_DEADLINE_MS = Interval(int, 1, MAX_DEADLINE_MS)
 
 
 def _check_service(service):
--- a/snipelead/releases/document.py
+++ b/snipelead/releases/document.py
@@ -18,6 +18,9 @@
 __all__ = ['EMPTY_RELEASE', 'Held', 'Release', 'Route', 'Service', 'Setting']
 
 DEFAULT_DEADLINE_MS = 2_000
+# Longest deadline of a request, in milliseconds. Nodes remember attempts for twice this time, so that none is forgotten
+# while its request may still arrive.
+MAX_DEADLINE_MS = 60_000
 
 
 class Service(
@@ -65,7 +68,8 @@
     tenant : TenantName or None
         Tenant of the requests that do not name one.
     deadline_ms : int
-        Deadline of requests that do not carry one, in milliseconds.
+        Deadline of requests that do not carry one, in milliseconds; at most
+        ``MAX_DEADLINE_MS``.
     settings : tuple of SettingName
         Settings held by the same release that the route depends on.
     """
--- a/snipelead/releases/tests/test_releases.py
+++ b/snipelead/releases/tests/test_releases.py
@@ -94,6 +94,15 @@
             with ExpectedException(InvalidNoteError):
                 load_note(template.format(**good | change))
 
+    def test_deadline_above_what_nodes_keep_is_refused(self):
+        route = '{name: r, service: stock, deadline_ms: 60001}'
+        note = load_note(
+            'release: 3\nnote: n3\nchanges:\n'
+            f'  - {{action: add, route: {route}}}'
+        )
+        with ExpectedException(InvalidNoteError):
+            apply_note(self.second, note)
+
     def test_unknown_key_is_refused(self):
         with ExpectedException(InvalidNoteError):
             load_note('release: 1\nnote: n\nchanges: []\nextra: 1')
