--- a/snipelead/bench/baselines.py
+++ b/snipelead/bench/baselines.py
@@ -26,19 +26,29 @@
 
 
 class StepUpdates(UpdateMaker):
-    """Sends the delta to the next release only, one after another."""
+    """Sends the delta to the next release only, one after another.
+
+    Numbers of releases follow each other without gaps in the bench.
+    """
 
     def __init__(self, source):
         super().__init__(source)
-        self.steps = {}
+        self.releases = {}
 
-    def record(self, before, after):
-        """Remember what follows a release."""
-        self.steps[before.held] = SyncReply(delta=make_delta(before, after))
+    def record(self, release):
+        """Remember a release that nodes may have to pass through."""
+        self.releases[release.number] = release
 
     def delta(self, held, release):
         """Return the delta from ``held`` to its successor."""
-        return self.steps.get(held)
+        base = self.releases.get(held.number)
+        number = held.number + 1
+        following = self.releases.get(number)
+        if number == release.number:
+            following = release
+        if base is None or following is None:
+            return None
+        return SyncReply(delta=make_delta(base, following))
 
 
 def make_updates(way, source):
--- a/snipelead/bench/source_process.py
+++ b/snipelead/bench/source_process.py
@@ -113,14 +113,13 @@
         return self.voter.current.number
 
     async def _submit(self, changes):
-        before = self.voter.current
-        number = before.number + 1
+        number = self.voter.current.number + 1
         note = ReleaseNote(number, f'note-{number}', tuple(changes))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._note_acceptance, number)
             await self.voter.submit(note)
         if isinstance(self.updates, StepUpdates):
-            self.updates.record(before, self.voter.current)
+            self.updates.record(self.voter.current)
 
     async def _note_acceptance(self, number):
         """Take the time at which a release is accepted and applied."""
