Answer a note when its release can be read back

Cause: a release became readable at a voter only after its own write of the published index, and at a follower only after the next message of the leader, a moment after the operator had been told accepted; a read in between did not know the release.

Change: a voter holds the answer until it knows the release itself, for 0.3 s (three heartbeats) at most.

Measured: the new test fails before and passes after.

--- a/snipelead/voters/tests/test_voter.py
+++ b/snipelead/voters/tests/test_voter.py
@@ -76,6 +76,16 @@
 
         self.run_cluster(test)
 
+    def test_accepted_release_can_be_read_back_at_once(self):
+        async def test(cluster):
+            await cluster.wait_leader()
+            for number, name in enumerate(cluster.names, 1):
+                voter = cluster.voters[name]
+                self.accept(await voter.submit(make_note(number)))
+                self.assertEqual(number, voter.current.number)
+
+        self.run_cluster(test)
+
     def test_log_time_goes_by_elapsed_time_alone(self):
         async def test(cluster):
             leader = await cluster.wait_leader()
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -42,6 +42,7 @@
 __all__ = ['Voter']
 
 CERTIFY_TIMEOUT_S = 1.0
+READ_BACK_TIMEOUT_S = 0.3
 # Ends before the limit above, which would cancel the call and so leave a
 # silent connection in place; a call that times out replaces it.
 BARRIER_TIMEOUT_S = 0.5
@@ -248,8 +249,21 @@
         return True
 
     async def submit(self, note):
-        """Submit a release note; returns its durable outcome."""
-        return await self.proposals.propose(Submit(note))
+        """Submit a release note; returns its durable outcome.
+
+        An accepted release can be read back here as soon as this returns,
+        unless this voter is slow to learn of it.
+        """
+        reply = await self.proposals.propose(Submit(note))
+        if reply.held is not None:
+            await self.wait_known(reply.held.number)
+        return reply
+
+    async def wait_known(self, number):
+        """Wait until ``current`` has reached a release, for a bounded time."""
+        with trio.move_on_after(READ_BACK_TIMEOUT_S):
+            while self.current.number < number:
+                await self.changed.wait()
 
     async def claim(self, request):
         """Make a durable claim."""
