--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -11,6 +11,7 @@
 from snipelead.callers.exceptions import TooManyConnectionsError
 from snipelead.callers.exceptions import UpgradeUnsupportedError
 from snipelead.callers.execution import end_cancelled
+from snipelead.callers.execution import end_failed
 from snipelead.callers.execution import send_refusal
 from snipelead.callers.request import CallerReader
 from snipelead.callers.request import Request
@@ -112,7 +113,10 @@
         self.now = now
         for connection in tuple(self.connections):
             idle_s = now - connection.used_at
-            if idle_s > self.idle_s and connection not in self.active:
+            if idle_s <= self.idle_s or connection in self.active:
+                continue
+            # After a stall of this process a request may wait to be read.
+            if connection.is_silent():
                 connection.close()
 
     def drain(self, nursery):
@@ -199,7 +203,7 @@
         except Exception as error:
             # One request must not end the calls of all others.
             log_event(CALL_FAILED, error=repr(error))
-            connection.abort()
+            await end_failed(connection, request)
         # After a cancellation the entry stays for end_cancelled.
         del self.active[connection]
         if connection.scope.deadline != inf:
