Judge the fleet in one place and show the verdict

Cause: the controls' merged status, with its verdict on how far the newest release has come, was used by tests alone, while the operators' report put the same views together again without a verdict.

Change: the report takes release, certification, verdict and counts from the merged status; `fleet status` shows them.

--- a/snipelead/cli/fleet.py
+++ b/snipelead/cli/fleet.py
@@ -16,8 +16,8 @@
 
 def describe_fleet(status):
     """Return lines that describe a FleetReport."""
-    live = [node for node in status.nodes if node.live]
-    yield f'current release: {status.current.number}'
+    yield f'current release: {status.current.number}, {status.state.value}'
+    yield f'confirmed by {status.confirmed} of {status.total} live nodes'
     for control in status.controls:
         yield (
             f'control {control.control_id} in {control.zone}: release'
@@ -27,7 +27,8 @@
         yield f'control {control_id}: cannot be reached'
     for control_id in status.warming_controls:
         yield f'control {control_id}: has just started'
-    yield f'nodes: {len(live)} live, {len(status.nodes) - len(live)} silent'
+    silent = len(status.nodes) - status.total
+    yield f'nodes: {status.total} live, {silent} silent'
     for node in status.nodes:
         state = 'live' if node.live else 'silent'
         yield (
--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from snipelead.controls.fleet import FleetState
 from snipelead.messages import NodeStatus
 from snipelead.messages import TargetEntry
 from snipelead.releases.document import Held
@@ -163,10 +164,33 @@
 
 
 class FleetReport(Struct, frozen=True):
-    """Read-back of the fleet."""
+    """Read-back of the fleet.
+
+    Parameters
+    ----------
+    current : Held
+        Newest release that any control holds.
+    certified : bool
+        Whether a majority confirmed that it is the newest.
+    state : FleetState
+        How far it has come.
+    confirmed, total : int
+        Live nodes that confirmed it, and live nodes.
+    controls : tuple of ControlStatus
+        Controls that answered.
+    unreachable_controls, warming_controls : tuple of ControlId
+        Controls that did not answer, and that have just started.
+    nodes : tuple of NodeStatus
+        All known nodes, live or silent.
+    targets : tuple of TargetEntry
+        Targets that are not gone.
+    """
 
     current: Held
     certified: bool
+    state: FleetState
+    confirmed: int
+    total: int
     controls: tuple[ControlStatus, ...]
     unreachable_controls: tuple[ControlId, ...]
     warming_controls: tuple[ControlId, ...]
--- a/snipelead/operators/status.py
+++ b/snipelead/operators/status.py
@@ -1,5 +1,6 @@
 """Read-back of releases and of the fleet, from the controls' views."""
 
+from snipelead.controls.fleet import merge_fleet
 from snipelead.controls.fleet import newest_statuses
 from snipelead.nodes.directory import is_newer
 from snipelead.operators.messages import ControlStatus
@@ -100,10 +101,6 @@
     )
 
 
-def _number(held):
-    return held.number
-
-
 def _control_id(reply):
     return reply.control_id
 
@@ -122,16 +119,19 @@
     -------
     FleetReport
     """
-    current = max((r.current for r in replies), key=_number)
+    status = merge_fleet(replies, find_unreachable(peers, replies))
     return FleetReport(
-        current=current,
-        certified=any(r.certified and r.current == current for r in replies),
+        current=status.release,
+        certified=status.certified,
+        state=status.state,
+        confirmed=status.confirmed,
+        total=status.total,
         controls=tuple(
             ControlStatus(r.control_id, r.zone, r.current, len(r.nodes))
             for r in sorted(replies, key=_control_id)
         ),
-        unreachable_controls=find_unreachable(peers, replies),
-        warming_controls=find_warming(replies),
+        unreachable_controls=status.unreachable_controls,
+        warming_controls=status.warming_controls,
         nodes=tuple(newest_statuses(replies)),
         targets=merge_targets(replies),
     )
--- a/snipelead/operators/tests/test_app.py
+++ b/snipelead/operators/tests/test_app.py
@@ -8,6 +8,7 @@
 from snipelead.controls.exceptions import NoControlError
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.controls.fleet import FleetState
 from snipelead.operators.app import make_app
 from snipelead.operators.messages import FleetReport
 from snipelead.operators.messages import ReleaseList
@@ -220,6 +221,7 @@
         _, body = self.request('GET', '/v1/fleet')
         status = msgspec.json.decode(body, type=FleetReport)
         self.assertEqual(('c2', 'c3'), status.unreachable_controls)
+        self.assertIs(FleetState.UNKNOWN, status.state)
         self.assertEqual(['c1'], [c.control_id for c in status.controls])
         self.assertEqual(['a'], [n.node_id for n in status.nodes])
 
