Give no port out twice within a process

Change: ports given out are remembered; all processes that were started are waited for, and one that ended is named at once.

--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -215,7 +215,7 @@
         """Start all processes and wait until each answers."""
         for process in self.processes:
             process.start()
-        self.wait_ready()
+        self.wait_ready_of(self.processes)
         return self
 
     def wait_ready(self):
--- a/snipelead/testing/tests/test_processes.py
+++ b/snipelead/testing/tests/test_processes.py
@@ -4,14 +4,24 @@
 
 from snipelead.settings.loading import load_settings
 from snipelead.testing.exceptions import ConditionTimeoutError
+from snipelead.testing.exceptions import ProcessEndedError
 from snipelead.testing.processes import Fleet
 from snipelead.testing.processes import wait_for
 from snipelead.utils.ports import find_free_addresses
 
 
 class ProcessesTest(TestCase):
-    def test_free_addresses_differ(self):
-        self.assertEqual(20, len(set(find_free_addresses(20))))
+    def test_free_addresses_differ_also_between_draws(self):
+        drawn = [a for _ in range(500) for a in find_free_addresses(4)]
+        self.assertEqual(2_000, len(set(drawn)))
+
+    def test_process_that_ends_at_once_is_named(self):
+        folder = self.useFixture(TempDir()).path
+        with Fleet(folder, controls=1, services=[]) as fleet:
+            [control] = fleet.controls
+            fleet.settings_of(control, snapshot_entries=0)
+            with ExpectedException(ProcessEndedError, '.*control-0.*SL5.*'):
+                fleet.start()
 
     def test_wait_for_names_what_was_missed(self):
         with ExpectedException(ConditionTimeoutError, '.*the moon.*None.*'):
--- a/snipelead/utils/ports.py
+++ b/snipelead/utils/ports.py
@@ -14,6 +14,9 @@
 # so that none of those takes a port before its process binds it.
 PORTS = range(10_000, 32_000)
 SPARE_PORTS = 100
+# Ports given out by this process; none is given out twice, since it may not
+# be bound yet when the next ones are drawn.
+_given: set[int] = set()
 
 
 def find_free_addresses(count):
