--- a/snipelead/releases/document.py
+++ b/snipelead/releases/document.py
@@ -18,8 +18,9 @@
 __all__ = ['EMPTY_RELEASE', 'Held', 'Release', 'Route', 'Service', 'Setting']
 
 DEFAULT_DEADLINE_MS = 2_000
-# Longest deadline of a request, in milliseconds. Nodes remember attempts for twice this time, so that none is forgotten
-# while its request may still arrive.
+# Longest deadline of a request, in milliseconds. Nodes remember attempts for
+# twice this time, so that none is forgotten while its request may still
+# arrive.
 MAX_DEADLINE_MS = 60_000
 
 
