Stay with a control that is no longer doubtful

Cause: after a poll that says that the control is doubtful, a node prefers others for 15 to 45 s, also when the control says meanwhile that it is current again. If all were doubtful (no leader yet, or a busy start), the node left its good first control as soon as the time of a less preferred one was over, and came back when that of the first was over: two needless moves, each with a registration and the whole directory. Change: an answer of a control that is not doubtful ends the preference for others. A control that asks for a new registration says whether it is doubtful, so that this answer does not end it.

--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -116,6 +116,10 @@
         """Prefer controls that are not doubtful for a while."""
         link.doubted_until = self._return_time()
 
+    def trust(self, link):
+        """Stay with a control that is no longer doubtful."""
+        link.doubted_until = 0.0
+
     def forget_failures(self):
         """Return to the order of preference."""
         for link in self.links:
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -85,6 +85,8 @@
         link.proven = True
         if reply.doubtful:
             self.links.doubt(link)
+        else:
+            self.links.trust(link)
         delay_s = await self.take_reply(link, request, reply)
         if not delay_s:
             self.backoff.reset()
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -127,7 +127,9 @@
         self.convergence.confirm(session, before)
         self.gate.finish(request.node_id)
         if not self.membership.renew(session, request):
-            return SyncReply(register_again=True)
+            return SyncReply(
+                register_again=True, doubtful=self.publisher.doubtful
+            )
         if session.left:
             return SyncReply()
         if request.offer is not None:
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -199,6 +199,48 @@
 
         run_mesh(run)
 
+    def test_nodes_stay_with_a_control_that_is_no_longer_doubtful(self):
+        async def run(seed):
+            async with open_mesh(('a', 'b', 'c'), seed=seed) as mesh:
+                sources = [FakeSource(make_release()) for _ in range(3)]
+                controls = [
+                    await mesh.start_control(index, source)
+                    for index, source in enumerate(sources)
+                ]
+                node = await mesh.start_node()
+                node.directory.subscribe('service-0')
+                await wait_until(lambda: node.holder.ready)
+                for source in sources:
+                    source.certifies = False
+                links = node.client.links
+                # All controls are doubtful, and the node has heard it.
+                await wait_until(
+                    lambda: all(
+                        link.doubted_until > trio.current_time()
+                        for link in links.links
+                    )
+                )
+                for source in sources:
+                    source.certifies = True
+                await wait_until(
+                    lambda: (
+                        not any(c.service.publisher.doubtful for c in controls)
+                    )
+                )
+                home = controls[0].service.directory.merged
+                await wait_until(lambda: node.directory.epoch == home.epoch)
+                others = [
+                    control.service.sessions.by_node['n0']
+                    for control in controls[1:]
+                ]
+                heard = [session.heard_at for session in others]
+                # Longer than any control is put off for.
+                await trio.sleep(50)
+                self.assertEqual(heard, [s.heard_at for s in others])
+
+        for seed in range(5):
+            run_mesh(lambda seed=seed: run(seed), seed)
+
     def test_nodes_stay_with_a_doubtful_control_when_there_is_no_other(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
