Measure idle bytes only once all nodes are back at their first control

Cause: the idle period began while nodes were still returning. In a slow start first polls time out and controls without a leader say that they are doubtful; nodes then poll other controls and return 15 to 45 s later, each with a registration and its whole directory (76 B a target, and all nodes of the measurement subscribe to one service with all targets). The wait before the idle period looked at the rate of bytes alone: it ended after 12 s if a window carried more than the one before, which it does when the controls become warm. Ruled out: polls repeated or ended early, registrations sent again, target news in small parts: with a quick start, 80 and 120 nodes took 3 polls each in 15 s, all empty (34 B/s a node, load 2 to 3). Change: the wait ends when no control is warming, each node polls the control that it prefers, and no node was told of targets for 6 s; after 180 s it fails instead of measuring something else.

--- a/benchmarks/measurements.py
+++ b/benchmarks/measurements.py
@@ -49,11 +49,6 @@
 
 CALLERS = 8
 IDLE_S = 15.0
-# Window over which the rate of bytes is compared, a little above the time
-# between two polls, and the longest wait for the news of the start to end.
-SETTLE_WINDOW_S = 6.0
-SETTLE_WINDOWS = 15
-SETTLED_SHARE = 0.9
 # So many entries are never compacted, so that the growth of the log shows.
 NO_COMPACTION = 100_000
 CHANGES = 10
@@ -285,7 +280,7 @@
             node.directory.subscribe(SERVICE)
             node.announce()
         await swarm.wait_targets(count)
-        await _measure_idle(point, read)
+        await _measure_idle(point, swarm, read)
         await _measure_changes(point, swarm, read)
         await _measure_restarts(point, swarm, read)
         await _measure_reads(point, swarm, read)
@@ -293,8 +288,8 @@
     return point
 
 
-async def _measure_idle(point, read):
-    await _settle(read)
+async def _measure_idle(point, swarm, read):
+    await swarm.wait_quiet()
     before = read()
     await trio.sleep(IDLE_S)
     after = read()
@@ -304,19 +299,6 @@
     point.idle_node_cpu = (after.swarm_s - before.swarm_s) / elapsed_s
 
 
-async def _settle(read):
-    """Wait until the links carry no less than a window before."""
-    last_rate = float('inf')
-    for _ in range(SETTLE_WINDOWS):
-        before = read()
-        await trio.sleep(SETTLE_WINDOW_S)
-        after = read()
-        rate = (after.bytes - before.bytes) / (after.at - before.at)
-        if rate >= SETTLED_SHARE * last_rate:
-            return
-        last_rate = rate
-
-
 async def _measure_changes(point, swarm, read):
     before = read()
     disk = _disk_bytes(swarm.fleet)
--- a/benchmarks/swarm.py
+++ b/benchmarks/swarm.py
@@ -25,6 +25,10 @@
 SERVICE = ServiceName('service-0')
 UNUSED_ADDRESS = Address('127.0.0.1:1')
 CONVERGENCE_LIMIT_S = 120.0
+# A little above the longest time between two polls of a node.
+QUIET_S = 6.0
+QUIET_LIMIT_S = 180.0
+POLL_S = 0.5
 SUBMIT_TIMEOUT_S = 30.0
 
 
@@ -59,6 +63,14 @@
             settings, transport, self.holder, self.directory, self.local
         )
 
+    @property
+    def standing(self):
+        """Directory that was told last, and whether by the first control."""
+        links = self.client.links
+        first = links.links[0]
+        at_home = links.choose() is first and first.proven
+        return self.directory.epoch, self.directory.version, at_home
+
     def announce(self, state=TargetState.SERVING):
         """Announce the target beside the node."""
         self.local.announce(
@@ -122,6 +134,30 @@
             lambda node: len(node.directory.targets(SERVICE)) >= count
         )
 
+    async def wait_quiet(self):
+        """Wait until nodes neither move nor are told of targets any more.
+
+        A node that failed to reach the control that it prefers returns to
+        it 15 to 45 s later and is told of all its targets again, as are all
+        nodes of a control that becomes warm.
+        """
+        with trio.fail_after(QUIET_LIMIT_S):
+            while await self.is_warming():
+                await trio.sleep(POLL_S)
+            while True:
+                before = [node.standing for node in self.nodes]
+                await trio.sleep(QUIET_S)
+                after = [node.standing for node in self.nodes]
+                if before == after and all(at_home for *_, at_home in after):
+                    return
+
+    async def is_warming(self):
+        """Tell whether a control may still learn of nodes, or is silent."""
+        address = self.fleet.operator_addresses()[0]
+        response = await self.client.get(f'http://{address}/v1/fleet')
+        status = response.raise_for_status().json()
+        return status['warming_controls'] or status['unreachable_controls']
+
     async def _wait(self, condition):
         with trio.fail_after(CONVERGENCE_LIMIT_S):
             for node in self.nodes:
