Tell what is known of a doubled attempt

Cause: the gate refused an attempt that it had seen before (SL3009) with the state of the first copy in the error, but the answer takes what the call knows, and that was still `no`. The first copy may run, so a caller could have sent the request again, and the claim of its key would have been given back.

Change: the gate takes the state of the first copy into the call.

Result: the new test failed before (`no` instead of `unknown` while the first copy runs) and passes now; it also checks `yes` after the answer.

--- a/snipelead/callers/tests/test_gate.py
+++ b/snipelead/callers/tests/test_gate.py
@@ -218,6 +218,29 @@
 
         self.run_nodes(test, self.node)
 
+    def test_doubled_attempt_tells_what_is_known_of_the_first(self):
+        async def test(nursery):
+            hold = self.hold()
+            caller = await self.open()
+            await caller.send('/orders/1', 'POST')
+            await until(lambda: self.node.target.running == 1)
+            gate = self.node.gate
+            seen = next(iter(gate.attempts.recent))
+            self.assertIs(Ran.UNKNOWN, await self.send_again(seen))
+            hold.set()
+            await caller.receive()
+            self.assertIs(Ran.YES, await self.send_again(seen))
+
+        self.run_nodes(test, self.node)
+
+    async def send_again(self, attempt_id):
+        """Return what a call knows whose attempt was received before."""
+        call = Call(RequestClass.ONCE, 'a', True, 1_000)
+        incarnation = self.node.entry.incarnation
+        with ExpectedException(AttemptSeenError):
+            await self.node.gate.send(call, None, attempt_id, incarnation)
+        return call.outcome
+
     def test_fence_while_the_attempt_waits(self):
         async def test(nursery):
             hold = self.hold()
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.callers.exceptions import AttemptSeenError
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
@@ -92,7 +93,7 @@
         """
         self.check_target(incarnation)
         if call.once:
-            self.attempts.begin(attempt_id)
+            self.begin(call, attempt_id)
         try:
             await self.admit(call)
         except BaseException:
@@ -106,6 +107,21 @@
             self.leave(call)
             raise
 
+    def begin(self, call, attempt_id):
+        """Record an attempt that must not be repeated.
+
+        Raises
+        ------
+        AttemptFencedError, AttemptSeenError
+            If it may not be admitted.
+        """
+        try:
+            self.attempts.begin(attempt_id)
+        except AttemptSeenError as error:
+            # The first copy of the attempt may run, so `no` would be untrue.
+            call.ran = error.ran
+            raise
+
     def mark(self, call, attempt_id, state):
         """Record the state of an attempt that must not be repeated."""
         if not call.once:
