Tell claims refused for want of room as unavailable

Cause: a full table of claims (SL1008) and a leader with too many commands (SL1012) say that nothing was claimed. The call path knew neither and answered SL3017, "whether the key is claimed is not known", without their time to come back, and sent a settlement for each refusal to controls that had no room already.

Change: both are answered with SL3016 like a missing quorum. Forwarders raise them only when no earlier try may have taken effect.

Result: the test of claims that cannot be made now has these two errors and checks the cause and the time to come back; it failed before (SL3017) and passes now.

--- a/snipelead/callers/claims.py
+++ b/snipelead/callers/claims.py
@@ -17,6 +17,8 @@
 from snipelead.types import ClaimId
 from snipelead.types import IdempotencyKey
 from snipelead.types import Ran
+from snipelead.voters.exceptions import ClaimsFullError
+from snipelead.voters.exceptions import VoterBusyError
 
 __all__ = ['ClaimKeeper', 'make_fingerprint']
 
@@ -26,6 +28,13 @@
 # A settlement that fails for this long is given up; the key then stays
 # claimed, which is safe.
 SETTLE_FOR_S = 120.0
+# After these it is certain that the key was not claimed.
+_NOT_CLAIMED = (
+    NoQuorumError,
+    NoControlError,
+    ClaimsFullError,
+    VoterBusyError,
+)
 
 
 def make_fingerprint(request, body):
@@ -100,7 +109,7 @@
     async def _ask(self, claim):
         try:
             return await self.claims.claim(claim)
-        except (NoQuorumError, NoControlError) as error:
+        except _NOT_CLAIMED as error:
             raise ClaimUnavailableError(
                 f'the key cannot be claimed now: {error.message}',
                 retry_after_ms=error.retry_after_ms,
--- a/snipelead/callers/tests/test_claims.py
+++ b/snipelead/callers/tests/test_claims.py
@@ -1,3 +1,4 @@
+from snipelead.callers.exceptions import DEFAULT_RETRY_AFTER_MS
 from snipelead.callers.tests.fakes import Caller
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.callers.tests.fakes import FakeNode
@@ -9,6 +10,8 @@
 from snipelead.rpc.exceptions import RpcTimeoutError
 from snipelead.types import Ran
 from snipelead.types import TargetState
+from snipelead.voters.exceptions import ClaimsFullError
+from snipelead.voters.exceptions import VoterBusyError
 
 
 class ClaimsTest(CallPathTestCase):
@@ -54,11 +57,22 @@
 
     def test_claim_that_cannot_be_made_refuses_the_call(self):
         async def test(nursery):
-            for error in (NoQuorumError('cut off'), NoControlError('none')):
+            for error in (
+                NoQuorumError('cut off'),
+                NoControlError('none'),
+                ClaimsFullError('full', 5_000),
+                VoterBusyError('busy', 200),
+            ):
                 self.node.claims.error = error
                 answer = await self.call()
                 self.assertEqual(503, answer[0].status)
-                self.assertEqual(('SL3016', 'no'), refusal_of(answer)[:2])
+                code, ran, told = refusal_of(answer)
+                self.assertEqual(('SL3016', 'no'), (code, ran))
+                self.assertEqual(error.code, told['details']['cause'])
+                self.assertEqual(
+                    b'%d' % (error.retry_after_ms or DEFAULT_RETRY_AFTER_MS),
+                    answer[0].fields[b'x-retry-after-ms'],
+                )
             self.assertEqual([], self.node.target.runs)
             self.assertEqual([], self.settled())
 
