Ask for no fence after the deadline

Cause: a gate keeps attempts for at least 120 s and takes one that it has forgotten for one never seen. A node that was stopped for longer and then found its connection lost would have asked too late and been told `no` for a request that ran. By reading, only the order of two events prevented that: the cancellation at the deadline comes before the answer to the fence.

Change: a loss found after the deadline (60 s at most) is `unknown` without asking. A monotonic clock that stood still as well remains a gap.

Result: the new test failed before (`no` instead of `unknown`) and passes now.

--- a/snipelead/callers/tests/test_forwarding.py
+++ b/snipelead/callers/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from snipelead.callers.call import Call
 from snipelead.callers.tests.fakes import Caller
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.callers.tests.fakes import FakeNode
@@ -10,6 +11,7 @@
 from snipelead.callers.tests.fakes import until
 from snipelead.callers.tests.links import SilentLink
 from snipelead.types import Ran
+from snipelead.types import RequestClass
 from snipelead.types import TargetState
 
 
@@ -142,6 +144,23 @@
 
         self.run_nodes(test, self.near, self.far)
 
+    def test_loss_found_after_the_deadline_proves_nothing(self):
+        async def test(nursery):
+            await self.start_link(nursery)
+            gates = self.far.path.gates
+            gates.attempts.begin('a1')
+            gates.attempts.mark_sent('a1')
+            # As if the near process had been stopped for minutes.
+            for _ in range(2 * gates.attempts.retention_ticks):
+                gates.attempts.tick()
+            call = Call(RequestClass.ONCE, 'a', True, 0)
+            call.ran = Ran.UNKNOWN
+            forwarder = self.near.path.forwarder
+            await forwarder._handle_loss(self.far.entry, call, 'a1')
+            self.assertIs(Ran.UNKNOWN, call.outcome)
+
+        self.run_nodes(test, self.near, self.far)
+
     def test_request_for_another_life_of_the_node_is_refused(self):
         async def test(nursery):
             await self.start_link(nursery)
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -230,7 +230,9 @@
         lost as well, so they are dropped.
         """
         self.pool.drop(entry.address)
-        if call.once:
+        # Past the deadline, as after a stall of this process, the gate may
+        # have forgotten the attempt and would take it for one never seen.
+        if call.once and call.remaining_ms() > 0:
             call.ran = await self.fence(entry, attempt_id)
 
     async def fence(self, entry, attempt_id):
