Count calls without an answer of the target truly

Cause: a call whose key had run before, or whose lost answer was proved to have run, was recorded with a target time of 0 and its whole time as added latency. A call that failed in an unforeseen way was answered 500 but counted as 504.

Change: times are recorded only if the target's time is known; an unforeseen error sets the status of its call.

--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -41,6 +41,10 @@
     except LOST_ERRORS:
         # Either end was lost in the middle of the answer.
         connection.abort()
+    except Exception:
+        # The connection answers, see end_failed.
+        call.status = call.status or InternalCallError.status
+        raise
 
 
 async def end_cancelled(connection, request):
--- a/snipelead/callers/tests/test_metrics.py
+++ b/snipelead/callers/tests/test_metrics.py
@@ -1,10 +1,13 @@
 import trio
 
+from snipelead.callers.call import Call
 from snipelead.callers.tests.fakes import Caller
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.callers.tests.fakes import FakeNode
 from snipelead.callers.tests.fakes import until
 from snipelead.metrics import MAX_TENANTS
+from snipelead.types import Ran
+from snipelead.types import RequestClass
 
 
 class MetricsTest(CallPathTestCase):
@@ -50,6 +53,34 @@
 
         self.run_nodes(test, self.node)
 
+    def test_run_without_an_answer_tells_no_time_of_the_target(self):
+        async def test(nursery):
+            call = Call(RequestClass.ONCE, 'alfa', True, 1_000)
+            # As after a key that was used before.
+            call.ran = Ran.YES
+            call.status = 409
+            self.node.metrics.observe_call(call)
+            text = self.exposition()
+            for name in ('added', 'target'):
+                self.assertIn(
+                    f'snipelead_call_{name}_seconds_count'
+                    '{class="once",tenant="alfa"} 0',
+                    text,
+                )
+            self.assertIn('{ran="yes",status="409"} 1', text)
+
+        self.run_nodes(test, self.node)
+
+    def test_unforeseen_error_is_counted_by_its_status(self):
+        async def test(nursery):
+            self.node.path.balancer.choose = None
+            caller = await self.open()
+            response, _ = await caller.call('/reads/1')
+            self.assertEqual(500, response.status)
+            self.assertIn('{ran="no",status="500"} 1', self.exposition())
+
+        self.run_nodes(test, self.node)
+
     def test_invented_tenants_share_a_label(self):
         async def test(nursery):
             caller = await self.open()
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -126,8 +126,10 @@
         """Record the end of a call."""
         key = (call.tenant, call.request_class)
         buckets = self.by_label.get(key) or self._add_label(key)
-        if call.ran is Ran.YES:
+        if call.ran is Ran.YES and call.target_s:
             # Without an answer the target's share of the time is not known.
+            # A request may have run without one here, as when its key is
+            # that of an earlier run or its answer was lost.
             total_s = trio.current_time() - call.started_at
             added_s = max(0.0, total_s - call.target_s - call.queue_wait_s)
             buckets.added.observe(added_s)
