State lost connections and status ranges in one place

Cause: the errors of a lost connection stood as a tuple in three modules, and the ranges of interim and error statuses in two each.

Change: LOST_ERRORS in snipelead/http/exceptions.py; Message.is_interim and Message.is_server_error.

Result: behaviour unchanged; tests of callers, nodes, http, routing and targets pass.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -7,8 +7,8 @@
 from snipelead.callers.exceptions import StoppingError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
-from snipelead.callers.relay import LOST_ERRORS
 from snipelead.callers.relay import relay_answer
+from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.http.exceptions import SendFailedError
 from snipelead.types import AttemptId
 from snipelead.types import Ran
@@ -21,7 +21,6 @@
 FIRST_DIRECTORY_S = 1.0
 # Retry tokens that batch requests leave for the others.
 BATCH_RESERVE = 5.0
-_FIRST_ERROR_STATUS = 500
 # Refusals that each target gives at most once, so that retries after them
 # need no budget.
 _FREE_RETRY = (TargetLeavingError, StoppingError, WrongIncarnationError)
@@ -117,7 +116,7 @@
     def _may_drop(self, response, request, call, route, tried):
         """Tell whether an error of a target is worth another attempt."""
         return (
-            response.status >= _FIRST_ERROR_STATUS
+            response.is_server_error
             and not call.once
             and request.is_replayable
             and self.balancer.has_other(route.service, tried)
@@ -161,7 +160,7 @@
 
     def _observe(self, observation, call, answer, started_at):
         now = trio.current_time()
-        is_error = answer.response.status >= _FIRST_ERROR_STATUS
+        is_error = answer.response.is_server_error
         load = answer.load
         observation.answer(now - started_at, is_error, load, now)
         if load is not None:
--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -4,7 +4,7 @@
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import DeadlineError
 from snipelead.callers.exceptions import InternalCallError
-from snipelead.callers.relay import LOST_ERRORS
+from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.types import Ran
 
 __all__ = ['end_cancelled', 'end_failed', 'run_call', 'send_refusal']
--- a/snipelead/callers/relay.py
+++ b/snipelead/callers/relay.py
@@ -2,20 +2,16 @@
 
 import trio
 
-from snipelead.http.exceptions import ConnectionLostError
-from snipelead.http.exceptions import HeadTooLargeError
-from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.writing import encode_chunk
 from snipelead.http.writing import encode_head
 from snipelead.http.writing import frame_body
 from snipelead.http.writing import LAST_CHUNK
 from snipelead.http.writing import status_line
 
-__all__ = ['LOST_ERRORS', 'relay_answer']
+__all__ = ['relay_answer']
 
 # Longest time without progress while the body of an answer is passed on.
 STALL_S = 30.0
-LOST_ERRORS = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
 _CLOSE = b'Connection: close'
 
 
--- a/snipelead/http/exceptions.py
+++ b/snipelead/http/exceptions.py
@@ -3,6 +3,7 @@
 from snipelead.exceptions import SnipeleadError
 
 __all__ = [
+    'LOST_ERRORS',
     'ConnectFailedError',
     'ConnectionLostError',
     'HeadTooLargeError',
@@ -46,3 +47,7 @@
     """The other end no longer takes bytes."""
 
     code = 'SL3106'
+
+
+# A message that began cannot be completed.
+LOST_ERRORS = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -39,9 +39,9 @@
         b'x-tenant',
     )
 )
-
-
 _PLAIN_CONNECTION = (b'keep-alive', b'close')
+_INTERIM_STATUS = range(100, 200)
+_FIRST_SERVER_ERROR_STATUS = 500
 
 
 class Message:
@@ -100,6 +100,16 @@
         stated = self.fields.get(b'content-length')
         return None if stated is None else int(stated)
 
+    @property
+    def is_interim(self):
+        """Whether a response is followed by the final one."""
+        return self.status in _INTERIM_STATUS
+
+    @property
+    def is_server_error(self):
+        """Whether a response reports a failure of the server."""
+        return self.status >= _FIRST_SERVER_ERROR_STATUS
+
     def drop_fields(self, names):
         """Drop the fields that a Connection field names for this hop."""
         prefixes = tuple(name.strip() + b':' for name in names.split(b','))
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -11,9 +11,7 @@
 from snipelead.exceptions import error_from_info
 from snipelead.exceptions import ErrorInfo
 from snipelead.http.exceptions import ConnectFailedError
-from snipelead.http.exceptions import ConnectionLostError
-from snipelead.http.exceptions import HeadTooLargeError
-from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.http.exceptions import SendFailedError
 from snipelead.http.pool import ConnectionPool
 from snipelead.http.writing import encode_head
@@ -42,8 +40,6 @@
 # Time taken off the deadline so that a peer's answer arrives before it.
 DEADLINE_MARGIN_MS = 5
 _CONTINUE = 100
-_INTERIM_STATUS = range(100, 200)
-_LOST = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
 
 
 class PeerAnswer:
@@ -138,7 +134,7 @@
                 reader, entry, call, request, attempt_id
             )
             refusal = await _read_refusal(response)
-        except _LOST as error:
+        except LOST_ERRORS as error:
             # A reset keeps the kernel from sending the request later on.
             reader.connection.abort()
             await self._handle_loss(entry, call, attempt_id)
@@ -187,7 +183,7 @@
         lines += (framing, b'Expect: 100-continue')
         await reader.connection.send(encode_head(line, lines))
         while not reader.ready or reader.ready[0].status != _CONTINUE:
-            if reader.ready and reader.ready[0].status >= 200:
+            if reader.ready and not reader.ready[0].is_interim:
                 return
             if reader.ready:
                 reader.ready.popleft()
@@ -207,7 +203,7 @@
     async def _next_final(self, reader, request):
         while True:
             response = await reader.next_response(request.method == b'HEAD')
-            if response.status not in _INTERIM_STATUS:
+            if not response.is_interim:
                 return response
             self.heard_at[reader] = trio.current_time()
 
@@ -257,7 +253,7 @@
                     await connection.send(head)
                     response = await reader.next_response()
                     return await _read_fence_reply(response)
-            except (CallError, *_LOST, msgspec.DecodeError):
+            except (CallError, *LOST_ERRORS, msgspec.DecodeError):
                 return Ran.UNKNOWN
         return Ran.UNKNOWN
 
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -22,7 +22,6 @@
 SMOOTHING = 0.1
 INITIAL_SERVICE_S = 0.005
 _ERROR_DIGITS = 3
-_FIRST_ERROR_STATUS = 500
 MIN_RETRY_AFTER_MS = 10
 
 
@@ -304,7 +303,7 @@
 
     def observe(self, response, service_s):
         """Take an answer into the moving averages."""
-        is_error = response.status >= _FIRST_ERROR_STATUS
+        is_error = response.is_server_error
         self.errors += SMOOTHING * (is_error - self.errors)
         if is_error:
             # The time that an error takes says nothing of the others.
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -5,9 +5,7 @@
 from snipelead.callers.exceptions import AnswerLostError
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.http.exceptions import ConnectFailedError
-from snipelead.http.exceptions import ConnectionLostError
-from snipelead.http.exceptions import HeadTooLargeError
-from snipelead.http.exceptions import MalformedMessageError
+from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.http.exceptions import SendFailedError
 from snipelead.http.pool import ConnectionPool
 from snipelead.http.writing import send_message
@@ -17,8 +15,6 @@
 
 # Shorter than the keep-alive timeout of usual servers (5 s).
 IDLE_S = 4.0
-_INTERIM_STATUS = range(100, 200)
-_LOST = (ConnectionLostError, MalformedMessageError, HeadTooLargeError)
 
 
 class TargetSender:
@@ -74,7 +70,7 @@
         try:
             await self._send(reader, line, lines, request)
             response = await self._next_final(reader, request)
-        except _LOST as error:
+        except LOST_ERRORS as error:
             raise AnswerLostError(
                 'the connection to the target was lost', ran=Ran.UNKNOWN
             ) from error
@@ -92,7 +88,7 @@
     async def _next_final(self, reader, request):
         while True:
             response = await reader.next_response(request.method == b'HEAD')
-            if response.status not in _INTERIM_STATUS:
+            if not response.is_interim:
                 return response
 
     def release(self, address, reader, response):
