Part the answers of peers from forwarding

Cause: forwarding.py sent requests, fenced attempts and decoded answers; the wait for leave to send a body was hard to follow and extended its caller's list. "Signs of life" is not the term of the field. A change of a target's state notified its watchers twice.

Change: snipelead/nodes/peer_answers.py; Forwarder._is_admitted; heartbeats; one notification.

--- a/snipelead/callers/watcher.py
+++ b/snipelead/callers/watcher.py
@@ -8,7 +8,7 @@
 
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.writing import encode_head
-from snipelead.nodes.peer_messages import SIGN_OF_LIFE_S
+from snipelead.nodes.peer_messages import HEARTBEAT_S
 
 __all__ = ['CallWatcher']
 
@@ -21,7 +21,7 @@
     """Looks after calls that take long.
 
     It cancels those whose connection hung up or whose deadline is near, and
-    gives peers signs of life.
+    sends heartbeats to peers.
 
     Parameters
     ----------
@@ -32,20 +32,20 @@
     def __init__(self, callers, peers):
         self.callers = callers
         self.peers = peers
-        self.signed_at = 0.0
+        self.heartbeat_at = 0.0
 
     def tick(self, now):
         """Look at all calls that have been in progress for a tick."""
         started_before = now - TICK_S
-        gives_signs = now - self.signed_at >= SIGN_OF_LIFE_S
-        if gives_signs:
-            self.signed_at = now
+        is_heartbeat_due = now - self.heartbeat_at >= HEARTBEAT_S
+        if is_heartbeat_due:
+            self.heartbeat_at = now
         for active in (self.callers, self.peers):
             calls = _find_long(active, started_before)
             self._abandon_hung_up(calls)
             self._set_deadlines(calls)
-            if gives_signs and active is self.peers:
-                self._give_signs(calls)
+            if is_heartbeat_due and active is self.peers:
+                self._send_heartbeats(calls)
 
     def _set_deadlines(self, calls):
         for _, call in calls:
@@ -65,7 +65,7 @@
             if flags & _HANGUP:
                 by_descriptor[descriptor].abandon()
 
-    def _give_signs(self, calls):
+    def _send_heartbeats(self, calls):
         for connection, call in calls:
             if call.answering or call.gone:
                 continue
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -1,5 +1,6 @@
 """Requests that a node forwards to the node beside a target."""
 
+from http import HTTPStatus
 from math import inf
 
 import msgspec
@@ -8,8 +9,6 @@
 from snipelead.callers.exceptions import AnswerLostError
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import TargetUnreachableError
-from snipelead.exceptions import error_from_info
-from snipelead.exceptions import ErrorInfo
 from snipelead.http.exceptions import ConnectFailedError
 from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.http.exceptions import SendFailedError
@@ -18,17 +17,17 @@
 from snipelead.http.writing import frame_body
 from snipelead.http.writing import send_message
 from snipelead.http.writing import send_rest
+from snipelead.nodes.peer_answers import PeerAnswer
+from snipelead.nodes.peer_answers import read_fence_reply
+from snipelead.nodes.peer_answers import read_refusal
 from snipelead.nodes.peer_messages import CALL_FIELD
 from snipelead.nodes.peer_messages import encode_field
 from snipelead.nodes.peer_messages import FENCE_FIELD
-from snipelead.nodes.peer_messages import FenceReply
 from snipelead.nodes.peer_messages import FenceRequest
-from snipelead.nodes.peer_messages import Load
-from snipelead.nodes.peer_messages import LOAD_FIELD
 from snipelead.nodes.peer_messages import SILENCE_S
 from snipelead.types import Ran
 
-__all__ = ['Forwarder', 'PeerAnswer']
+__all__ = ['Forwarder']
 
 # Shorter than the limit of the serving side, see peer_service.IDLE_S.
 IDLE_S = 15.0
@@ -39,45 +38,6 @@
 STALL_S = 0.5
 # Time taken off the deadline so that a peer's answer arrives before it.
 DEADLINE_MARGIN_MS = 5
-_CONTINUE = 100
-
-
-class PeerAnswer:
-    """Answer that came through the node beside a target.
-
-    Attributes
-    ----------
-    response : Message
-        Response whose body is read as it arrives.
-    load : Load or None
-        Load of the target that rode on the answer.
-    """
-
-    __slots__ = ('address', 'load', 'pool', 'reader', 'response')
-
-    def __init__(self, pool, address, reader, response):
-        self.pool = pool
-        self.address = address
-        self.reader = reader
-        self.response = response
-        self.load = _decode_load(response)
-
-    def close(self):
-        """Give the connection back, or close it if the body was not read."""
-        if self.response.complete and self.response.keep_alive:
-            self.pool.release(self.address, self.reader)
-        else:
-            self.reader.connection.close()
-
-
-def _decode_load(response):
-    field = response.fields.get(LOAD_FIELD)
-    if field is None:
-        return None
-    try:
-        return msgspec.json.decode(field, type=Load)
-    except msgspec.DecodeError:
-        return None
 
 
 class Forwarder:
@@ -86,8 +46,8 @@
     Attributes
     ----------
     heard_at : dict of ResponseReader to float
-        When the peer last gave a sign of life, for each request that waits
-        for an answer.
+        When the last heartbeat of the peer or other bytes came, for each
+        request that waits for an answer.
     """
 
     def __init__(self):
@@ -133,7 +93,7 @@
             response = await self._exchange(
                 reader, entry, call, request, attempt_id
             )
-            refusal = await _read_refusal(response)
+            refusal = await read_refusal(response)
         except LOST_ERRORS as error:
             # A reset keeps the kernel from sending the request later on.
             reader.connection.abort()
@@ -180,16 +140,10 @@
     async def _offer_body(self, reader, line, lines, request):
         """Send a body that is still arriving once the peer admits it."""
         framing, chunked = frame_body(request)
-        lines += (framing, b'Expect: 100-continue')
+        lines = [*lines, framing, b'Expect: 100-continue']
         await reader.connection.send(encode_head(line, lines))
-        while not reader.ready or reader.ready[0].status != _CONTINUE:
-            if reader.ready and not reader.ready[0].is_interim:
-                return
-            if reader.ready:
-                reader.ready.popleft()
-            else:
-                await reader.receive()
-            self.heard_at[reader] = trio.current_time()
+        if not await self._is_admitted(reader):
+            return
         # The peer may have nothing to say until it has the whole body.
         self.heard_at[reader] = inf
         try:
@@ -200,6 +154,19 @@
         finally:
             self.heard_at[reader] = trio.current_time()
 
+    async def _is_admitted(self, reader):
+        """Wait until the peer asks for the body or answers without it."""
+        while True:
+            while not reader.ready:
+                await reader.receive()
+                self.heard_at[reader] = trio.current_time()
+            response = reader.ready[0]
+            if response.status == HTTPStatus.CONTINUE:
+                return True
+            if not response.is_interim:
+                return False
+            reader.ready.popleft()
+
     async def _next_final(self, reader, request):
         while True:
             response = await reader.next_response(request.method == b'HEAD')
@@ -208,7 +175,7 @@
             self.heard_at[reader] = trio.current_time()
 
     def tick(self, now):
-        """Close connections whose peer gives no sign of life."""
+        """Close connections whose peer sends no heartbeats."""
         stalled_s = now - self.ticked_at
         self.ticked_at = now
         if stalled_s > STALL_S:
@@ -252,39 +219,7 @@
                     head = encode_head(b'POST /fence HTTP/1.1', lines)
                     await connection.send(head)
                     response = await reader.next_response()
-                    return await _read_fence_reply(response)
+                    return await read_fence_reply(response)
             except (CallError, *LOST_ERRORS, msgspec.DecodeError):
                 return Ran.UNKNOWN
         return Ran.UNKNOWN
-
-
-async def _read_whole(response):
-    parts = []
-    while data := await response.read():
-        parts.append(data)
-    return b''.join(parts)
-
-
-async def _read_fence_reply(response):
-    body = await _read_whole(response)
-    return msgspec.json.decode(body, type=FenceReply).ran
-
-
-async def _read_refusal(response):
-    """Return the error that the peer answered with, or None."""
-    code = response.fields.get(b'x-snipelead-code')
-    if code is None:
-        return None
-    body = await _read_whole(response)
-    # The answer to a HEAD request has no body.
-    told = msgspec.json.decode(body) if body else {}
-    retry_after = response.fields.get(b'x-retry-after-ms')
-    info = ErrorInfo(
-        code.decode(),
-        told.get('message', response.reason.decode()),
-        int(retry_after) if retry_after else None,
-        told.get('details', {}),
-    )
-    error = error_from_info(info)
-    error.ran = Ran(response.fields[b'x-snipelead-ran'].decode())
-    return error
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -18,10 +18,10 @@
 CALL_FIELD = b'x-snipelead-call'
 FENCE_FIELD = b'x-snipelead-fence'
 LOAD_FIELD = b'x-snipelead-load'
-# Longest time without a sign of life while a peer holds a request.
+# Longest time without a heartbeat while a peer holds a request.
 SILENCE_S = 1.0
-# Time between the signs of life that a peer sends.
-SIGN_OF_LIFE_S = 0.3
+# Time between the heartbeats that a peer sends.
+HEARTBEAT_S = 0.3
 
 _encode = msgspec.json.encode
 
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -101,16 +101,16 @@
             return
         if state is TargetState.GONE:
             del self.targets[target_id]
-        else:
-            self.announce(
-                target_id,
-                target.entry.service,
-                target.target_address,
-                target.entry.slots,
-                target.entry.connections,
-                state,
-            )
-        self._notify()
+            self._notify()
+            return
+        self.announce(
+            target_id,
+            target.entry.service,
+            target.target_address,
+            target.entry.slots,
+            target.entry.connections,
+            state,
+        )
 
     def _notify(self):
         self._changed.set()
