Complete the doc comments of the call path

Cause: attributes that a reader meets at once had no description (times of observations, the state of a message reader, the gates of a node), and "life" was used for incarnation.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -41,6 +41,14 @@
         Connections to other nodes.
     balancer : Balancer
         Chooses targets.
+
+    Attributes
+    ----------
+    asked_at : dict of ServiceName to float
+        When this node first subscribed to a service, in seconds of trio's
+        clock.
+    count : int
+        Attempts so far; makes their ids unique.
     """
 
     def __init__(self, node_id, directory, gates, forwarder, balancer):
@@ -177,7 +185,7 @@
         return await self.forwarder.send(entry, call, request, attempt_id)
 
     async def _ask_directory(self, service):
-        """Subscribe to a service and wait briefly for its first targets."""
+        """Subscribe to a service; the first time, wait briefly for targets."""
         self.directory.subscribe(service)
         now = trio.current_time()
         asked_at = self.asked_at.setdefault(service, now)
--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -26,7 +26,7 @@
     target_id : TargetId
         Target chosen.
     incarnation : Incarnation
-        Life of the target's node that the sender knows.
+        Incarnation of the target's node that the sender knows.
     attempt_id : AttemptId
         Unique id of this attempt.
     request_class : RequestClass
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -109,7 +109,7 @@
 
 
 class WrongIncarnationError(CallError):
-    """The request was meant for an earlier life of the target's node."""
+    """The request was meant for an earlier incarnation of the node."""
 
     code = 'SL3008'
     elsewhere = True
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -30,6 +30,8 @@
         then, or before any of it was read, can the request be sent again.
     call : Call or None
         The call that the request began.
+    continued : bool
+        Whether the sender was told to send the body.
     """
 
     __slots__ = (
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -65,6 +65,8 @@
         Whether the whole body has been received.
     keep_alive : bool
         Whether the connection outlives this message.
+    version : str
+        Version of HTTP, ``'1.0'`` or ``'1.1'``.
     """
 
     __slots__ = (
@@ -141,7 +143,32 @@
 
 
 class _MessageReader:
-    """Callbacks that httptools calls while it parses."""
+    """Callbacks that httptools calls while it parses.
+
+    Parameters
+    ----------
+    connection : Connection
+        Where the messages come from.
+    head_bytes : int
+        Largest head.
+
+    Attributes
+    ----------
+    filling : Message or None
+        The message that is being received.
+    in_head : bool
+        Whether its head is not complete yet.
+    head_size : int
+        Bytes of that head which callbacks have told of.
+    unfinished_bytes : int
+        Bytes received of a head that is not complete.
+    begun : int
+        Messages begun so far.
+    ready : deque of Message
+        Messages whose head is complete, not taken yet.
+    error : Exception or None
+        Raised by the next attempt to receive.
+    """
 
     message_class = Message
 
--- a/snipelead/nodes/gates.py
+++ b/snipelead/nodes/gates.py
@@ -25,6 +25,15 @@
         Limits of their queues.
     tick_s : float
         Time between calls of :meth:`tick`, in seconds.
+
+    Attributes
+    ----------
+    attempts : AttemptTable
+        Attempts that must not be admitted twice, of all targets.
+    gates : dict of TargetId to Gate
+        Gates that were used.
+    stopping : bool
+        Whether requests of other nodes are refused because the node stops.
     """
 
     def __init__(self, local, sender, limits, tick_s):
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -64,7 +64,7 @@
     attempt_id : AttemptId
         The attempt.
     incarnation : Incarnation
-        Life of the node that the attempt was sent to.
+        Incarnation of the node that the attempt was sent to.
     """
 
     attempt_id: AttemptId
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -46,17 +46,32 @@
     latency_s : float
         Moving average of the time to a good answer without the queue, in
         seconds.
+    sampled_at : float or None
+        Time of the last good answer, in seconds of trio's clock, as all
+        times here.
     errors : float
         Moving average of the share of answers with a server error, by own
         observation or as told by the target's node, whichever is greater.
-    reported_load : float
-        Slots in use and requests queued, as told by the last answer.
+    failed_at : float
+        When ``errors`` was last brought up to date.
+    reported_load, reported_at : float
+        Slots in use and requests queued, as told by the last answer, and
+        when it told so.
+    first_seen_at : float
+        From then on the share of the target grows to its full size.
     failures : int
         Consecutive failures.
+    ejections : int
+        Consecutive ejections; each is twice as long as the one before.
     ejected_until : float
         No request is sent before this time, but one probe after it.
     avoided_until : float
         The target refused; others are preferred until then.
+    probing : bool
+        Whether the one probe after an ejection is under way.
+    left_as : tuple of (Incarnation, int) or None
+        Incarnation and sequence of the entry that the target refused new
+        work under.
     """
 
     def __init__(self, entry, ramps):
