Give the framing of a body a type

Cause: frame_body returned a tuple whose first part was compared with a header line to find out that the connection ends the body.

Change: Framing, with a field and whether the body is chunked.

--- a/snipelead/callers/relay.py
+++ b/snipelead/callers/relay.py
@@ -7,12 +7,12 @@
 from snipelead.http.writing import frame_body
 from snipelead.http.writing import LAST_CHUNK
 from snipelead.http.writing import status_line
+from snipelead.http.writing import UNTIL_CLOSE
 
 __all__ = ['relay_answer']
 
 # Longest time without progress while the body of an answer is passed on.
 STALL_S = 30.0
-_CLOSE = b'Connection: close'
 
 
 async def relay_answer(connection, request, call, answer, extra=()):
@@ -38,23 +38,23 @@
         If either end was lost; the connection must then be aborted.
     """
     response = answer.response
-    framing, chunked = frame_body(response, request.version == '1.1')
+    framing = frame_body(response, request.version == '1.1')
     lines = [*response.lines, *extra]
-    if framing == _CLOSE:
+    if framing is UNTIL_CLOSE:
         request.keep_alive = False
-    elif framing and not _is_length_invented(request, response):
-        lines.append(framing)
+    elif framing.field and not _is_length_invented(request, response):
+        lines.append(framing.field)
     if not request.keep_alive:
-        lines.append(_CLOSE)
+        lines.append(UNTIL_CLOSE.field)
     call.answering = True
     call.status = response.status
     data = response.take_received()
-    if chunked and data:
+    if framing.chunked and data:
         data = encode_chunk(data)
     head = encode_head(status_line(response.status, response.reason), lines)
     await connection.send(head + data if data else head)
     if not response.complete:
-        await _relay_rest(connection, call, response, chunked)
+        await _relay_rest(connection, call, response, framing.chunked)
 
 
 def _is_length_invented(request, response):
--- a/snipelead/http/writing.py
+++ b/snipelead/http/writing.py
@@ -1,12 +1,15 @@
 """Requests and responses written to connections."""
 
 from http import HTTPStatus
+from typing import NamedTuple
 
 __all__ = [
+    'Framing',
     'encode_chunk',
     'encode_head',
     'frame_body',
     'send_message',
+    'send_rest',
     'status_line',
 ]
 
@@ -14,6 +17,26 @@
 _NO_BODY_STATUS = frozenset((204, 304))
 
 
+class Framing(NamedTuple):
+    """How the body of a message is delimited.
+
+    Attributes
+    ----------
+    field : bytes or None
+        Header field to add.
+    chunked : bool
+        Whether the body is sent in chunks.
+    """
+
+    field: bytes | None
+    chunked: bool = False
+
+
+_NO_BODY = Framing(None)
+_CHUNKS = Framing(b'Transfer-Encoding: chunked', True)
+UNTIL_CLOSE = Framing(b'Connection: close')
+
+
 def status_line(status, reason=b''):
     """Return the first line of a response, without its line end."""
     if not reason:
@@ -47,22 +70,19 @@
 
     Returns
     -------
-    tuple of (bytes or None, bool)
-        Header field to add, and whether the body is sent in chunks.
+    Framing
     """
     if message.status in _NO_BODY_STATUS:
-        return None, False
+        return _NO_BODY
     stated = message.fields.get(b'content-length')
     if stated is not None:
-        return b'Content-Length: ' + stated, False
+        return Framing(b'Content-Length: ' + stated)
     if message.complete:
         size = sum(map(len, message.chunks))
         if size or message.status:
-            return b'Content-Length: %d' % size, False
-        return None, False
-    if not chunks_allowed:
-        return b'Connection: close', False
-    return b'Transfer-Encoding: chunked', True
+            return Framing(b'Content-Length: %d' % size)
+        return _NO_BODY
+    return _CHUNKS if chunks_allowed else UNTIL_CLOSE
 
 
 async def send_message(connection, first_line, lines, message):
@@ -81,15 +101,15 @@
     message : Message
         Source of the body.
     """
-    framing, chunked = frame_body(message)
-    if framing is not None:
-        lines = [*lines, framing]
+    framing = frame_body(message)
+    if framing.field is not None:
+        lines = [*lines, framing.field]
     data = message.take_received()
-    if chunked and data:
+    if framing.chunked and data:
         data = encode_chunk(data)
     head = encode_head(first_line, lines)
     await connection.send(head + data if data else head)
-    await send_rest(connection, message, chunked)
+    await send_rest(connection, message, framing.chunked)
 
 
 async def send_rest(connection, message, chunked):
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -139,15 +139,15 @@
 
     async def _offer_body(self, reader, line, lines, request):
         """Send a body that is still arriving once the peer admits it."""
-        framing, chunked = frame_body(request)
-        lines = [*lines, framing, b'Expect: 100-continue']
+        framing = frame_body(request)
+        lines = [*lines, framing.field, b'Expect: 100-continue']
         await reader.connection.send(encode_head(line, lines))
         if not await self._is_admitted(reader):
             return
         # The peer may have nothing to say until it has the whole body.
         self.heard_at[reader] = inf
         try:
-            await send_rest(reader.connection, request, chunked)
+            await send_rest(reader.connection, request, framing.chunked)
         except SendFailedError:
             # The peer may answer early and close; its answer counts.
             return
