Name the timings and voters of a member once

Cause: eleven places of the voters worked out the same three timings in seconds, three of them the voters of the settings; the signal 'news' and the method 'has_news' did not say that they are about sending; attributes of Replica and Leadership were without a description, and the only context manager class stood for a generator of four lines. Change: Replica.heartbeat_s, election_min_s and election_max_s; voters_of; send_needed and must_send; Replica.stopping is a generator. Behaviour is the same.

--- a/snipelead/voters/election.py
+++ b/snipelead/voters/election.py
@@ -33,7 +33,7 @@
         while True:
             if replica.role is Role.LEADER:
                 self.check_quorum()
-                await trio.sleep(replica.settings.timings.heartbeat_ms / 1_000)
+                await trio.sleep(replica.heartbeat_s)
             elif trio.current_time() < replica.deadline:
                 await trio.sleep_until(replica.deadline)
             else:
@@ -51,7 +51,7 @@
     @property
     def limit_s(self):
         """Longest silence that a leader tolerates, in seconds."""
-        return self.replica.settings.timings.election_max_ms / 1_000
+        return self.replica.election_max_s
 
     def is_in_touch(self):
         """Whether a majority answered within the election timeout."""
@@ -132,7 +132,7 @@
             reply = await self.peers.call(
                 member.control_id,
                 request,
-                replica.settings.timings.election_min_ms / 1_000,
+                replica.election_min_s,
             )
         except SnipeleadError:
             return False
@@ -172,8 +172,9 @@
         replica = self.replica
         # A member without a leader's recent word only; a returning voter
         # must not depose a leader that the others hear.
-        lease_s = replica.settings.timings.election_min_ms / 1_000
-        silent = trio.current_time() - replica.heard_at >= lease_s
+        silent = (
+            trio.current_time() - replica.heard_at >= replica.election_min_s
+        )
         granted = (
             request.to == replica.member
             and request.cluster == (replica.cluster or request.cluster)
--- a/snipelead/voters/forwarding.py
+++ b/snipelead/voters/forwarding.py
@@ -131,7 +131,7 @@
     async def call(self, leader, batch):
         """Return a result or an error for each command of a batch."""
         request = ProposeRequest(tuple(p.command for p in batch))
-        timeout_s = self.replica.settings.timings.election_max_ms / 1_000
+        timeout_s = self.replica.election_max_s
         try:
             reply = await self.peers.call(
                 leader.control_id, request, timeout_s
--- a/snipelead/voters/handover.py
+++ b/snipelead/voters/handover.py
@@ -54,7 +54,6 @@
     async def appoint(self, leadership):
         """Ask voters that have the whole log until one of them leads."""
         replica = self.replica
-        heartbeat_s = replica.settings.timings.heartbeat_ms / 1_000
         while replica.leadership is leadership:
             for member in self.find_successors(leadership):
                 request = LeadRequest(replica.cluster, member, replica.term)
@@ -66,7 +65,7 @@
                     continue
                 if replica.leadership is not leadership:
                     return
-            with trio.move_on_after(heartbeat_s):
+            with trio.move_on_after(replica.heartbeat_s):
                 await replica.journal.applied.wait()
 
     def find_successors(self, leadership):
--- a/snipelead/voters/joining.py
+++ b/snipelead/voters/joining.py
@@ -7,7 +7,6 @@
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
-from snipelead.types import ControlRole
 from snipelead.voters.events import CLUSTER_FOUNDED
 from snipelead.voters.events import JOIN_REQUESTED
 from snipelead.voters.events import QUORUM_LOST
@@ -17,6 +16,7 @@
 from snipelead.voters.messages import JoinRequest
 from snipelead.voters.messages import ProbeReply
 from snipelead.voters.messages import ProbeRequest
+from snipelead.voters.peers import voters_of
 from snipelead.voters.state import State
 from snipelead.voters.storage import Identity
 from snipelead.voters.storage import SavedState
@@ -52,8 +52,6 @@
         A place among the learners can be lost again when the entry that
         gave it was not committed.
         """
-        timings = self.replica.settings.timings
-        pause_s = timings.election_min_ms / 1_000
         rounds = 0
         while True:
             if self.replica.is_voter:
@@ -62,7 +60,7 @@
             else:
                 rounds += 1
                 await self.find_place(rounds)
-            await trio.sleep(pause_s)
+            await trio.sleep(self.replica.election_min_s)
 
     async def find_place(self, rounds):
         """Probe once and act on what the others hold."""
@@ -76,12 +74,11 @@
     async def probe_all(self):
         """Return the answers of the voters, own included, by control id."""
         replies = {self.replica.member.control_id: self.make_probe_reply()}
-        timeout_s = self.replica.settings.timings.election_min_ms / 1_000
 
         async def probe(control_id):
             try:
                 replies[control_id] = await self.peers.call(
-                    control_id, ProbeRequest(), timeout_s
+                    control_id, ProbeRequest(), self.replica.election_min_s
                 )
             except SnipeleadError:
                 return
@@ -106,11 +103,7 @@
 
     def may_found(self, replies):
         """Whether all voters are empty and this one is to found."""
-        voters = {
-            peer.control_id
-            for peer in self.replica.settings.peers
-            if peer.role is ControlRole.VOTER
-        }
+        voters = {p.control_id for p in voters_of(self.replica.settings)}
         own = self.replica.member.control_id
         return voters == set(replies) and own == min(voters)
 
@@ -156,11 +149,10 @@
         """Ask each placed voter; the leader among them takes it in."""
         replica = self.replica
         request = JoinRequest(replica.member)
-        timeout_s = replica.settings.timings.election_min_ms / 1_000
         for reply in placed:
             try:
                 await self.peers.call(
-                    reply.member.control_id, request, timeout_s
+                    reply.member.control_id, request, replica.election_min_s
                 )
             except SnipeleadError:
                 continue
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -57,14 +57,19 @@
     ----------
     first_index : LogIndex
         Entry that the leader appended first.
+    started_at : float
+        Time when the term began, in seconds of the trio clock.
     synced_index : LogIndex
         Last entry on the leader's own disk.
     writing_since : float
-        When the write under way began, in seconds; infinite when idle.
+        When the write under way began, in seconds of the trio clock;
+        infinite when none is under way.
     round : int
         Newest round of the read barrier.
     leaving : bool
         Whether new commands are left to the successor.
+    progress : dict of Member to Progress
+        What is known of the other members.
     joins : dict of ControlId to Member
         Members that asked to be taken in.
     """
--- a/snipelead/voters/membership.py
+++ b/snipelead/voters/membership.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from snipelead.types import ControlRole
 from snipelead.voters.exceptions import NotLeaderError
 from snipelead.voters.messages import Configuration
 from snipelead.voters.messages import JoinReply
+from snipelead.voters.peers import voters_of
 
 __all__ = ['Membership', 'plan_change']
 
@@ -64,7 +64,6 @@
     async def run(self):
         """Make the changes that are due until cancelled."""
         replica = self.replica
-        heartbeat_s = replica.settings.timings.heartbeat_ms / 1_000
         while True:
             if replica.leadership is None:
                 await replica.changed.wait()
@@ -72,7 +71,7 @@
             if self.next_change() is not None:
                 async with replica.exclusive():
                     await self.append_change()
-            with trio.move_on_after(heartbeat_s):
+            with trio.move_on_after(replica.heartbeat_s):
                 await replica.journal.applied.wait()
 
     def next_change(self):
@@ -113,14 +112,8 @@
         if leadership is None:
             raise NotLeaderError(f'{replica.member} is not the leader')
         member = request.member
-        if member.control_id in self._known_controls():
+        known = {p.control_id for p in voters_of(replica.settings)}
+        if member.control_id in known:
             leadership.joins[member.control_id] = member
             replica.journal.applied.notify()
         return JoinReply()
-
-    def _known_controls(self):
-        return {
-            peer.control_id
-            for peer in self.replica.settings.peers
-            if peer.role is ControlRole.VOTER
-        }
--- a/snipelead/voters/peers.py
+++ b/snipelead/voters/peers.py
@@ -5,7 +5,22 @@
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.types import ControlRole
 
-__all__ = ['PeerChannels']
+__all__ = ['PeerChannels', 'voters_of']
+
+
+def voters_of(settings):
+    """Return the peers of the settings that vote, this control included.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of any control.
+
+    Returns
+    -------
+    list of Peer
+    """
+    return [p for p in settings.peers if p.role is ControlRole.VOTER]
 
 
 class PeerChannels:
@@ -26,9 +41,7 @@
         self.stack = AsyncExitStack()
 
     async def __aenter__(self):
-        for peer in self.settings.peers:
-            if peer.role is not ControlRole.VOTER:
-                continue
+        for peer in voters_of(self.settings):
             if peer.control_id != self.settings.control_id:
                 channel = self.transport.connect(peer.address)
                 self.channels[peer.control_id] = channel
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -236,8 +236,7 @@
 
     async def wait_change(self):
         """Wait until the leader changes, at most for a heartbeat."""
-        heartbeat_s = self.replica.settings.timings.heartbeat_ms / 1_000
-        with trio.move_on_after(heartbeat_s):
+        with trio.move_on_after(self.replica.heartbeat_s):
             await self.replica.changed.wait()
 
     def is_hopeless(self):
@@ -247,7 +246,7 @@
             return True
         if replica.failure is not None:
             return True
-        limit_s = 2 * replica.settings.timings.election_max_ms / 1_000
+        limit_s = 2 * replica.election_max_s
         silent_s = trio.current_time() - replica.led_at
         return replica.leadership is None and silent_s > limit_s
 
--- a/snipelead/voters/replica.py
+++ b/snipelead/voters/replica.py
@@ -6,6 +6,7 @@
 """
 
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 from enum import Enum
 from math import inf
 
@@ -24,6 +25,7 @@
 from snipelead.voters.exceptions import WrongClusterError
 from snipelead.voters.journal import Journal
 from snipelead.voters.leadership import Leadership
+from snipelead.voters.leadership import MS_PER_S
 from snipelead.voters.messages import Entry
 from snipelead.voters.signal import Signal
 from snipelead.voters.storage import Identity
@@ -64,14 +66,24 @@
         Last leader heard of, kept when it is no longer followed.
     journal : Journal
         Log, state and configurations.
-    news : Signal
+    send_needed : Signal
         There may be something to send to the other members.
+    changed : Signal
+        Role or leader changed.
     heard_at : float
         When the leader was heard last, in seconds of the trio clock.
     led_at : float
-        When a leader was known last.
-    changed : Signal
-        Role or leader changed.
+        When a leader was known last, in seconds of the trio clock.
+    deadline : float
+        When a follower starts an election, in seconds of the trio clock.
+    is_open : bool
+        Whether the data folder is in use by this member.
+    failure : SnipeleadError or None
+        What stopped this member.
+    failed : trio.Event
+        Set with ``failure``.
+    on_step_down : callable
+        Called without arguments when leadership ends.
     """
 
     def __init__(self, settings, storage, random):
@@ -84,7 +96,7 @@
         self.seen_leader = (0, None)
         self.journal = Journal(storage, settings.snapshot_entries)
         self.mutex = trio.Lock()
-        self.news = Signal()
+        self.send_needed = Signal()
         self.changed = Signal()
         self.heard_at = -inf
         self.led_at = -inf
@@ -124,6 +136,21 @@
         """Current term."""
         return self.storage.vote.term
 
+    @property
+    def heartbeat_s(self):
+        """Time between heartbeats in seconds."""
+        return self.settings.timings.heartbeat_ms / MS_PER_S
+
+    @property
+    def election_min_s(self):
+        """Least election timeout in seconds."""
+        return self.settings.timings.election_min_ms / MS_PER_S
+
+    @property
+    def election_max_s(self):
+        """Greatest election timeout in seconds."""
+        return self.settings.timings.election_max_ms / MS_PER_S
+
     @property
     def is_voter(self):
         """Whether this member votes."""
@@ -146,9 +173,14 @@
             with trio.CancelScope(shield=True), self.stopping():
                 yield
 
+    @contextmanager
     def stopping(self):
-        """Return a context manager that stops the member on fatal errors."""
-        return _Stopping(self)
+        """Stop the member when a write fails or an invariant breaks."""
+        try:
+            yield
+        except (StorageWriteError, InvariantError) as error:
+            self.fail(error)
+            raise
 
     def check_running(self):
         """Check that this member takes part.
@@ -186,7 +218,7 @@
         timeout_ms = self.random.uniform(
             timings.election_min_ms, timings.election_max_ms
         )
-        self.deadline = trio.current_time() + timeout_ms / 1_000
+        self.deadline = trio.current_time() + timeout_ms / MS_PER_S
 
     async def adopt_cluster(self, cluster, to):
         """Check that a message is for this member; join its cluster.
@@ -286,7 +318,7 @@
             self.on_step_down()
         self.reset_deadline()
         self.changed.notify()
-        self.news.notify()
+        self.send_needed.notify()
         self.journal.applied.notify()
 
     async def lead(self):
@@ -320,7 +352,7 @@
         leadership = self.leadership
         self.journal.log.append(entries)
         self.journal.note_configurations(entries)
-        self.news.notify()
+        self.send_needed.notify()
         leadership.writing_since = trio.current_time()
         await self.storage.append(entries)
         leadership.writing_since = inf
@@ -346,18 +378,3 @@
                 continue
             async with self.exclusive():
                 await self.journal.compact()
-
-
-class _Stopping:
-    """Context manager that stops a replica on a fatal error."""
-
-    def __init__(self, replica):
-        self.replica = replica
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, traceback):
-        if isinstance(error, StorageWriteError | InvariantError):
-            self.replica.fail(error)
-        return False
--- a/snipelead/voters/replication.py
+++ b/snipelead/voters/replication.py
@@ -49,7 +49,7 @@
             leadership = replica.leadership
             member = self.choose_member(control_id, misses)
             if leadership is None or member is None:
-                await replica.news.wait()
+                await replica.send_needed.wait()
                 continue
             progress = leadership.progress_of(member)
             try:
@@ -60,7 +60,7 @@
                 misses += isinstance(error, NotThisMemberError)
                 await self.pause()
                 continue
-            if not self.has_news(leadership, progress):
+            if not self.must_send(leadership, progress):
                 await self.pause()
 
     def choose_member(self, control_id, misses):
@@ -78,12 +78,11 @@
         return members[misses % len(members)] if members else None
 
     async def pause(self):
-        """Wait for news, at most until the next heartbeat."""
-        heartbeat_s = self.replica.settings.timings.heartbeat_ms / 1_000
-        with trio.move_on_after(heartbeat_s):
-            await self.replica.news.wait()
+        """Wait until a send is needed, at most until the next heartbeat."""
+        with trio.move_on_after(self.replica.heartbeat_s):
+            await self.replica.send_needed.wait()
 
-    def has_news(self, leadership, progress):
+    def must_send(self, leadership, progress):
         """Whether there is something to send before the next heartbeat."""
         replica = self.replica
         return replica.leadership is leadership and (
@@ -95,7 +94,7 @@
     async def send(self, leadership, member, progress):
         """Send what a member lacks and take its answer."""
         replica = self.replica
-        timeout_s = replica.settings.timings.election_min_ms / 1_000
+        timeout_s = replica.election_min_s
         if progress.next_index <= replica.journal.log.base_index:
             request = self.make_install(leadership, member)
             timeout_s *= INSTALL_TIMEOUT_FACTOR
@@ -239,7 +238,7 @@
         index = replica.journal.commit_index
         leadership.round += 1
         needed = leadership.round
-        replica.news.notify()
+        replica.send_needed.notify()
         while replica.leadership is leadership:
             if (
                 leadership.majority_round(replica.journal.configuration)
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -132,12 +132,16 @@
         self.check_parameters()
         try:
             await self.replica.open()
-            async with self.log_peers, self.peers, trio.open_nursery() as n:
+            async with (
+                self.log_peers,
+                self.peers,
+                trio.open_nursery() as nursery,
+            ):
                 for part in self.parts():
-                    n.start_soon(self.run_part, part)
+                    nursery.start_soon(self.run_part, part)
                 task_status.started()
                 await self.replica.failed.wait()
-                n.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
             raise self.replica.failure
         finally:
             await self.replica.close()
@@ -285,7 +289,7 @@
     async def on_certify(self, request):
         """Answer with the newest release."""
         certified = await self.certify()
-        return CertifyReply(self.current.held, certified)
+        return CertifyReply(held=self.current.held, certified=certified)
 
     async def on_outcomes(self, request):
         """Answer with the outcomes of recent notes."""
