--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -49,6 +49,19 @@
         Targets beside the node.
     rng : random.Random or None
         Source of jitter.
+
+    Attributes
+    ----------
+    registration : Registration or None
+        Newest facts about the node; None before the first poll.
+    sequence : int
+        Sequence number of the newest poll.
+    offers : bool
+        Whether the next poll carries the node's release.
+    floor : ReleaseNumber or None
+        Least release to serve by, once a control was certified.
+    started_at : float or None
+        Start of :meth:`run`, in seconds of the trio clock.
     """
 
     def __init__(
--- a/snipelead/controls/events.py
+++ b/snipelead/controls/events.py
@@ -21,7 +21,6 @@
     'RELEASE_APPLIED',
     'RELEASE_OFFERED',
     'RELEASE_PUBLISHED',
-    'VOTER_LOST',
 ]
 
 RELEASE_PUBLISHED = Event(
@@ -102,12 +101,6 @@
 CONTROL_REACHED = Event(
     2015, 'control_reached', 'info', 'A control answers this process.'
 )
-VOTER_LOST = Event(
-    2016,
-    'voter_lost',
-    'warning',
-    'A voter does not answer this relay, which turns to another.',
-)
 INCARNATION_RAISED = Event(
     2017,
     'incarnation_raised',
--- a/snipelead/controls/exchange.py
+++ b/snipelead/controls/exchange.py
@@ -35,6 +35,15 @@
         Told of the peer's targets.
     rng : random.Random or None
         Source of jitter.
+
+    Attributes
+    ----------
+    epoch, version : str, int
+        State of the peer's entries that was received last.
+    reached_at : float or None
+        Time of the last answer, in seconds of the trio clock.
+    failures : int
+        Failed polls since then.
     """
 
     def __init__(self, control_id, link, directory, rng=None):
--- a/snipelead/controls/membership.py
+++ b/snipelead/controls/membership.py
@@ -42,9 +42,8 @@
         bool
             False when the node's registration is not known.
         """
-        incarnation = session.order[0]
         known = session.registration
-        same_life = session.registered_incarnation == incarnation
+        same_life = session.registered_incarnation == session.incarnation
         offered = request.registration
         if offered is not None and not (
             same_life and known.version >= offered.version
@@ -86,7 +85,7 @@
         for entry in entries:
             gone.pop(entry.target_id, None)
         self.sessions.register(session, registration)
-        session.registered_incarnation = session.order[0]
+        session.registered_incarnation = session.incarnation
         withdrawn = list(gone.values())
         if registration.leaving:
             withdrawn.extend(entries)
--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -6,6 +6,7 @@
 from snipelead.controls.forwarding import forward
 from snipelead.controls.links import ControlLinks
 from snipelead.controls.polling import ControlPoller
+from snipelead.controls.polling import MS_PER_S
 from snipelead.controls.source import ReleaseSource
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import CertifyReply
@@ -16,11 +17,11 @@
 from snipelead.messages import SubmitRequest
 from snipelead.messages import SyncRequest
 from snipelead.nodes.holder import ReleaseHolder
-from snipelead.types import ControlRole
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
 from snipelead.types import NoteId
 from snipelead.voters.history import History
+from snipelead.voters.peers import voters_of
 
 __all__ = ['RelaySource']
 
@@ -36,7 +37,13 @@
 
 
 class _VoterPoller(ControlPoller):
-    """Follows the releases of one voter at a time."""
+    """Follows the releases of one voter at a time.
+
+    Attributes
+    ----------
+    polled : ControlLink or None
+        Voter that was polled last.
+    """
 
     def __init__(self, links, control_id, holder):
         super().__init__(links, HOLD_MS, MISS_MS)
@@ -77,7 +84,7 @@
             # This voter is behind; another one may not be.
             self.links.defer(link)
             return self.backoff.next_s()
-        return reply.retry_after_ms / 1_000
+        return reply.retry_after_ms / MS_PER_S
 
 
 class RelaySource(ReleaseSource):
@@ -98,9 +105,8 @@
         self.transport = transport
         voters = tuple(
             peer
-            for peer in settings.peers
-            if peer.role is ControlRole.VOTER
-            and peer.control_id != settings.control_id
+            for peer in voters_of(settings)
+            if peer.control_id != settings.control_id
         )
         self.links = ControlLinks(
             voters, settings.zone, settings.control_id, transport, rng
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -47,6 +47,8 @@
         Makes the channels to the other controls.
     rng : random.Random or None
         Source of jitter.
+    metrics : ControlMetrics or None
+        Gets the times until nodes confirm releases; None records nothing.
     """
 
     def __init__(self, settings, source, transport, rng=None, metrics=None):
--- a/snipelead/controls/sessions.py
+++ b/snipelead/controls/sessions.py
@@ -5,14 +5,13 @@
 import trio
 
 from snipelead.controls.exceptions import StaleRequestError
+from snipelead.controls.polling import MS_PER_S
 from snipelead.messages import NodeStatus
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.types import ZoneName
 
 __all__ = ['NodeSession', 'NodeSessions']
 
-MS_PER_S = 1_000
-
 
 class NodeSession:
     """A node that polls this control.
@@ -52,6 +51,11 @@
         self.left = False
         self._woken = trio.Event()
 
+    @property
+    def incarnation(self):
+        """Incarnation of the newest request."""
+        return self.order[0]
+
     @property
     def zone(self):
         """Availability zone of the node, empty when not registered."""
@@ -79,9 +83,9 @@
         if order < self.order:
             raise StaleRequestError(
                 f'poll {order} of {self.node_id} came after {self.order}',
-                incarnation=self.order[0],
+                incarnation=self.incarnation,
             )
-        if request.incarnation != self.order[0]:
+        if request.incarnation != self.incarnation:
             self.left = False
             self.since = trio.current_time()
         superseded = order != self.order
--- a/snipelead/controls/snapshots.py
+++ b/snipelead/controls/snapshots.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from snipelead.controls.polling import MS_PER_S
+
 __all__ = ['SnapshotGate']
 
 # A node that does not acknowledge a snapshot for this long frees its place.
@@ -78,7 +80,7 @@
         delay_s = min(MAX_RETRY_S, self._next_turn - now)
         # Jitter of one turn of all places keeps returns from colliding.
         delay_s += self.rng.uniform(0, self.service_time_s)
-        return int(1_000 * delay_s) + 1
+        return int(MS_PER_S * delay_s) + 1
 
     def _forget(self, now):
         """Free the places of nodes that did not come back."""
