Draw the ports of the gRPC tests where the others do

Cause: the gRPC tests drew ports from the range of outgoing connections, so another connection could take one before the server bound it. A test of polls caught any exception to compare one code. The interval of slots was also that of connections. Change: find_free_addresses; ExpectedException(StaleRequestError), whose code is the one compared before; the interval is called _CAPACITY.

--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -1,7 +1,9 @@
 from msgspec.structs import replace
+from testtools import ExpectedException
 from testtools import TestCase
 import trio
 
+from snipelead.controls.exceptions import StaleRequestError
 from snipelead.controls.tests.mesh import open_mesh
 from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
@@ -172,12 +174,8 @@
                 control = await mesh.start_control()
                 held = Held(0, '')
                 await _answer(control, SyncRequest('n', 1, 5, held))
-                error = None
-                try:
+                with ExpectedException(StaleRequestError):
                     await _answer(control, SyncRequest('n', 1, 4, held))
-                except Exception as caught:
-                    error = caught
-                self.assertEqual('SL2004', error.code)
 
         run_mesh(run)
 
--- a/snipelead/releases/checks.py
+++ b/snipelead/releases/checks.py
@@ -13,14 +13,14 @@
 
 # Kept beside the digest in the dictionary of a release.
 _CHECKED = '_checked'
-_SLOTS = Interval(int, 1, 100_000)
+_CAPACITY = Interval(int, 1, 100_000)
 _DEADLINE_MS = Interval(int, 1, MAX_DEADLINE_MS)
 
 
 def _check_service(service):
     check_name('service', 'name', service.name)
-    check_interval(service.name, 'slots', service.slots, _SLOTS)
-    check_interval(service.name, 'connections', service.connections, _SLOTS)
+    check_interval(service.name, 'slots', service.slots, _CAPACITY)
+    check_interval(service.name, 'connections', service.connections, _CAPACITY)
 
 
 def _check_route(route):
--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -1,5 +1,3 @@
-import socket
-
 from testtools import TestCase
 import trio
 
@@ -12,17 +10,12 @@
 from snipelead.rpc.exceptions import RpcTimeoutError
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.rpc.grpc import open_transport
+from snipelead.utils.ports import find_free_addresses
 
 TIMEOUT_S = 20.0
 REPLY = CertifyReply(EMPTY_RELEASE.held, True)
 
 
-def _free_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 async def _answer(request):
     return REPLY
 
@@ -34,7 +27,7 @@
 class GrpcTransportTest(TestCase):
     def run_with(self, handler, check):
         """Run a check against a server with one handler."""
-        address = _free_address()
+        (address,) = find_free_addresses(1)
 
         async def run():
             async with open_transport() as transport:
@@ -124,7 +117,7 @@
         self.run_with(hold, check)
 
     def test_stopped_server_ends_its_calls_and_runs_no_more(self):
-        address = _free_address()
+        (address,) = find_free_addresses(1)
 
         async def run():
             began = trio.Event()
@@ -175,7 +168,8 @@
     def test_call_to_nobody_was_not_sent(self):
         async def run():
             async with open_transport() as transport:
-                channel = transport.connect(_free_address())
+                (address,) = find_free_addresses(1)
+                channel = transport.connect(address)
                 error = None
                 try:
                     await channel.call(CertifyRequest(), TIMEOUT_S)
