Change the voters only while a majority of the next ones answers

Cause: the leader removed the old member of a lost disk although another voter was silent, as long as it had not stepped down yet. The voters left then had to be in touch all of them, so that the log stopped even when the old disk came back and two members ran. Change: a change of membership is appended only when a majority of the voters that it leads to answered within the least election timeout. With three voters that is each other voter. To ask for all others with five voters too was ruled out: of two lost disks each old member would wait for the other one. Result: test_old_member_stays_while_another_voter_is_silent fails before (the old member is removed) and passes after.

--- a/snipelead/voters/election.py
+++ b/snipelead/voters/election.py
@@ -56,10 +56,9 @@
     def is_in_touch(self):
         """Whether a majority answered within the election timeout."""
         replica = self.replica
-        answered_at = replica.leadership.majority_answered_at(
-            replica.journal.configuration
+        return replica.leadership.is_in_touch(
+            replica.journal.configuration, self.limit_s
         )
-        return trio.current_time() - answered_at <= self.limit_s
 
     async def campaign(self, trial=True):
         """Try to become leader.
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from msgspec import Struct
+import trio
 
 from snipelead.types import LogIndex
 from snipelead.types import Term
@@ -117,9 +118,12 @@
             configuration, self.round, lambda p: p.acked_round
         )
 
-    def majority_answered_at(self, configuration):
-        """Return since when a majority has answered, in seconds."""
-        return self._majority(configuration, inf, lambda p: p.answered_at)
+    def is_in_touch(self, configuration, limit_s):
+        """Whether a majority of the voters answered within some seconds."""
+        answered_at = self._majority(
+            configuration, inf, lambda p: p.answered_at
+        )
+        return trio.current_time() - answered_at <= limit_s
 
     def _majority(self, configuration, own, value_of):
         values = sorted(
--- a/snipelead/voters/membership.py
+++ b/snipelead/voters/membership.py
@@ -85,9 +85,15 @@
         index, configuration = replica.journal.configurations[-1]
         if index > replica.journal.commit_index:
             return None
-        return plan_change(
+        change = plan_change(
             configuration, leadership.joins.values(), self.is_caught_up
         )
+        # The voters of a change decide as soon as it is appended, also when
+        # the member that it removes comes back with its old disk.
+        limit_s = replica.election_min_s
+        if change is None or not leadership.is_in_touch(change, limit_s):
+            return None
+        return change
 
     def is_caught_up(self, learner):
         """Whether a learner has all that is committed."""
--- a/snipelead/voters/tests/test_membership.py
+++ b/snipelead/voters/tests/test_membership.py
@@ -159,6 +159,50 @@
 
         self.run_cluster(test)
 
+    def test_old_member_stays_while_another_voter_is_silent(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            one, other = cluster.followers
+            disk = cluster.disks[one]
+            await cluster.kill(one)
+            saved = dict(disk.contents)
+            disk.erase()
+            await cluster.start(one)
+            # The new member is a learner, but cannot write entries.
+            disk.max_write_s = 1e9
+            journal = cluster.voters[leader].replica.journal
+            await cluster.wait_until(
+                lambda: journal.state.configuration.learners
+            )
+            voters = journal.configuration.voters
+            cluster.cut_off(other)
+            # Longer than the least election timeout, but not long enough
+            # for the leader to step down before the learner has caught up.
+            await trio.sleep(0.6)
+            self.assertEqual(leader, cluster.leader)
+            await cluster.kill(one)
+            disk.max_write_s = 0.002
+            await cluster.start(one)
+            learner = cluster.voters[one].replica
+            await cluster.wait_until(
+                lambda: (
+                    learner.journal.log.last_index == journal.log.last_index
+                )
+            )
+            await cluster.wait_until(lambda: cluster.leader is None)
+            self.assertEqual(voters, journal.configuration.voters)
+            # The old disk was not lost after all.
+            await cluster.kill(one)
+            disk.contents = saved
+            await cluster.start(one)
+            leader = await cluster.wait_leader()
+            await cluster.voters[leader].submit(make_note(1))
+            cluster.network.heal()
+            await cluster.wait_release(1)
+            await cluster.wait_whole()
+
+        self.run_cluster(test)
+
     def test_voters_added_to_the_settings_are_taken_in(self):
         async def test(cluster):
             leader = await cluster.wait_leader()
@@ -203,6 +247,27 @@
         self.run_cluster(test)
 
 
+class FiveVotersTest(ClusterCase):
+    names = 'abcde'
+
+    def test_two_lost_disks_are_replaced_while_both_old_ones_count(self):
+        async def test(cluster):
+            leader = await cluster.wait_leader()
+            await cluster.voters[leader].submit(make_note(1))
+            lost = cluster.followers[:2]
+            for name in lost:
+                await cluster.lose_disk(name)
+            # Each old member is silent while the other one is removed.
+            await trio.sleep(5)
+            for name in lost:
+                await cluster.start(name)
+            await cluster.wait_whole()
+            await cluster.voters[leader].submit(make_note(2))
+            await cluster.wait_release(2)
+
+        self.run_cluster(test)
+
+
 class FoundingTest(TestCase):
     def test_missing_voter_delays_the_first_start(self):
         async def main():
