--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -136,7 +136,7 @@
     unreachable_controls : tuple of ControlId
         Controls that could not be asked for their nodes.
     warming_controls : tuple of ControlId
-        Controls that started less than a node lease ago and may not have
+        Controls that started less than a target lease ago and may not have
         heard of all their nodes yet.
     """
 
