Split the capacity measurements into modules with one job

The long functions of the roles table are split. The voters' benchmark passes typed figures between its processes and takes its ports from utils.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,13 +11,14 @@
 from pathlib import Path
 import platform
 
-from benchmarks.measurements import measure_calls
-from benchmarks.measurements import measure_claims
-from benchmarks.measurements import measure_fleet
-from benchmarks.measurements import measure_sizes
+from benchmarks.calls import measure_calls
+from benchmarks.claims import measure_claims
+from benchmarks.fleet import measure_fleet
 from benchmarks.pages import replace_section
 from benchmarks.plots import plot_lines
+from benchmarks.requirements import REQUIREMENTS
 from benchmarks.roles import make_rows
+from benchmarks.sizes import measure_sizes
 from benchmarks.slopes import fit_slopes
 from benchmarks.slopes import load_results
 from benchmarks.slopes import Results
@@ -33,7 +34,6 @@
 CLAIM_COUNTS = (320, 640, 1_280, 2_560)
 NODE_COUNTS = (20, 40, 80, 120)
 SIZE_COUNTS = (60, 115, 230, 460)
-SERVICES = 230
 
 
 def measure_all(report=print):
@@ -52,11 +52,11 @@
     fleet = []
     for count in NODE_COUNTS:
         report(f'{count} nodes')
-        fleet.append(measure_fleet(count, SERVICES))
+        fleet.append(measure_fleet(count, REQUIREMENTS.services))
     return Results(
         date=datetime.now(UTC).strftime('%Y-%m-%d %H:%M UTC'),
         machine=f'{os.cpu_count()} cores, Python {platform.python_version()}',
-        services=SERVICES,
+        services=REQUIREMENTS.services,
         node_mb=node_mb,
         calls=calls,
         claims=claims,
--- a/benchmarks/letter.py
+++ b/benchmarks/requirements.py
@@ -2,12 +2,12 @@
 
 from msgspec import Struct
 
-__all__ = ['LETTER', 'Letter']
+__all__ = ['REQUIREMENTS', 'Requirements']
 
 SECONDS_PER_DAY = 86_400
 
 
-class Letter(Struct, frozen=True, kw_only=True):
+class Requirements(Struct, frozen=True, kw_only=True):
     """Sizes and limits; see docs/CAPACITY.md."""
 
     nodes: int = 3_400
@@ -51,4 +51,4 @@
         return self.nodes / self.services
 
 
-LETTER = Letter()
+REQUIREMENTS = Requirements()
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -1,9 +1,8 @@
-"""What each role needs at the letter's size, worked out from slopes."""
+"""What each role needs at the required size, worked out from slopes."""
 
 from msgspec import Struct
 
-from benchmarks.letter import LETTER
-from benchmarks.letter import SECONDS_PER_DAY
+from benchmarks.requirements import REQUIREMENTS
 from snipelead.settings.schema import NodeTimings
 
 __all__ = ['Row', 'make_rows']
@@ -28,7 +27,7 @@
     role, quantity : str
         What is told of whom.
     value, limit : float or None
-        Worked-out value, and the limit that the letter sets, if any.
+        Worked-out value, and the required limit, if any.
     unit : str
         Unit of both.
     working : str
@@ -76,52 +75,25 @@
 
 def _subscribed_restarts_per_s():
     """Restarts in a second that one node is told of."""
-    return LETTER.restarts_per_s * SUBSCRIPTIONS / LETTER.services
+    return REQUIREMENTS.restarts_per_s * SUBSCRIPTIONS / REQUIREMENTS.services
 
 
 def _node_rows(results, slopes):
     idle = slopes.idle_bytes.slope
-    changes = slopes.change_bytes.slope * LETTER.changes_per_s
+    changes = slopes.change_bytes.slope * REQUIREMENTS.changes_per_s
     restarts = slopes.restart_bytes.slope * _subscribed_restarts_per_s()
-    cpu = (
-        slopes.idle_node.slope
-        + slopes.change_node.slope * LETTER.changes_per_s
-    )
-    targets = SUBSCRIPTIONS * LETTER.targets_per_service
-    memory = (
-        results.node_mb
-        + slopes.release_bytes.at(LETTER.services) / 1e6
-        + slopes.directory_bytes.at(targets) / 1e6
-    )
     return [
         Row(
             'node, control',
             'bytes',
             idle + changes + restarts,
-            LETTER.node_bytes_per_s,
+            REQUIREMENTS.node_bytes_per_s,
             'B/s',
             f'idle {idle:.0f} + changes {changes:.1f}'
             f' + restarts {restarts:.2f}',
         ),
-        Row(
-            'node, control',
-            'processor',
-            100 * cpu,
-            LETTER.node_core_percent,
-            '% of a core',
-            f'idle {100 * slopes.idle_node.slope:.3f} % +'
-            f' {1e3 * slopes.change_node.slope:.2f} ms a change x'
-            f' {LETTER.changes_per_s:.3f}/s',
-        ),
-        Row(
-            'node, control',
-            'memory',
-            memory,
-            LETTER.node_mb,
-            'MB',
-            f'process {results.node_mb:.0f} + release of {LETTER.services}'
-            f' services + {targets:.0f} targets of {SUBSCRIPTIONS} services',
-        ),
+        _node_processor_row(slopes),
+        _node_memory_row(results, slopes),
         Row(
             'node, control',
             'polls sent',
@@ -133,8 +105,38 @@
     ]
 
 
+def _node_processor_row(slopes):
+    rate = REQUIREMENTS.changes_per_s
+    idle, change = slopes.idle_node.slope, slopes.change_node.slope
+    return Row(
+        'node, control',
+        'processor',
+        100 * (idle + change * rate),
+        REQUIREMENTS.node_core_percent,
+        '% of a core',
+        f'idle {100 * idle:.3f} % + {1e3 * change:.2f} ms a change x'
+        f' {rate:.3f}/s',
+    )
+
+
+def _node_memory_row(results, slopes):
+    targets = SUBSCRIPTIONS * REQUIREMENTS.targets_per_service
+    release_mb = slopes.release_bytes.at(REQUIREMENTS.services) / 1e6
+    directory_mb = slopes.directory_bytes.at(targets) / 1e6
+    return Row(
+        'node, control',
+        'memory',
+        results.node_mb + release_mb + directory_mb,
+        REQUIREMENTS.node_mb,
+        'MB',
+        f'process {results.node_mb:.0f} + release of'
+        f' {REQUIREMENTS.services} services + {targets:.0f} targets of'
+        f' {SUBSCRIPTIONS} services',
+    )
+
+
 def _call_rows(slopes):
-    rate = LETTER.calls_per_node_s
+    rate = REQUIREMENTS.calls_per_node_s
     local, origin, owner = (
         slopes.call_local.slope,
         slopes.call_origin.slope,
@@ -180,35 +182,18 @@
 
 
 def _control_rows(slopes):
-    nodes = LETTER.nodes_per_control
-    idle = slopes.idle_control.slope * nodes * CONTROLS
-    changes = slopes.change_control.slope * CONTROLS * nodes
-    subscribers = nodes * SUBSCRIPTIONS / LETTER.services
-    restarts = slopes.restart_control.slope * CONTROLS * subscribers
-    cpu = (
-        idle
-        + changes * LETTER.changes_per_s
-        + restarts * LETTER.restarts_per_s
-    )
+    nodes = REQUIREMENTS.nodes_per_control
+    memory = slopes.control_mb
     return [
-        Row(
-            'control relay',
-            'processor',
-            100 * cpu,
-            100.0,
-            '% of a core',
-            f'{nodes:.0f} nodes each; idle {100 * idle:.1f} %, a change'
-            f' {1e3 * changes:.0f} ms, a restart {1e3 * restarts:.0f} ms',
-        ),
+        _relay_processor_row(slopes, nodes),
         Row(
             'control relay',
             'memory',
-            slopes.control_mb.intercept
-            + slopes.control_mb.slope * CONTROLS * nodes,
+            memory.intercept + memory.slope * CONTROLS * nodes,
             None,
             'MB',
-            f'{slopes.control_mb.intercept:.0f}'
-            f' + {1e3 * slopes.control_mb.slope * CONTROLS:.0f} KB a node',
+            f'{memory.intercept:.0f}'
+            f' + {1e3 * memory.slope * CONTROLS:.0f} KB a node',
         ),
         Row(
             'control relay',
@@ -221,9 +206,8 @@
         Row(
             'fleet',
             'convergence of a change',
-            slopes.convergence.intercept
-            + slopes.convergence.slope * CONTROLS * nodes,
-            LETTER.convergence_s,
+            slopes.convergence.at(CONTROLS * nodes),
+            REQUIREMENTS.convergence_s,
             's',
             f'{nodes:.0f} nodes on each control; slope with all nodes on one'
             ' core and without the hop from voter to relay',
@@ -231,11 +215,32 @@
     ]
 
 
+def _relay_processor_row(slopes, nodes):
+    idle = slopes.idle_control.slope * nodes * CONTROLS
+    changes = slopes.change_control.slope * CONTROLS * nodes
+    subscribers = nodes * SUBSCRIPTIONS / REQUIREMENTS.services
+    restarts = slopes.restart_control.slope * CONTROLS * subscribers
+    cpu = (
+        idle
+        + changes * REQUIREMENTS.changes_per_s
+        + restarts * REQUIREMENTS.restarts_per_s
+    )
+    return Row(
+        'control relay',
+        'processor',
+        100 * cpu,
+        100.0,
+        '% of a core',
+        f'{nodes:.0f} nodes each; idle {100 * idle:.1f} %, a change'
+        f' {1e3 * changes:.0f} ms, a restart {1e3 * restarts:.0f} ms',
+    )
+
+
 def _voter_rows(results, slopes):
-    claims = CLAIM_SHARE * LETTER.calls_per_s
+    claims = CLAIM_SHARE * REQUIREMENTS.calls_per_s
     most = 1 / max(slopes.claim_leader.slope, slopes.claim_elapsed.slope)
     on_disk = max(point.change_disk_bytes for point in results.fleet)
-    per_day = LETTER.changes_per_day * on_disk
+    per_day = REQUIREMENTS.changes_per_day * on_disk
     return [
         Row(
             'control voter',
@@ -252,15 +257,15 @@
             per_day / 1e6,
             None,
             'MB/day',
-            f'{LETTER.changes_per_day} changes of {on_disk:.0f} B;'
+            f'{REQUIREMENTS.changes_per_day} changes of {on_disk:.0f} B;'
             ' compacted every 1,000 entries',
         ),
     ]
 
 
 def _operator_rows(slopes):
-    read_s = slopes.read_control.at(LETTER.nodes)
-    read_mb = slopes.read_bytes.at(LETTER.nodes) / 1e6
+    read_s = slopes.read_control.at(REQUIREMENTS.nodes)
+    read_mb = slopes.read_bytes.at(REQUIREMENTS.nodes) / 1e6
     return [
         Row(
             'operator interface',
@@ -281,9 +286,9 @@
         Row(
             'operator interface',
             'changes taken',
-            LETTER.changes_per_day / SECONDS_PER_DAY,
+            REQUIREMENTS.changes_per_s,
             None,
             'notes/s',
-            'letter',
+            'required rate',
         ),
     ]
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,10 +7,10 @@
 
 from benchmarks.fit import fit_line
 from benchmarks.fit import Line
-from benchmarks.measurements import CallPoint
-from benchmarks.measurements import ClaimPoint
-from benchmarks.measurements import FleetPoint
-from benchmarks.measurements import SizePoint
+from benchmarks.points import CallPoint
+from benchmarks.points import ClaimPoint
+from benchmarks.points import FleetPoint
+from benchmarks.points import SizePoint
 
 __all__ = ['Results', 'Slopes', 'fit_slopes', 'load_results', 'save_results']
 
--- a/benchmarks/swarm.py
+++ b/benchmarks/swarm.py
@@ -20,7 +20,7 @@
 from snipelead.types import TargetId
 from snipelead.types import TargetState
 
-__all__ = ['Swarm', 'SwarmNode', 'open_swarm']
+__all__ = ['SERVICE', 'Swarm', 'SwarmNode', 'open_swarm']
 
 SERVICE = ServiceName('service-0')
 UNUSED_ADDRESS = Address('127.0.0.1:1')
--- a/benchmarks/tests/test_capacity.py
+++ b/benchmarks/tests/test_capacity.py
@@ -5,13 +5,13 @@
 
 from benchmarks.capacity import render_roles
 from benchmarks.capacity import render_slopes
-from benchmarks.measurements import CallPoint
-from benchmarks.measurements import ClaimPoint
-from benchmarks.measurements import FleetPoint
-from benchmarks.measurements import make_changes
-from benchmarks.measurements import measure_sizes
+from benchmarks.deployment import make_changes
 from benchmarks.plots import plot_lines
+from benchmarks.points import CallPoint
+from benchmarks.points import ClaimPoint
+from benchmarks.points import FleetPoint
 from benchmarks.roles import make_rows
+from benchmarks.sizes import measure_sizes
 from benchmarks.slopes import fit_slopes
 from benchmarks.slopes import load_results
 from benchmarks.slopes import Results
--- a/benchmarks/tests/test_helpers.py
+++ b/benchmarks/tests/test_helpers.py
@@ -4,10 +4,10 @@
 from testtools import TestCase
 
 from benchmarks.fit import fit_line
-from benchmarks.letter import LETTER
 from benchmarks.pages import replace_section
 from benchmarks.processor import read_cpu_s
 from benchmarks.processor import read_rss_mb
+from benchmarks.requirements import REQUIREMENTS
 
 
 class FitTest(TestCase):
@@ -37,10 +37,10 @@
             replace_section('a', 't', [])
 
 
-class LetterTest(TestCase):
+class RequirementsTest(TestCase):
     def test_rates(self):
-        self.assertAlmostEqual(323.5, LETTER.calls_per_node_s, places=1)
-        self.assertAlmostEqual(309.1, LETTER.nodes_per_control, places=1)
+        self.assertAlmostEqual(323.5, REQUIREMENTS.calls_per_node_s, places=1)
+        self.assertAlmostEqual(309.1, REQUIREMENTS.nodes_per_control, places=1)
 
 
 class ProcessorTest(TestCase):
--- a/benchmarks/voters.py
+++ b/benchmarks/voters.py
@@ -6,12 +6,10 @@
 
 import argparse
 from contextlib import contextmanager
-import json
 import os
 from pathlib import Path
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +17,7 @@
 
 from hdrh.histogram import HdrHistogram
 import msgspec
+from msgspec import Struct
 import trio
 
 from snipelead.exceptions import SnipeleadError
@@ -29,6 +28,7 @@
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import Peer
 from snipelead.testing.cluster import make_note
+from snipelead.utils.ports import find_free_addresses
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import encode_command
 from snipelead.voters.messages import Entry
@@ -40,21 +40,36 @@
 CALL_TIMEOUT_S = 5.0
 MAX_LATENCY_US = 60_000_000
 START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
 READY_PAUSE_S = 0.1
+KIB_PER_MIB = 1_024
 
 
-def find_port():
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+class VoterUsage(Struct, frozen=True):
+    """What one voter used while it was loaded.
+
+    Parameters
+    ----------
+    processor_s : float
+        Processor time in seconds.
+    memory_mb : float
+        Largest resident memory in MiB.
+    entries : int
+        Committed entries.
+    """
+
+    processor_s: float
+    memory_mb: float
+    entries: int
 
 
 def make_settings(folder):
     """Return the settings of all voters."""
     peers = tuple(
-        Peer(control_id=n, zone=n, address=f'127.0.0.1:{find_port()}')
-        for n in NAMES
+        Peer(control_id=name, zone=name, address=address)
+        for name, address in zip(
+            NAMES, find_free_addresses(len(NAMES)), strict=True
+        )
     )
     return [
         ControlSettings(
@@ -88,16 +103,12 @@
             async for _ in signals:
                 break
             usage = resource.getrusage(resource.RUSAGE_SELF)
-            print(
-                json.dumps(
-                    {
-                        'processor_s': read_processor_s() - started_s,
-                        'memory_mb': usage.ru_maxrss / 1024,
-                        'entries': voter.replica.journal.commit_index,
-                    }
-                ),
-                flush=True,
+            used = VoterUsage(
+                read_processor_s() - started_s,
+                usage.ru_maxrss / KIB_PER_MIB,
+                voter.replica.journal.commit_index,
             )
+            print(msgspec.json.encode(used).decode(), flush=True)
             n.cancel_scope.cancel()
 
 
@@ -177,17 +188,18 @@
 
 
 def report(clients, latencies, errors, seconds, processes):
-    """Print one row and return the voters' own figures."""
+    """Stop the voters and print one row."""
     usages = []
     for process in processes:
         process.send_signal(signal.SIGTERM)
-        usages.append(json.loads(process.communicate(timeout=30)[0]))
-    entries = max(u['entries'] for u in usages)
+        output, _ = process.communicate(timeout=STOP_TIMEOUT_S)
+        usages.append(msgspec.json.decode(output, type=VoterUsage))
+    entries = max(u.entries for u in usages)
     processor_us = [
-        round(u['processor_s'] * 1e6 / max(entries, 1)) for u in usages
+        round(u.processor_s * 1e6 / max(entries, 1)) for u in usages
     ]
     if not clients:
-        loads = [f'{u["processor_s"] / seconds:.2%}' for u in usages]
+        loads = [f'{u.processor_s / seconds:.2%}' for u in usages]
         print(f'idle: share of a core {loads}')
         return
     print(
@@ -195,7 +207,7 @@
         f' p50 {latencies.get_value_at_percentile(50) / 1000:.1f} ms,'
         f' p99 {latencies.get_value_at_percentile(99) / 1000:.1f} ms,'
         f' errors {len(errors)}, processor us per entry {processor_us},'
-        f' memory MB {[round(u["memory_mb"]) for u in usages]}'
+        f' memory MB {[round(u.memory_mb) for u in usages]}'
     )
 
 
