Make the claimed health of stand-in targets an Enum

Cause: the three claims stood as bare strings in four modules, once as a Literal and once as a tuple of options. Change: HealthClaim in the schema of the settings; YAML and JSON are as before, and docs/SETTINGS.md is unchanged.

--- a/snipelead/bench/cases.py
+++ b/snipelead/bench/cases.py
@@ -11,9 +11,10 @@
 from snipelead.bench.cluster import CallCluster
 from snipelead.bench.deployments import Deployment
 from snipelead.emulator.load import CallKind
+from snipelead.settings.schema import HealthClaim
 from snipelead.types import RequestClass
 
-__all__ = ['CASES', 'Case']
+__all__ = ['CASES', 'FAULT_AT', 'Case']
 
 SLOWDOWN = 5.0
 COLD_START_MS = 2_000
@@ -56,7 +57,7 @@
 
 async def _lie(cluster):
     behaviour = cluster.targets[0].behaviour
-    behaviour.health = 'always-up'
+    behaviour.health = HealthClaim.ALWAYS_UP
     behaviour.load = 0.0
     behaviour.fails = True
 
--- a/snipelead/emulator/behaviour.py
+++ b/snipelead/emulator/behaviour.py
@@ -1,22 +1,20 @@
 """Behaviour of a stand-in target that can be changed at run time."""
 
 import random
-from typing import Literal
 
 import msgspec
 from msgspec import Struct
 import trio
 
 from snipelead.emulator.exceptions import InvalidBehaviourError
+from snipelead.settings.schema import HealthClaim
 from snipelead.settings.schema import ServiceTimes
 
-__all__ = ['Behaviour', 'BehaviourChange', 'HealthClaim']
+__all__ = ['Behaviour', 'BehaviourChange']
 
 # A cold target takes this many times as long at first.
 COLD_FACTOR = 5.0
 
-HealthClaim = Literal['honest', 'always-up', 'always-down']
-
 
 class BehaviourChange(Struct, frozen=True, forbid_unknown_fields=True):
     """Change of behaviour; what is None stays as it is.
@@ -25,7 +23,7 @@
     ----------
     slowdown : float or None
         Factor on all service times.
-    health : {'honest', 'always-up', 'always-down'} or None
+    health : HealthClaim or None
         What the health endpoint claims.
     load : float or None
         What the load endpoint claims; negative for the truth.
--- a/snipelead/emulator/target.py
+++ b/snipelead/emulator/target.py
@@ -18,6 +18,7 @@
 from snipelead.emulator.run_log import RunLog
 from snipelead.emulator.run_log import RunOutcome
 from snipelead.logs import log_event
+from snipelead.settings.schema import HealthClaim
 from snipelead.settings.schema import TargetSettings
 
 __all__ = ['BEHAVIOUR_PATH', 'EmulatedTarget']
@@ -163,10 +164,12 @@
         await connection.send(answer)
 
     def _health(self):
-        free = self.in_flight < self.settings.slots
-        up = {'always-up': True, 'always-down': False}.get(
-            self.behaviour.health, free and not self.behaviour.fails
-        )
+        match self.behaviour.health:
+            case HealthClaim.HONEST:
+                free = self.in_flight < self.settings.slots
+                up = free and not self.behaviour.fails
+            case claim:
+                up = claim is HealthClaim.ALWAYS_UP
         return format_answer(200 if up else 503, {'healthy': up})
 
     def _load(self):
--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -26,7 +26,6 @@
 MAX_COUNT = 100_000
 VOTER_COUNTS = (1, 3, 5)
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
-HEALTH_CLAIMS = ('honest', 'always-up', 'always-down')
 
 _TIME_MS = Interval(int, 1, MAX_TIME_MS)
 _TIME_OR_ZERO_MS = Interval(int, 0, MAX_TIME_MS)
@@ -97,7 +96,6 @@
         'connections': [_COUNT],
         'service_time_ms': [Interval(float, 0, MAX_TIME_MS)],
         'cold_start_ms': [_TIME_OR_ZERO_MS],
-        'health': [Options(HEALTH_CLAIMS)],
         'run_log': [_is_path, None],
     },
 }
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -19,6 +19,7 @@
 __all__ = [
     'ControlSettings',
     'ControlTimings',
+    'HealthClaim',
     'LogSettings',
     'NodeLimits',
     'NodeSettings',
@@ -239,6 +240,14 @@
     log: LogSettings = field(default_factory=LogSettings)
 
 
+class HealthClaim(Enum):
+    """What the health endpoint of a stand-in target claims."""
+
+    HONEST = 'honest'
+    ALWAYS_UP = 'always-up'
+    ALWAYS_DOWN = 'always-down'
+
+
 class ServiceTimes(Enum):
     """Distribution of the time that a request takes at a target."""
 
@@ -269,7 +278,7 @@
         Time after start during which requests are slower.
     sheds : bool
         Whether requests above the slots are refused with 503.
-    health : {'honest', 'always-up', 'always-down'}
+    health : HealthClaim
         What the health endpoint claims.
     run_log : str or None
         File that gets a line for each request that ran.
@@ -289,7 +298,7 @@
     service_times: ServiceTimes = ServiceTimes.EXPONENTIAL
     cold_start_ms: int = 0
     sheds: bool = True
-    health: str = 'honest'
+    health: HealthClaim = HealthClaim.HONEST
     run_log: str | None = None
     seed: int = 1
     log: LogSettings = field(default_factory=LogSettings)
