Refuse wrong options of a request to a stand-in target

Cause: `ms`, `bytes` and X-Deadline-Ms were converted without a check, so that one request with `?ms=long`, a negative time or the path `//[` ended the whole target process, and with it the requests in flight. Change: the options are read and checked in one place before the request runs; a wrong one is answered with 400 and SL8003, and does not enter the run log. The path is split without parsing it as a URL.

--- a/snipelead/emulator/exceptions.py
+++ b/snipelead/emulator/exceptions.py
@@ -2,7 +2,11 @@
 
 from snipelead.exceptions import SnipeleadError
 
-__all__ = ['InvalidBehaviourError', 'WrongAnswerError']
+__all__ = [
+    'InvalidBehaviourError',
+    'InvalidRequestError',
+    'WrongAnswerError',
+]
 
 
 class InvalidBehaviourError(SnipeleadError):
@@ -11,6 +15,12 @@
     code = 'SL8001'
 
 
+class InvalidRequestError(SnipeleadError):
+    """A request gives a stand-in target an option that it cannot keep."""
+
+    code = 'SL8003'
+
+
 class WrongAnswerError(SnipeleadError):
     """A caller received an answer that is not whole or not its own."""
 
--- a/snipelead/emulator/target.py
+++ b/snipelead/emulator/target.py
@@ -1,8 +1,6 @@
 """Stand-in target: an echo service with limits, faults and a run log."""
 
 import time
-from urllib.parse import parse_qs
-from urllib.parse import urlsplit
 
 import trio
 
@@ -12,8 +10,10 @@
 from snipelead.emulator.events import BEHAVIOUR_CHANGED
 from snipelead.emulator.events import TARGET_STOPPED
 from snipelead.emulator.exceptions import InvalidBehaviourError
+from snipelead.emulator.exceptions import InvalidRequestError
 from snipelead.emulator.http import format_answer
 from snipelead.emulator.http import HttpConnection
+from snipelead.emulator.request_options import read_options
 from snipelead.emulator.run_log import Run
 from snipelead.emulator.run_log import RunLog
 from snipelead.emulator.run_log import RunOutcome
@@ -148,7 +148,7 @@
             await HttpConnection(stream).send(answer)
 
     async def _answer(self, connection, request):
-        path = urlsplit(request.url).path
+        path = request.url.partition('?')[0]
         match request.method, path:
             case 'GET', '/health':
                 answer = self._health()
@@ -182,9 +182,7 @@
         try:
             change = self.behaviour.change(request.body)
         except InvalidBehaviourError as error:
-            return format_answer(
-                400, {'code': error.code, 'message': error.message}
-            )
+            return _refuse(error)
         log_event(
             BEHAVIOUR_CHANGED,
             target=self.settings.target_id,
@@ -193,6 +191,11 @@
         return format_answer(200, {'changed': True})
 
     async def _work(self, connection, request):
+        try:
+            options = read_options(request)
+        except InvalidRequestError as error:
+            await connection.send(_refuse(error, request.keep_alive))
+            return
         if self.settings.sheds and self.in_flight >= self.settings.slots:
             await connection.send(_shed(request))
             return
@@ -201,13 +204,13 @@
             self._idle = trio.Event()
         try:
             async with self._slots:
-                await self._run(connection, request)
+                await self._run(connection, request, options)
         finally:
             self.in_flight -= 1
             if self.in_flight == 0:
                 self._idle.set()
 
-    async def _run(self, connection, request):
+    async def _run(self, connection, request, options):
         headers = request.headers
         run = Run(
             len(self.run_log.runs),
@@ -220,22 +223,20 @@
         self.run_log.begin(run)
         outcome = RunOutcome.CANCELLED
         try:
-            outcome = await self._spend_time(connection, request)
+            outcome = await self._spend_time(connection, options)
         finally:
             self.run_log.end(run, outcome)
         match outcome:
             case RunOutcome.RAN:
-                await connection.send(self._echo(request))
+                await connection.send(self._echo(request, options))
             case RunOutcome.DEADLINE:
                 await connection.send(
                     format_answer(504, {'error': 'deadline passed'})
                 )
 
-    async def _spend_time(self, connection, request):
-        query = parse_qs(urlsplit(request.url).query)
-        given_ms = float(query['ms'][0]) if 'ms' in query else None
-        service_s = self.behaviour.service_time_s(given_ms)
-        left_s = float(request.headers.get('x-deadline-ms', 'inf')) / 1_000
+    async def _spend_time(self, connection, options):
+        service_s = self.behaviour.service_time_s(options.service_ms)
+        left_s = options.deadline_ms / 1_000
         if not await connection.work(min(service_s, left_s)):
             return RunOutcome.CANCELLED
         if self.behaviour.frozen and not await self._wait_thaw(connection):
@@ -250,7 +251,7 @@
                 return False
         return True
 
-    def _echo(self, request):
+    def _echo(self, request, options):
         request_id = request.headers.get('x-request-id', '')
         document = {
             'target': self.settings.target_id,
@@ -260,9 +261,8 @@
             'path': request.url,
             'received_bytes': len(request.body),
         }
-        query = parse_qs(urlsplit(request.url).query)
-        if 'bytes' in query:
-            document['filler'] = 'x' * int(query['bytes'][0])
+        if options.filler_bytes is not None:
+            document['filler'] = 'x' * options.filler_bytes
         status = 500 if self.behaviour.fails else 200
         return format_answer(
             status,
@@ -272,6 +272,14 @@
         )
 
 
+def _refuse(error, keep_alive=True):
+    return format_answer(
+        400,
+        {'code': error.code, 'message': error.message},
+        keep_alive=keep_alive,
+    )
+
+
 def _shed(request):
     return format_answer(
         503,
--- a/snipelead/emulator/tests/test_target.py
+++ b/snipelead/emulator/tests/test_target.py
@@ -163,6 +163,24 @@
 
         run_with_target(check)
 
+    def test_wrong_options_are_refused_and_the_target_stays_up(self):
+        paths = ('/?ms=long', '/?ms=-1', '/?ms=nan', '/?bytes=some')
+
+        async def check(target, client):
+            for path in paths:
+                answer = await client.get(path)
+                self.assertEqual(400, answer.status_code, path)
+                self.assertEqual('SL8003', answer.json()['code'])
+            answer = await client.get('/', headers={'X-Deadline-Ms': 'soon'})
+            self.assertEqual(400, answer.status_code)
+            stream = await send_head(target.bound_address, '//[')
+            with trio.fail_after(TIMEOUT_S):
+                self.assertIn(b'200 OK', await stream.receive_some())
+            await stream.aclose()
+
+        target = run_with_target(check)
+        self.assertEqual(1, len(target.run_log.runs))
+
     def test_frozen_target_answers_after_thaw(self):
         async def check(target, client):
             await client.post(BEHAVIOUR_PATH, json={'frozen': True})
