Check all options of the benchmarks before they run

Cause: an unknown case of the distribution bench was left out silently, and 0 nodes and `wire=maybe` were taken; unknown ways and preferences and numbers like 1.5 for a count ended as an unforeseen error instead of naming the option. Reading of options stood three times. The options of the calls bench have a type, the switches of the hot path bench are booleans, commands to its processes and the way of the source are Enums. Ports are imported from where they are declared.

--- a/snipelead/bench/calls.py
+++ b/snipelead/bench/calls.py
@@ -7,17 +7,22 @@
 hot path.
 """
 
-import sys
 import time
 
 from msgspec import Struct
 import trio
 from trio.testing import MockClock
 
+from snipelead.bench.cases import Case
 from snipelead.bench.cases import CASES
 from snipelead.bench.cases import FAULT_AT
 from snipelead.bench.cluster import CallCluster
+from snipelead.bench.deployments import Deployment
 from snipelead.bench.deployments import DEPLOYMENTS
+from snipelead.bench.options import choose
+from snipelead.bench.options import parse_number
+from snipelead.bench.options import with_defaults
+from snipelead.bench.policies import BenchPolicy
 from snipelead.bench.policies import POLICIES
 from snipelead.emulator.load import OpenLoop
 from snipelead.emulator.recorder import AnswerKind
@@ -38,7 +43,35 @@
     'seed': ('1', 'seed of arrivals, choices and service times'),
     'clock': ('virtual', 'virtual or wall'),
 }
-LONGEST_S = 3_600.0
+BENCH = 'bench calls'
+SECONDS = Interval(float, 0.1, 3_600.0)
+
+
+class CallsOptions(Struct, frozen=True, kw_only=True):
+    """Checked options.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Sizes.
+    cases : list of Case
+        Cases to run.
+    policies : list of BenchPolicy
+        Policies to run each with.
+    seconds : float
+        Time during which calls arrive.
+    seed : int
+        Seed of everything random.
+    clock : {'virtual', 'wall'}
+        Clock that the tasks wait by.
+    """
+
+    deployment: Deployment
+    cases: list[Case]
+    policies: list[BenchPolicy]
+    seconds: float
+    seed: int
+    clock: str
 
 
 class CaseResult(Struct):
@@ -150,34 +183,54 @@
     )
 
 
-def _choose(names, known):
-    wanted = list(known) if names == 'all' else names.split(',')
-    for name in wanted:
-        check_parameters(
-            'bench calls', {'name': name}, {'name': [Options(tuple(known))]}
-        )
-    return [known[name] for name in wanted]
+def _choose(name, text, known):
+    if text == 'all':
+        return list(known.values())
+    return [known[part] for part in choose(BENCH, name, text, known)]
 
 
-def _check(options):
-    values = {name: default for name, (default, _) in OPTIONS.items()}
-    values |= options
+def _read_options(options):
+    values = with_defaults(OPTIONS, options)
     check_parameters(
-        'bench calls',
-        {
-            'deployment': values['deployment'],
-            'clock': values['clock'],
-            'seconds': float(values['seconds']),
-            'seed': int(values['seed']),
-        },
+        BENCH,
+        values,
         {
             'deployment': [Options(tuple(DEPLOYMENTS))],
             'clock': [Options(('virtual', 'wall'))],
-            'seconds': [Interval(float, 0.1, LONGEST_S)],
-            'seed': [Interval(int, 0)],
         },
     )
-    return values
+    return CallsOptions(
+        deployment=DEPLOYMENTS[values['deployment']],
+        cases=_choose('case', values['case'], CASES),
+        policies=_choose('policy', values['policy'], POLICIES),
+        seconds=parse_number(BENCH, 'seconds', values['seconds'], SECONDS),
+        seed=parse_number(BENCH, 'seed', values['seed'], Interval(int, 0)),
+        clock=values['clock'],
+    )
+
+
+def _run_case(checked, case, policy):
+    virtual = checked.clock == 'virtual'
+    return trio.run(
+        measure,
+        checked.deployment,
+        case,
+        policy,
+        checked.seconds,
+        checked.seed,
+        clock=MockClock(autojump_threshold=0) if virtual else None,
+    )
+
+
+def _describe(checked):
+    deployment = checked.deployment
+    return (
+        f'{deployment.name}: {sum(deployment.services.values())} targets with'
+        f' {deployment.slots} slots, mean service time'
+        f' {deployment.service_time_ms:g} ms, capacity'
+        f' {deployment.capacity_per_s:.0f} calls/s; {checked.clock} clock,'
+        f' seed {checked.seed}'
+    )
 
 
 def run(options):
@@ -197,32 +250,14 @@
     InvalidParameterError
         If a value is not allowed.
     """
-    values = _check(options)
+    checked = _read_options(options)
     # The events of a dozen nodes would bury the tables.
     configure_logs(level='error')
-    deployment = DEPLOYMENTS[values['deployment']]
-    print(
-        f'{deployment.name}: {sum(deployment.services.values())} targets with'
-        f' {deployment.slots} slots, mean service time'
-        f' {deployment.service_time_ms:g} ms, capacity'
-        f' {deployment.capacity_per_s:.0f} calls/s; {values["clock"]} clock,'
-        f' seed {values["seed"]}'
-    )
+    print(_describe(checked))
     results = []
-    for case in _choose(values['case'], CASES):
+    for case in checked.cases:
         print(f'-- {case.name}: {case.about}')
-        for policy in _choose(values['policy'], POLICIES):
-            virtual = values['clock'] == 'virtual'
-            result = trio.run(
-                measure,
-                deployment,
-                case,
-                policy,
-                float(values['seconds']),
-                int(values['seed']),
-                clock=MockClock(autojump_threshold=0) if virtual else None,
-            )
-            results.append(result)
-            print('\n'.join(render(result)))
-            sys.stdout.flush()
+        for policy in checked.policies:
+            results.append(_run_case(checked, case, policy))
+            print('\n'.join(render(results[-1])), flush=True)
     return results
--- a/snipelead/bench/cluster.py
+++ b/snipelead/bench/cluster.py
@@ -13,12 +13,12 @@
 from snipelead.settings.schema import NodeSettings
 from snipelead.settings.schema import TargetSettings
 from snipelead.targets.local import LocalTargets
-from snipelead.testing.processes import find_free_addresses
 from snipelead.testing.relay import Relay
 from snipelead.types import Address
 from snipelead.types import NodeId
 from snipelead.types import TargetId
 from snipelead.types import TargetState
+from snipelead.utils.ports import find_free_addresses
 
 __all__ = ['CallCluster', 'ClusterNode']
 
--- a/snipelead/bench/distribution.py
+++ b/snipelead/bench/distribution.py
@@ -19,6 +19,9 @@
 from snipelead.bench.fleet_hosts import FleetHosts
 from snipelead.bench.fleet_hosts import TIMEOUT_S
 from snipelead.bench.lossy import run_lossy
+from snipelead.bench.options import choose
+from snipelead.bench.options import parse_number
+from snipelead.bench.options import with_defaults
 from snipelead.bench.source_process import BenchControl
 from snipelead.bench.tables import print_header
 from snipelead.bench.tables import print_row
@@ -26,6 +29,7 @@
 from snipelead.logs import configure_logs
 from snipelead.rpc.grpc import open_transport
 from snipelead.types import Preference
+from snipelead.utils.validation import Interval
 
 __all__ = ['CASES', 'OPTIONS', 'DistributionOptions', 'run', 'run_bench']
 
@@ -40,6 +44,10 @@
     'idle_s': ('20', 'length of the idle case in seconds'),
     'wire': ('no', 'yes counts bytes on the wire by a TCP relay'),
 }
+BENCH = 'bench distribution'
+# The case that runs on a simulated network instead of processes.
+LOSS = 'loss'
+IDLE_S = Interval(float, 0.1, 3_600.0)
 SETTLE_S = 1.0
 KEYS = ('nodes', 'way', 'preference', 'case')
 
@@ -254,21 +262,33 @@
     return results
 
 
-def _expand(options):
+def _read_options(options):
     """Return one set of options for each fleet size, way and preference."""
+
+    def number(name, text, interval):
+        return parse_number(BENCH, name, text, interval)
+
+    def count(name):
+        return number(name, options[name], Interval(int, 1))
+
+    def parts(name, kind):
+        allowed = [member.value for member in kind]
+        return [kind(p) for p in choose(BENCH, name, options[name], allowed)]
+
+    [wire] = choose(BENCH, 'wire', options['wire'], ('yes', 'no'))
     return [
         DistributionOptions(
-            nodes=int(nodes),
-            services=int(options['services']),
-            hosts=int(options['hosts']),
-            way=Way(way),
-            preference=Preference(preference),
-            changes=int(options['changes']),
-            idle_s=float(options['idle_s']),
-            wire=options['wire'] == 'yes',
+            nodes=number('nodes', nodes, Interval(int, 1)),
+            services=count('services'),
+            hosts=count('hosts'),
+            way=way,
+            preference=preference,
+            changes=count('changes'),
+            idle_s=number('idle_s', options['idle_s'], IDLE_S),
+            wire=wire == 'yes',
         )
-        for preference in options['preferences'].split(',')
-        for way in options['ways'].split(',')
+        for preference in parts('preferences', Preference)
+        for way in parts('ways', Way)
         for nodes in options['nodes'].split(',')
     ]
 
@@ -279,17 +299,24 @@
     Parameters
     ----------
     options : dict of str to str
-        Values by the names of ``OPTIONS``.
+        Values that differ from the defaults in :data:`OPTIONS`.
+
+    Raises
+    ------
+    InvalidParameterError
+        If a value is not allowed.
     """
+    values = with_defaults(OPTIONS, options)
+    cases = choose(BENCH, 'cases', values['cases'], (*CASES, LOSS))
+    runs = _read_options(values)
     configure_logs(level='error')
-    cases = options['cases'].split(',')
     print_header((*KEYS, *Measurement.__struct_fields__))
-    for run_options in _expand(options):
+    for run_options in runs:
         known = [case for case in cases if case in CASES]
         results = trio.run(run_bench, run_options, known) if known else {}
-        if 'loss' in cases and run_options.way is Way.NET_DELTA:
+        if LOSS in cases and run_options.way is Way.NET_DELTA:
             delays_s = run_lossy(run_options)
-            results['loss'] = Measurement(
+            results[LOSS] = Measurement(
                 *summarize_ms(delays_s), 0.0, 0.0, 0.0, 'virtual time'
             )
         for case, result in results.items():
@@ -306,7 +333,7 @@
 
 def main():
     """Run with the defaults."""
-    run({name: default for name, (default, _) in OPTIONS.items()})
+    run({})
 
 
 if __name__ == '__main__':
--- a/snipelead/bench/fleet_hosts.py
+++ b/snipelead/bench/fleet_hosts.py
@@ -14,7 +14,7 @@
 from snipelead.bench.node_host import HostReport
 from snipelead.bench.node_host import ReportKind
 
-__all__ = ['CONTROL_ID', 'FleetHosts']
+__all__ = ['CONTROL_ID', 'TIMEOUT_S', 'FleetHosts']
 
 CONTROL_ID = 'c0'
 TIMEOUT_S = 120.0
--- a/snipelead/bench/hotpath.py
+++ b/snipelead/bench/hotpath.py
@@ -16,6 +16,8 @@
 from snipelead.bench.hotpath_processes import BenchProcess
 from snipelead.bench.hotpath_processes import run_bench_node
 from snipelead.bench.hotpath_processes import run_bench_target
+from snipelead.bench.options import parse_number
+from snipelead.bench.options import with_defaults
 from snipelead.daemons.process import tune_collector
 from snipelead.http.connection import connect
 from snipelead.http.reading import ResponseReader
@@ -34,6 +36,7 @@
     'tuned': ('yes', 'whether the garbage collector is set as in the daemon'),
     'profile': ('no', 'whether to print a profile of the nodes'),
 }
+BENCH = 'bench hotpath'
 WARM_UP_CALLS = 300
 ALLOWED_US = 480
 MAX_US = 60_000_000
@@ -54,7 +57,7 @@
         Calls of each way in each round, and rounds.
     rate : float
         Calls a second in all; 0 for no pauses.
-    tuned, profile : {'yes', 'no'}
+    tuned, profile : bool
         Whether the garbage collector is set as in the daemon, and whether
         to print a profile of the nodes.
     """
@@ -63,8 +66,8 @@
     calls: int
     rounds: int
     rate: float
-    tuned: str
-    profile: str
+    tuned: bool
+    profile: bool
 
 
 class HotPathRow(Struct):
@@ -203,30 +206,16 @@
     list of HotPathRow
     """
     tune_collector()
-    tuned = options.tuned == 'yes'
-    profiled = options.profile == 'yes'
+    switches = (options.tuned, options.profile)
     with ExitStack() as stack:
         target = stack.enter_context(BenchProcess(run_bench_target))
         (target_address,) = target.addresses
         beside = stack.enter_context(
-            BenchProcess(
-                run_bench_node,
-                'n1',
-                target_address,
-                None,
-                tuned,
-                profiled,
-            )
+            BenchProcess(run_bench_node, 'n1', target_address, None, *switches)
         )
+        peers = beside.addresses[1:]
         away = stack.enter_context(
-            BenchProcess(
-                run_bench_node,
-                'n2',
-                None,
-                beside.addresses[1:],
-                tuned,
-                profiled,
-            )
+            BenchProcess(run_bench_node, 'n2', None, peers, *switches)
         )
         ways = (
             _Way('direct', target_address, ()),
@@ -261,33 +250,25 @@
     )
 
 
-def _check(options):
-    values = {name: default for name, (default, _) in OPTIONS.items()}
-    values |= options
-    counts = [int(part) for part in values['connections'].split(',')]
-    checked = HotPathOptions(
-        tuple(counts),
-        int(values['calls']),
-        int(values['rounds']),
-        float(values['rate']),
-        values['tuned'],
-        values['profile'],
-    )
+def _read_options(options):
+    values = with_defaults(OPTIONS, options)
     yes_or_no = [Options(('yes', 'no'))]
-    check_parameters(
-        'bench hotpath',
-        {name: getattr(checked, name) for name in checked.__struct_fields__}
-        | {'connections': min(counts)},
-        {
-            'connections': [Interval(int, 1)],
-            'calls': [Interval(int, 1)],
-            'rounds': [Interval(int, 1)],
-            'rate': [Interval(float, 0)],
-            'tuned': yes_or_no,
-            'profile': yes_or_no,
-        },
+    check_parameters(BENCH, values, {'tuned': yes_or_no, 'profile': yes_or_no})
+
+    def count(name, text):
+        return parse_number(BENCH, name, text, Interval(int, 1))
+
+    return HotPathOptions(
+        connections=tuple(
+            count('connections', part)
+            for part in values['connections'].split(',')
+        ),
+        calls=count('calls', values['calls']),
+        rounds=count('rounds', values['rounds']),
+        rate=parse_number(BENCH, 'rate', values['rate'], Interval(float, 0)),
+        tuned=values['tuned'] == 'yes',
+        profile=values['profile'] == 'yes',
     )
-    return checked
 
 
 def run(options):
@@ -307,7 +288,7 @@
     InvalidParameterError
         If a value is not allowed.
     """
-    checked = _check(options)
+    checked = _read_options(options)
     configure_logs(level='error')
     rows = run_hotpath(checked)
     print_rows(rows)
--- a/snipelead/bench/hotpath_processes.py
+++ b/snipelead/bench/hotpath_processes.py
@@ -1,6 +1,7 @@
 """Processes that the benchmark of the call path starts."""
 
 import cProfile
+from enum import Enum
 import multiprocessing
 import pstats
 import time
@@ -45,6 +46,13 @@
 )
 
 
+class _Command(Enum):
+    """What a child process is told."""
+
+    REPORT_PROCESSOR_TIME = 'report processor time'
+    STOP = 'stop'
+
+
 class BenchProcess:
     """A child process; a context manager that ends it.
 
@@ -70,23 +78,25 @@
         return self
 
     def __exit__(self, *exc_info):
-        self.pipe.send('stop')
+        self.pipe.send(_Command.STOP)
         self.process.join()
 
     def processor_s(self):
         """Return the processor time used so far, in seconds."""
-        self.pipe.send('processor time')
+        self.pipe.send(_Command.REPORT_PROCESSOR_TIME)
         return self.pipe.recv()
 
 
 async def _obey(pipe, scope):
-    """Answer the parent's questions until told to stop."""
+    """Carry out the parent's commands until told to stop."""
     while True:
         await trio.lowlevel.wait_readable(pipe.fileno())
-        if pipe.recv() == 'stop':
-            scope.cancel()
-            return
-        pipe.send(time.process_time())
+        match pipe.recv():
+            case _Command.REPORT_PROCESSOR_TIME:
+                pipe.send(time.process_time())
+            case _Command.STOP:
+                scope.cancel()
+                return
 
 
 async def _answer(connection, request):
--- a/snipelead/bench/source_process.py
+++ b/snipelead/bench/source_process.py
@@ -6,6 +6,7 @@
 
 from snipelead.bench.baselines import make_updates
 from snipelead.bench.baselines import StepUpdates
+from snipelead.bench.baselines import Way
 from snipelead.bench.fleet_hosts import CONTROL_ID
 from snipelead.controls.service import ControlService
 from snipelead.messages import SubmitRequest
@@ -16,7 +17,7 @@
 from snipelead.releases.note import ReleaseNote
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import Peer
-from snipelead.testing.processes import find_free_addresses
+from snipelead.utils.ports import find_free_addresses
 from snipelead.voters.voter import Voter
 
 __all__ = ['BenchControl']
@@ -79,7 +80,7 @@
             self.settings, self.voter, self.transport
         )
         self.service.updates = self.updates
-        if self.options.way.value == 'snapshot':
+        if self.options.way is Way.SNAPSHOT:
             self.service.gate.limit = MAX_SNAPSHOTS_BASELINE
         self.stopped = trio.Event()
         await self.nursery.start(self._serve)
