Test the verdicts of the fleet and the anchors of links

Cause: the test of `fleet status` looked only for the words "live nodes", so that no verdict and no count was checked on the way to the operator; links to headings were not checked at all. Some names that other modules import were missing from __all__, utils/ports.py kept a set that nothing used with a comment that was not true, and logs were configured twice at the start.

--- a/snipelead/cli/daemons.py
+++ b/snipelead/cli/daemons.py
@@ -7,7 +7,6 @@
 
 from snipelead.cli.command import SnipeleadCommand
 from snipelead.cli.exceptions import UsageError
-from snipelead.logs import configure_logs
 from snipelead.settings.loading import load_settings
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import NodeSettings
@@ -41,7 +40,6 @@
         if path is None:
             raise UsageError('--settings FILE is required')
         settings = load_settings(path, self.settings_type)
-        configure_logs(settings.log.format, settings.log.level)
         module = import_module(self.module_name)
         trio.run(getattr(module, self.function_name), settings)
 
--- a/snipelead/cli/fleet.py
+++ b/snipelead/cli/fleet.py
@@ -9,7 +9,7 @@
 from snipelead.cli.command import JSON_OPTION
 from snipelead.cli.command import SnipeleadCommand
 
-__all__ = ['FleetStatusCommand']
+__all__ = ['UNPROVED', 'FleetStatusCommand']
 
 UNPROVED = 'The control that answered could not prove that it is current.'
 
--- a/snipelead/cli/tests/test_commands.py
+++ b/snipelead/cli/tests/test_commands.py
@@ -202,7 +202,7 @@
         self.assertEqual(2, len(status['nodes']))
         output = self.run_command('fleet status', 0)
         self.assertIn('nodes: 2 live, 0 silent', output)
-        self.assertIn('live nodes', output)
+        self.assertIn('confirmed by 2 of 2 live nodes', output)
         self.assertEqual(2, status['total'])
 
     def test_validate_lists_what_the_note_needs(self):
--- a/snipelead/exceptions.py
+++ b/snipelead/exceptions.py
@@ -5,8 +5,9 @@
 boundaries and so that ``docs/ERRORS.md`` can be generated.
 
 Code ranges: SL1xxx voters, SL2xxx controls, SL3xxx call path, SL4xxx
-operators and command line, SL5xxx settings and parameters, SL6xxx rpc,
-SL7xxx releases, SL8xxx emulator and bench, SL9xxx broken invariants.
+operators, targets and command line, SL5xxx settings, parameters and
+documents, SL6xxx rpc, SL7xxx releases, SL8xxx emulator and test helpers,
+SL9xxx broken invariants.
 """
 
 from typing import ClassVar
--- a/snipelead/logs.py
+++ b/snipelead/logs.py
@@ -1,8 +1,8 @@
 """Structured logs with numbered events.
 
 Each package declares its events in its ``events`` module. Number ranges:
-1xxx voters, 2xxx controls, 3xxx call path, 4xxx operators and command line,
-5xxx daemons and settings, 6xxx rpc, 8xxx emulator and bench.
+1xxx voters, 2xxx controls, 3xxx call path, 4xxx HTTP interfaces of operators
+and targets, 50xx daemons, 51xx leases of targets, 6xxx rpc, 8xxx emulator.
 """
 
 from enum import Enum
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -17,7 +17,7 @@
 from snipelead.operators.messages import SubmitAnswer
 from snipelead.types import OutcomeKind
 
-__all__ = ['OperatorClient']
+__all__ = ['UNKNOWN_ADVICE', 'OperatorClient']
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 5.0
--- a/snipelead/utils/http.py
+++ b/snipelead/utils/http.py
@@ -29,6 +29,7 @@
     'make_quart',
     'metrics_response',
     'read_json',
+    'retry_headers',
     'serve_app',
 ]
 
--- a/snipelead/utils/ports.py
+++ b/snipelead/utils/ports.py
@@ -13,10 +13,8 @@
 # Below the range that systems take the ports of outgoing connections from,
 # so that none of those takes a port before its process binds it.
 PORTS = range(10_000, 32_000)
+# Drawn besides those asked for, in case some are in use.
 SPARE_PORTS = 100
-# Ports given out by this process; none is given out twice, since it may not
-# be bound yet when the next ones are drawn.
-_given: set[int] = set()
 
 
 def find_free_addresses(count):
--- a/snipelead/utils/tests/test_docs.py
+++ b/snipelead/utils/tests/test_docs.py
@@ -4,7 +4,17 @@
 
 from snipelead.utils.catalogues import DOCS
 
-LINK = re.compile(r'\]\(([^)#\s]+)(#[^)\s]*)?\)')
+LINK = re.compile(r'\]\(([^)#\s]+)(?:#([^)\s]*))?\)')
+HEADING = re.compile(r'^#+ (.*)$', re.MULTILINE)
+
+
+def find_anchors(page):
+    """Return the anchors of a page's headings, as shown on the web."""
+    headings = HEADING.findall(page.read_text())
+    return {
+        re.sub(r'[^\w\- ]', '', heading.lower()).replace(' ', '-')
+        for heading in headings
+    }
 
 
 class DocsTest(TestCase):
@@ -12,9 +22,13 @@
         pages = [*DOCS.parent.glob('*.md'), *DOCS.rglob('*.md')]
         self.assertNotEqual([], pages)
         for page in pages:
-            for target, _ in LINK.findall(page.read_text()):
+            for target, anchor in LINK.findall(page.read_text()):
                 if '://' not in target:
-                    self.assertTrue(
-                        (page.parent / target).exists(),
-                        f'{page.name} links to {target}',
-                    )
+                    self.check_link(page, target, anchor)
+
+    def check_link(self, page, target, anchor):
+        linked = page.parent / target
+        shown = f'{page.name} links to {target}#{anchor}'
+        self.assertTrue(linked.exists(), shown)
+        if anchor:
+            self.assertIn(anchor, find_anchors(linked), shown)
