--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -7,8 +7,8 @@
 from snipelead.callers.exceptions import StoppingError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
-from snipelead.callers.relay import LOST_ERRORS
 from snipelead.callers.relay import relay_answer
+from snipelead.http.exceptions import LOST_ERRORS
 from snipelead.http.exceptions import SendFailedError
 from snipelead.types import AttemptId
 from snipelead.types import Ran
@@ -21,7 +21,6 @@
 FIRST_DIRECTORY_S = 1.0
 # Retry tokens that batch requests leave for the others.
 BATCH_RESERVE = 5.0
-_FIRST_ERROR_STATUS = 500
 # Refusals that each target gives at most once, so that retries after them
 # need no budget.
 _FREE_RETRY = (TargetLeavingError, StoppingError, WrongIncarnationError)
@@ -42,6 +41,14 @@
         Connections to other nodes.
     balancer : Balancer
         Chooses targets.
+
+    Attributes
+    ----------
+    asked_at : dict of ServiceName to float
+        When this node first subscribed to a service, in seconds of trio's
+        clock.
+    count : int
+        Attempts so far; makes their ids unique.
     """
 
     def __init__(self, node_id, directory, gates, forwarder, balancer):
@@ -117,7 +124,7 @@
     def _may_drop(self, response, request, call, route, tried):
         """Tell whether an error of a target is worth another attempt."""
         return (
-            response.status >= _FIRST_ERROR_STATUS
+            response.is_server_error
             and not call.once
             and request.is_replayable
             and self.balancer.has_other(route.service, tried)
@@ -161,7 +168,7 @@
 
     def _observe(self, observation, call, answer, started_at):
         now = trio.current_time()
-        is_error = answer.response.status >= _FIRST_ERROR_STATUS
+        is_error = answer.response.is_server_error
         load = answer.load
         observation.answer(now - started_at, is_error, load, now)
         if load is not None:
@@ -178,7 +185,7 @@
         return await self.forwarder.send(entry, call, request, attempt_id)
 
     async def _ask_directory(self, service):
-        """Subscribe to a service and wait briefly for its first targets."""
+        """Subscribe to a service; the first time, wait briefly for targets."""
         self.directory.subscribe(service)
         now = trio.current_time()
         asked_at = self.asked_at.setdefault(service, now)
