Keep a key that is granted again from its newest grant

Cause: a claim that was given back and granted again kept the time of its first claim. With a full table the key of a request that had just run could be forgotten at once, and a resend would have run again.

Change: the time of a record is that of the grant; the record moves to the end of the table, which stays in the order of times.

Measured: the new test fails before and passes after; 21 tests of the state machine pass.

--- a/snipelead/voters/claims.py
+++ b/snipelead/voters/claims.py
@@ -94,7 +94,7 @@
             return ClaimReply(False, record.ran, record.status)
         elif request.claim_id in record.released:
             return ClaimReply(False, Ran.NO)
-        self._grant(place, record, request)
+        self._grant(place, record, request, now_ms)
         return ClaimReply(True)
 
     def _mismatches(self, record, request):
@@ -102,15 +102,19 @@
             return False
         return record.fingerprint != request.fingerprint
 
-    def _grant(self, place, record, request):
+    def _grant(self, place, record, request, now_ms):
         granted = self.records.get(place, record)
         if granted.holder or request.claim_id in granted.released:
             raise InvariantError(
                 f'claim {place} is held by {granted.holder!r} and would be'
                 f' granted to {request.claim_id!r}'
             )
+        # The retention of a key counts from its newest grant; the record moves
+        # to the end, so that records stay in the order of their times.
+        self.records.pop(place, None)
         self.records[place] = msgspec.structs.replace(
             record,
+            time_ms=now_ms,
             holder=request.claim_id,
             fingerprint=request.fingerprint,
             ran=Ran.UNKNOWN,
--- a/snipelead/voters/tests/test_state.py
+++ b/snipelead/voters/tests/test_state.py
@@ -197,6 +197,17 @@
         self.time_ms = claims.RETENTION_MS
         self.assertFalse(self.claim('c2').granted)
 
+    def test_key_granted_again_is_kept_from_then_on(self):
+        with mock.patch.object(claims, 'MAX_CLAIMS', 1):
+            self.claim('c1')
+            self.settle('c1', Ran.NO)
+            self.time_ms += claims.SHORT_RETENTION_MS
+            self.assertTrue(self.claim('c2').granted)
+            self.settle('c2', Ran.YES)
+            self.time_ms += 1
+            self.assertIsInstance(self.claim('c3', 'k2'), ClaimsFullError)
+            self.assertEqual(Ran.YES, self.claim('c4').ran)
+
     def test_full_table_refuses_rather_than_forgets(self):
         with mock.patch.object(claims, 'MAX_CLAIMS', 2):
             self.claim('c1', 'k1')
@@ -212,4 +223,4 @@
         record = self.state.claims.records['route', 'k']
         request = ClaimRequest('route', 'k', 'c2', 'f')
         with ExpectedException(InvariantError):
-            self.state.claims._grant(('route', 'k'), record, request)
+            self.state.claims._grant(('route', 'k'), record, request, 0)
