--- a/snipelead/operators/status.py
+++ b/snipelead/operators/status.py
@@ -101,6 +101,11 @@
     )
 
 
+def _count_own(reply, newest):
+    # A node that moved occurs in the views of several controls.
+    return sum(status in newest for status in reply.nodes)
+
+
 def _control_id(reply):
     return reply.control_id
 
@@ -120,6 +125,7 @@
     FleetReport
     """
     status = merge_fleet(replies, find_unreachable(peers, replies))
+    nodes = newest_statuses(replies)
     return FleetReport(
         current=status.release,
         certified=status.certified,
@@ -127,11 +133,13 @@
         confirmed=status.confirmed,
         total=status.total,
         controls=tuple(
-            ControlStatus(r.control_id, r.zone, r.current, len(r.nodes))
+            ControlStatus(
+                r.control_id, r.zone, r.current, _count_own(r, nodes)
+            )
             for r in sorted(replies, key=_control_id)
         ),
         unreachable_controls=status.unreachable_controls,
         warming_controls=status.warming_controls,
-        nodes=tuple(newest_statuses(replies)),
+        nodes=tuple(nodes),
         targets=merge_targets(replies),
     )
