--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -39,9 +39,9 @@
         b'x-tenant',
     )
 )
-
-
 _PLAIN_CONNECTION = (b'keep-alive', b'close')
+_INTERIM_STATUS = range(100, 200)
+_FIRST_SERVER_ERROR_STATUS = 500
 
 
 class Message:
@@ -65,6 +65,8 @@
         Whether the whole body has been received.
     keep_alive : bool
         Whether the connection outlives this message.
+    version : str
+        Version of HTTP, ``'1.0'`` or ``'1.1'``.
     """
 
     __slots__ = (
@@ -100,6 +102,16 @@
         stated = self.fields.get(b'content-length')
         return None if stated is None else int(stated)
 
+    @property
+    def is_interim(self):
+        """Whether a response is followed by the final one."""
+        return self.status in _INTERIM_STATUS
+
+    @property
+    def is_server_error(self):
+        """Whether a response reports a failure of the server."""
+        return self.status >= _FIRST_SERVER_ERROR_STATUS
+
     def drop_fields(self, names):
         """Drop the fields that a Connection field names for this hop."""
         prefixes = tuple(name.strip() + b':' for name in names.split(b','))
@@ -131,7 +143,32 @@
 
 
 class _MessageReader:
-    """Callbacks that httptools calls while it parses."""
+    """Callbacks that httptools calls while it parses.
+
+    Parameters
+    ----------
+    connection : Connection
+        Where the messages come from.
+    head_bytes : int
+        Largest head.
+
+    Attributes
+    ----------
+    filling : Message or None
+        The message that is being received.
+    in_head : bool
+        Whether its head is not complete yet.
+    head_size : int
+        Bytes of that head which callbacks have told of.
+    unfinished_bytes : int
+        Bytes received of a head that is not complete.
+    begun : int
+        Messages begun so far.
+    ready : deque of Message
+        Messages whose head is complete, not taken yet.
+    error : Exception or None
+        Raised by the next attempt to receive.
+    """
 
     message_class = Message
 
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.callers.exceptions import AttemptSeenError
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
@@ -21,7 +22,6 @@
 SMOOTHING = 0.1
 INITIAL_SERVICE_S = 0.005
 _ERROR_DIGITS = 3
-_FIRST_ERROR_STATUS = 500
 MIN_RETRY_AFTER_MS = 10
 
 
@@ -92,7 +92,7 @@
         """
         self.check_target(incarnation)
         if call.once:
-            self.attempts.begin(attempt_id)
+            self.begin(call, attempt_id)
         try:
             await self.admit(call)
         except BaseException:
@@ -106,6 +106,21 @@
             self.leave(call)
             raise
 
+    def begin(self, call, attempt_id):
+        """Record an attempt that must not be repeated.
+
+        Raises
+        ------
+        AttemptFencedError, AttemptSeenError
+            If it may not be admitted.
+        """
+        try:
+            self.attempts.begin(attempt_id)
+        except AttemptSeenError as error:
+            # The first copy of the attempt may run, so `no` would be untrue.
+            call.ran = error.ran
+            raise
+
     def mark(self, call, attempt_id, state):
         """Record the state of an attempt that must not be repeated."""
         if not call.once:
@@ -288,7 +303,7 @@
 
     def observe(self, response, service_s):
         """Take an answer into the moving averages."""
-        is_error = response.status >= _FIRST_ERROR_STATUS
+        is_error = response.is_server_error
         self.errors += SMOOTHING * (is_error - self.errors)
         if is_error:
             # The time that an error takes says nothing of the others.
--- a/snipelead/voters/leadership.py
+++ b/snipelead/voters/leadership.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from msgspec import Struct
+import trio
 
 from snipelead.types import LogIndex
 from snipelead.types import Term
@@ -57,14 +58,19 @@
     ----------
     first_index : LogIndex
         Entry that the leader appended first.
+    started_at : float
+        Time when the term began, in seconds of the trio clock.
     synced_index : LogIndex
         Last entry on the leader's own disk.
     writing_since : float
-        When the write under way began, in seconds; infinite when idle.
+        When the write under way began, in seconds of the trio clock;
+        infinite when none is under way.
     round : int
         Newest round of the read barrier.
     leaving : bool
         Whether new commands are left to the successor.
+    progress : dict of Member to Progress
+        What is known of the other members.
     joins : dict of ControlId to Member
         Members that asked to be taken in.
     """
@@ -112,9 +118,12 @@
             configuration, self.round, lambda p: p.acked_round
         )
 
-    def majority_answered_at(self, configuration):
-        """Return since when a majority has answered, in seconds."""
-        return self._majority(configuration, inf, lambda p: p.answered_at)
+    def is_in_touch(self, configuration, limit_s):
+        """Whether a majority of the voters answered within some seconds."""
+        answered_at = self._majority(
+            configuration, inf, lambda p: p.answered_at
+        )
+        return trio.current_time() - answered_at <= limit_s
 
     def _majority(self, configuration, own, value_of):
         values = sorted(
