--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -84,6 +84,12 @@
     return lines
 
 
+def _format_value(row):
+    if row.value is None:
+        return 'not known'
+    return f'{row.value:.3g} {row.unit}'
+
+
 def render_roles(rows):
     """Return the table of roles as Markdown lines."""
     lines = [
@@ -95,7 +101,7 @@
         bound = 'at least' if row.at_least else 'at most'
         limit = '' if row.limit is None else f'{bound} {row.limit:.4g}'
         lines.append(
-            f'| {row.role} | {row.quantity} | {row.value:.3g} {row.unit}'
+            f'| {row.role} | {row.quantity} | {_format_value(row)}'
             f' | {limit} | {words[row.fits]} | {row.working} |'
         )
     return lines
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -17,6 +17,8 @@
 # Controls that shared the nodes while the slopes were measured.
 CONTROLS = 3
 POLL_S = NodeTimings().hold_ms / 1_000
+# A line that explains less of its points tells nothing of a larger size.
+LEAST_R_SQUARED = 0.8
 
 
 class Row(Struct, frozen=True):
@@ -27,7 +29,8 @@
     role, quantity : str
         What is told of whom.
     value, limit : float or None
-        Worked-out value, and the required limit, if any.
+        Worked-out value, None when it is not known, and the required limit,
+        if any.
     unit : str
         Unit of both.
     working : str
@@ -38,7 +41,7 @@
 
     role: str
     quantity: str
-    value: float
+    value: float | None
     limit: float | None
     unit: str
     working: str
@@ -47,7 +50,7 @@
     @property
     def fits(self):
         """Whether the value keeps the limit; None without a limit."""
-        if self.limit is None:
+        if self.limit is None or self.value is None:
             return None
         if self.at_least:
             return self.value >= self.limit
@@ -263,17 +266,24 @@
     ]
 
 
+def _carry_on(line, scale):
+    """Return a line's value for all nodes, or None if it does not fit."""
+    if line.r_squared < LEAST_R_SQUARED:
+        return None
+    return scale * line.at(REQUIREMENTS.nodes)
+
+
 def _operator_rows(slopes):
-    read_s = slopes.read_control.at(REQUIREMENTS.nodes)
+    read_ms = _carry_on(slopes.read_control, 1e3)
     read_mb = slopes.read_bytes.at(REQUIREMENTS.nodes) / 1e6
     return [
         Row(
             'operator interface',
             'processor for a read of the fleet',
-            1e3 * read_s,
+            read_ms,
             None,
             'ms',
-            'slope to all nodes',
+            f'slope to all nodes, R² {slopes.read_control.r_squared:.2f}',
         ),
         Row(
             'operator interface',
--- a/benchmarks/tests/test_capacity.py
+++ b/benchmarks/tests/test_capacity.py
@@ -1,6 +1,7 @@
 import os
 
 from fixtures import TempDir
+from msgspec.structs import replace
 from testtools import TestCase
 
 from benchmarks.capacity import render_roles
@@ -56,6 +57,12 @@
             for row in make_rows(self.results, self.slopes)
         }
 
+    def test_line_that_does_not_fit_gives_no_value(self):
+        poor = replace(self.slopes.read_control, r_squared=0.5)
+        rows = make_rows(self.results, replace(self.slopes, read_control=poor))
+        line = next(r for r in render_roles(rows) if 'for a read' in r)
+        self.assertIn('| not known |', line)
+
     def test_node_bytes(self):
         row = self.rows['node, control', 'bytes']
         self.assertAlmostEqual(10 + 100 * 8_400 / 86_400, row.value)
