--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -56,7 +56,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.source.run)
             await nursery.start(
-                self.transport.serve, settings.address, handlers
+                self.transport.serve,
+                settings.listen_address or settings.address,
+                handlers,
             )
             await nursery.start(self.service.run)
             async with trio.open_nursery() as front:
--- a/snipelead/emulator/platform.py
+++ b/snipelead/emulator/platform.py
@@ -4,7 +4,9 @@
 """
 
 from enum import Enum
+from math import inf
 
+from msgspec import Struct
 import trio
 
 from snipelead.callers.connections import ConnectionServer
@@ -15,7 +17,7 @@
 from snipelead.http.writing import status_line
 from snipelead.settings.schema import NodeLimits
 
-__all__ = ['Misbehaviour', 'PlatformTarget']
+__all__ = ['Misbehaviour', 'PlatformTarget', 'RunRequest']
 
 IDLE_S = 60.0
 SEAL = b'Response-Seal: 3e1b.07.5a2'
@@ -51,6 +53,25 @@
     ERROR = 'error'
 
 
+class RunRequest(Struct, frozen=True):
+    """What a target is told of a request that it runs.
+
+    Parameters
+    ----------
+    attempt_id, path : str
+        What the client sent.
+    origin : str
+        Service beside the node that the client called.
+    left_ms : int
+        Time left until the client's deadline, in milliseconds.
+    """
+
+    attempt_id: str
+    path: str
+    origin: str
+    left_ms: int
+
+
 class _TargetSide(CallerProtocol):
     rules = FieldRules(
         read=frozenset(
@@ -84,10 +105,20 @@
         Answers wait for it.
     connections : int
         Connections accepted.
+    work_s : callable or None
+        Returns how long the next request takes, in seconds.
+    slots : float
+        Requests that it runs at a time; it refuses those beyond.
+    on_run : callable or None
+        Told of each request that begins to run, as a :class:`RunRequest`.
     """
 
     def __init__(self, target_id):
         self.target_id = target_id
+        self.work_s = None
+        self.slots = inf
+        self.running = 0
+        self.on_run = None
         self.listener = listen('127.0.0.1:0')
         host, port = self.listener.getsockname()
         self.address = f'{host}:{port}'
@@ -123,11 +154,30 @@
         act = self.next.pop(0) if self.next else Misbehaviour.NONE
         if fields.get(b'expect-instance', b'').decode() != self.target_id:
             act = Misbehaviour.MOVED
-        if act not in (Misbehaviour.SHED, Misbehaviour.MOVED):
-            self.runs.append(attempt.decode())
-            self.heads.append(dict(fields))
-        if self.hold is not None:
-            await self.hold.wait()
+        elif self.running >= self.slots:
+            act = Misbehaviour.SHED
+        if act in (Misbehaviour.SHED, Misbehaviour.MOVED):
+            await self._answer(connection, request, attempt, act)
+            return
+        self.runs.append(attempt.decode())
+        self.heads.append(dict(fields))
+        if self.on_run is not None:
+            self.on_run(
+                RunRequest(
+                    attempt.decode(),
+                    request.url.decode(),
+                    fields.get(b'caller-service', b'').decode(),
+                    int(fields.get(b'deadline-ms', b'0')),
+                )
+            )
+        self.running += 1
+        try:
+            if self.work_s is not None:
+                await trio.sleep(self.work_s())
+            if self.hold is not None:
+                await self.hold.wait()
+        finally:
+            self.running -= 1
         await self._answer(connection, request, attempt, act)
 
     async def _answer(self, connection, request, attempt, act):  # noqa: C901
--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -84,6 +84,8 @@
         and a number beyond that.
     metrics_port : int or None
         Where metrics are served; None serves none.
+    advertised_address : Address or None
+        Where other nodes reach ``peer_address`` when that is not the same.
     """
 
     node_id: NodeId
@@ -101,6 +103,7 @@
     retry_ratio: float
     retry_extra: float
     metrics_port: int | None = None
+    advertised_address: Address | None = None
 
     def to_settings(self):
         """Return the settings of the product's node."""
@@ -113,6 +116,7 @@
             caller_address=self.caller_address,
             address=self.peer_address,
             admin_address=self.report_address,
+            advertised_address=self.advertised_address,
             controls=make_peers(self.seeds, self.internal_ports),
             membership=MembershipSource.LEARNED,
             timings=NodeTimings(
@@ -155,6 +159,9 @@
         Whether the whole system starts for the first time.
     metrics_port : int or None
         Where metrics are served; None serves none.
+    listen_address : Address or None
+        Where it listens for other processes when that is not the first of
+        ``internal_ports`` at ``ip``.
     """
 
     ip: str
@@ -166,6 +173,7 @@
     seeds: tuple[Address, ...]
     may_found: bool
     metrics_port: int | None = None
+    listen_address: Address | None = None
 
     def to_settings(self):
         """Return the settings of the product's control."""
@@ -176,6 +184,7 @@
             region=self.region,
             address=address,
             operator_address=self.order_address,
+            listen_address=self.listen_address,
             data_dir=self.data_dir,
             peers=make_peers(self.seeds, self.internal_ports),
             membership=MembershipSource.LEARNED,
--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -64,6 +64,7 @@
         'region': [is_name],
         'address': [is_address],
         'operator_address': [is_address],
+        'listen_address': [is_address, None],
         'data_dir': [_is_path],
         'max_snapshots': [_COUNT],
         'snapshot_entries': [_COUNT],
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -123,6 +123,9 @@
         Where controls and nodes call.
     operator_address : Address
         Where operators and readers of metrics connect.
+    listen_address : Address or None
+        Where the control listens for ``address`` when that is not the same,
+        such as behind a relay.
     data_dir : str
         Folder of the control's own files; made when missing.
     peers : tuple of Peer
@@ -154,6 +157,7 @@
     operator_address: Address
     data_dir: str
     peers: tuple[Peer, ...]
+    listen_address: Address | None = None
     region: RegionName = RegionName('local')
     role: ControlRole = ControlRole.VOTER
     membership: MembershipSource = MembershipSource.FIXED
--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -94,15 +94,19 @@
         path.write_text(yaml.safe_dump(msgspec.to_builtins(self.settings)))
         return path
 
+    def command(self, path):
+        """Return the command that runs the process with a settings file."""
+        return (
+            *(sys.executable, '-m', 'snipelead'),
+            *(self.kind, '--settings', str(path)),
+        )
+
     def start(self):
         """Start the process; it is not ready yet when this returns."""
         path = self.write_settings()
         with self.log_path.open('ab') as log:
             self.popen = subprocess.Popen(
-                [
-                    *(sys.executable, '-m', 'snipelead'),
-                    *(self.kind, '--settings', str(path)),
-                ],
+                self.command(path),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -1,12 +1,24 @@
 """TCP relay that can lose track of its connections, for tests."""
 
+from enum import Enum
+import socket
+import struct
 import threading
 
 import trio
 
-__all__ = ['Relay', 'RelayThread']
+__all__ = ['Direction', 'Relay', 'RelayThread']
 
 CHUNK_BYTES = 65_536
+# Closing with this option sends a reset: linger on, for 0 seconds.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Direction(Enum):
+    """Way that bytes take through a relay."""
+
+    REQUESTS = 'requests'
+    ANSWERS = 'answers'
 
 
 class Relay:
@@ -27,6 +39,8 @@
         Bytes carried, both ways together.
     refusing : bool
         Whether new connections are accepted but go nowhere.
+    delay_s : float
+        Added delay of each chunk, in seconds.
     """
 
     def __init__(self, upstream, address='127.0.0.1:0'):
@@ -35,7 +49,32 @@
         self.accepted = 0
         self.carried_bytes = 0
         self.refusing = False
+        self.delay_s = 0.0
         self._silenced = trio.Event()
+        self._held = {}
+        self._pairs = set()
+
+    def cut(self, *directions):
+        """Hold back all bytes of some directions until :meth:`heal`."""
+        for direction in directions or Direction:
+            self._held.setdefault(direction, trio.Event())
+
+    def heal(self):
+        """Carry what is held back, and all that follows, without delay."""
+        self.delay_s = 0.0
+        self.refusing = False
+        held, self._held = self._held, {}
+        for event in held.values():
+            event.set()
+
+    def reset(self):
+        """Reset all open connections, on both sides."""
+        for pair in tuple(self._pairs):
+            for stream in pair:
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                stream.socket.close()
 
     def silence(self):
         """Carry nothing more on open connections; new ones work.
@@ -66,25 +105,43 @@
             except OSError:
                 return
             async with upstream:
-                await self._carry_both_ways(caller, upstream, silenced)
-
-    async def _carry(self, source, destination, nursery, silenced):
+                pair = (caller, upstream)
+                self._pairs.add(pair)
+                try:
+                    await self._carry_both_ways(caller, upstream, silenced)
+                finally:
+                    self._pairs.discard(pair)
+
+    async def _carry(self, source, destination, direction, nursery, silenced):
         try:
             while data := await source.receive_some(CHUNK_BYTES):
                 # Data may arrive before the carriers notice the silence.
                 if silenced.is_set():
                     await trio.sleep_forever()
+                await self._hold(direction)
                 await destination.send_all(data)
                 self.carried_bytes += len(data)
+            await self._hold(direction)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         nursery.cancel_scope.cancel()
 
+    async def _hold(self, direction):
+        """Wait as long as a direction is delayed or cut."""
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
+        while (event := self._held.get(direction)) is not None:
+            await event.wait()
+
     async def _carry_both_ways(self, caller, upstream, silenced):
         async with trio.open_nursery() as nursery:
             ends = (nursery, silenced)
-            nursery.start_soon(self._carry, caller, upstream, *ends)
-            nursery.start_soon(self._carry, upstream, caller, *ends)
+            nursery.start_soon(
+                self._carry, caller, upstream, Direction.REQUESTS, *ends
+            )
+            nursery.start_soon(
+                self._carry, upstream, caller, Direction.ANSWERS, *ends
+            )
             await silenced.wait()
             nursery.cancel_scope.cancel()
         if silenced.is_set():
--- a/snipelead/testing/tests/test_relay.py
+++ b/snipelead/testing/tests/test_relay.py
@@ -4,6 +4,7 @@
 from snipelead.emulator.client import CallerConnection
 from snipelead.emulator.target import EmulatedTarget
 from snipelead.emulator.tests.test_target import make_settings
+from snipelead.testing.relay import Direction
 from snipelead.testing.relay import Relay
 
 
@@ -30,3 +31,32 @@
 
         self.assertEqual((200, True, 200), trio.run(main))
         self.assertEqual(2, len(target.run_log.runs))
+
+    def test_cut_and_reset(self):
+        target = EmulatedTarget(make_settings(), announces=False)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                upstream = await nursery.start(target.run)
+                relay = Relay(upstream)
+                address = await nursery.start(relay.run)
+                connection = await CallerConnection.open(address)
+                relay.cut(Direction.ANSWERS)
+                with trio.move_on_after(0.2) as scope:
+                    await connection.request('GET', '/')
+                self.assertTrue(scope.cancelled_caught)
+                self.assertEqual(1, len(target.run_log.runs))
+                relay.heal()
+                # What was held back arrives after the cut.
+                self.assertEqual(200, (await connection._receive()).status)
+                relay.reset()
+                error = None
+                try:
+                    await connection.request('GET', '/')
+                except trio.BrokenResourceError as raised:
+                    error = raised
+                self.assertIsNotNone(error)
+                connection.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
