Draw targets by what they can do; outlive a full disk and an early SIGHUP

Cause: the time of a target was learned from the few requests that one node sends it, two candidates were drawn alike whatever their speed, and a load that was told long ago counted as none. With targets of unlike speeds one lookup in nine was late at half load. Change: a target's node tells its mean for the route; candidates are drawn by the square of slots over time and compared by load; an old load fades to the usual one, not to zero; a kilobyte across zones costs 140 ms, from what a late answer loses. Ruled out: three to six candidates (better at half load, worse at high load: all nodes choose the same target); a draw by the first power (less in time at high load); 20 ms a kilobyte (more in time, more lost by bytes).

Cause: any failed write ended the control, which then could not start either. Change: a write that finds no room is undone and tried again; the control stays up, leads no more and proves nothing meanwhile. Ruled out: trying again after other errors, after which it is unknown what reached the disk.

--- a/snipelead/daemons/reloading.py
+++ b/snipelead/daemons/reloading.py
@@ -29,7 +29,9 @@
         File that ``load`` reads.
     """
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        # The file may have changed since it was loaded for the start.
         seen = _stamp(path)
+        _reload(daemon, load, told=False)
         while True:
             told = False
             with trio.move_on_after(CHECK_INTERVAL_S):
--- a/snipelead/daemons/tests/test_reloading.py
+++ b/snipelead/daemons/tests/test_reloading.py
@@ -56,6 +56,12 @@
         while expected not in self.daemon.settings:
             await trio.sleep(0.001)
 
+    def test_change_since_the_start_is_taken(self):
+        async def test():
+            await self.wait_settings('first')
+
+        self.run_watched(test)
+
     def test_signal_reads_the_file_again(self):
         async def test():
             os.kill(os.getpid(), signal.SIGHUP)
--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -37,7 +37,7 @@
 LATE_RETURN_S = 0.1
 # Share of the time of return that is spread at random.
 RETURN_SPREAD = 0.4
-# Weight of the newest time in the moving average of a route.
+# Least weight of the newest time in the moving average of a route.
 WORK_SMOOTHING = 0.1
 # Time that a request of an unknown route is taken to need, in seconds.
 INITIAL_WORK_S = 0.1
@@ -196,18 +196,20 @@
     ----------
     by_route : dict of RouteName to float
         Moving averages, in seconds.
+    counts : dict of RouteName to int
+        Answers seen; the first ones weigh the same.
     """
 
     def __init__(self):
         self.by_route = RecentDict(MAX_KNOWN_ROUTES)
+        self.counts = RecentDict(MAX_KNOWN_ROUTES)
 
     def observe(self, route, work_s):
         """Take in the time that a good answer took."""
-        known = self.by_route.get(route)
-        if known is None:
-            self.by_route[route] = work_s
-        else:
-            self.by_route[route] = known + WORK_SMOOTHING * (work_s - known)
+        count = self.counts[route] = self.counts.get(route, 0) + 1
+        known = self.by_route.get(route, 0.0)
+        weight = max(WORK_SMOOTHING, 1.0 / count)
+        self.by_route[route] = known + weight * (work_s - known)
 
     def expect(self, route, latency_s=inf):
         """Return the time expected for a request.
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -45,6 +45,8 @@
     service_us : int
         Moving average of the time that the target takes for a request, in
         microseconds; 0 when not known.
+    work_us : int
+        The same for requests of the route of the one answered.
     """
 
     in_flight: int
@@ -54,6 +56,7 @@
     target_us: int = 0
     errors: float = 0.0
     service_us: int = 0
+    work_us: int = 0
 
 
 class FenceRequest(Struct, frozen=True, array_like=True):
--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -48,10 +48,10 @@
 # Half of what all nodes together may retry: nodes that start know nothing of
 # what others have spent.
 RETRY_SHARE = 0.5
-# A kilobyte that crosses zones costs about 0.02 of a request. Where answers
-# are due within some hundred milliseconds, so does every 60 ms of delay on
-# top of a time that is well within the target.
-CROSSING_MS_PER_KB = 60.0
+# A kilobyte that crosses zones costs about 0.02 of a request. With times that
+# spread as widely as their mean, 140 ms more make one more request in 25 late,
+# which loses half of its worth.
+CROSSING_MS_PER_KB = 140.0
 
 
 class PlatformNodeSettings(Struct, frozen=True, tag_field='kind', tag='node'):
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -179,7 +179,10 @@
             raise self._no_target(service, now)
         ready = [o for o in usable if o.avoided_until <= now]
         demand = Demand(
-            once, self.route_work_s.get(route), self._crossing_s(route)
+            once,
+            self.route_work_s.get(route),
+            self._crossing_s(route),
+            route,
         )
         return POLICIES[self.policy](self, ready or usable, now, demand)
 
@@ -199,7 +202,7 @@
         self.route_work_s[route] = known_s + WORK_SMOOTHING * (
             work_s - known_s
         )
-        observation.take_slowness(work_s / known_s, trio.current_time())
+        observation.take_work(route, load, known_s, trio.current_time())
 
     def observe_size(self, route, size):
         """Take in the size of an answer, in bytes."""
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -3,6 +3,7 @@
 import trio
 
 from snipelead.types import TargetState
+from snipelead.utils.recent import RecentDict
 
 __all__ = ['TargetObservation']
 
@@ -23,6 +24,10 @@
 # Weight of the newest time in the moving average of the slowness; times of a
 # route differ by as much as their mean.
 SLOWNESS_SMOOTHING = 0.05
+# The same when the target's node has told its mean for the route.
+TOLD_SMOOTHING = 0.3
+# Routes of which the mean is kept for each target.
+MAX_TOLD_ROUTES = 32
 # No target is taken to be quicker than this share of the mean.
 MIN_SLOWNESS = 0.2
 # A target that tells so many times its usual mean is slow now.
@@ -35,8 +40,11 @@
 # costlier.
 QUEUE_FROM = 0.8
 QUEUE_WEIGHT = 10.0
-# A reported load loses half its weight after this time in seconds.
+# What a reported load differs by from the usual one loses half its weight
+# after this time in seconds.
 LOAD_HALF_LIFE_S = 0.5
+# Weight of the newest load in what is usual.
+USUAL_LOAD_SMOOTHING = 0.1
 # A new target's share grows to its full size over this time in seconds.
 RAMP_S = 5.0
 MIN_RAMP = 0.1
@@ -66,9 +74,14 @@
     reported_load, reported_at : float
         Slots in use and requests queued, as told by the last answer, and
         when it told so.
+    usual_load : float
+        Moving average of what answers told.
     slowness, slowness_at : float
         Moving average of the time that the target takes, in proportion to
         the mean of each route over all targets, and when it was updated.
+    told_work_s : dict of RouteName to float
+        Mean time that the target takes for requests of a route, in seconds,
+        as its node told last.
     way_s : float
         Moving average of the time to the target and back, in seconds.
     reported_work_s, usual_work_s : float
@@ -100,8 +113,10 @@
         self.failed_at = 0.0
         self.reported_load = 0.0
         self.reported_at = 0.0
+        self.usual_load = 0.0
         self.slowness = 1.0
         self.slowness_at = 0.0
+        self.told_work_s = RecentDict(MAX_TOLD_ROUTES)
         self.way_s = 0.0
         self.reported_work_s = 0.0
         self.usual_work_s = 0.0
@@ -135,34 +150,49 @@
     def load(self, now):
         """Return the estimated load of the target in requests."""
         age = max(0.0, now - self.reported_at)
-        others = self.reported_load * 0.5 ** (age / LOAD_HALF_LIFE_S)
-        return max(self.in_flight, others)
+        excess = self.reported_load - self.usual_load
+        others = self.usual_load + excess * 0.5 ** (age / LOAD_HALF_LIFE_S)
+        usual_age = age / OBSERVATION_HALF_LIFE_S
+        return max(self.in_flight, others * 0.5**usual_age)
 
     def utilisation(self, now):
         """Return the estimated load for each slot."""
         return self.load(now) / max(1, self.entry.slots)
 
-    def take_slowness(self, ratio, now):
-        """Take in a time in proportion to the mean of the route.
+    def take_work(self, route, load, mean_s, now):
+        """Take in what an answer tells of the time that the target takes.
 
         Parameters
         ----------
-        ratio : float
-            Time that the target took, divided by that mean.
+        route : RouteName
+            Route of the request.
+        load : Load
+            What the target's node told.
+        mean_s : float
+            Mean time over all targets for requests of the route, in seconds.
         now : float
             Time in seconds of trio's clock.
         """
-        self.slowness += SLOWNESS_SMOOTHING * (ratio - self.slowness)
+        if load.work_us:
+            work_s = self.told_work_s[route] = load.work_us / 1e6
+            weight = TOLD_SMOOTHING
+        else:
+            work_s = load.target_us / 1e6
+            weight = SLOWNESS_SMOOTHING
+        self.slowness += weight * (work_s / mean_s - self.slowness)
         self.slowness_at = now
 
-    def work_s(self, now, route_work_s, half_life_s):
+    def work_s(self, now, demand, half_life_s):
         """Return the time that the target takes for requests of a route.
 
         A target whose requests have been running for long is slow already
         before they end, which the average told by its node shows.
         """
+        route_work_s = demand.work_s
+        told_s = self.told_work_s.get(demand.route)
+        known = self.slowness if told_s is None else told_s / route_work_s
         age = max(0.0, now - self.slowness_at)
-        slowness = 1.0 + (self.slowness - 1.0) * 0.5 ** (age / half_life_s)
+        slowness = 1.0 + (known - 1.0) * 0.5 ** (age / half_life_s)
         told = 0.0
         if self.reported_work_s > STUCK_FACTOR * self.usual_work_s > 0.0:
             told = self.reported_work_s / self.usual_work_s
@@ -182,7 +212,7 @@
             ONCE_HALF_LIFE_S if demand.once else OBSERVATION_HALF_LIFE_S
         )
         if demand.work_s is not None:
-            latency_s = self.work_s(now, demand.work_s, half_life_s)
+            latency_s = self.work_s(now, demand, half_life_s)
         else:
             age = now - self.sampled_at if self.sampled_at is not None else 0.0
             latency_s = self.latency_s * 0.5 ** (age / half_life_s)
@@ -277,6 +307,9 @@
     def _take_load(self, load, now):
         self.reported_load = load.in_flight + load.queued
         self.reported_at = now
+        self.usual_load += USUAL_LOAD_SMOOTHING * (
+            self.reported_load - self.usual_load
+        )
         if load.errors > self.errors:
             self.errors = load.errors
             self.failed_at = now
--- a/snipelead/routing/policies.py
+++ b/snipelead/routing/policies.py
@@ -7,10 +7,17 @@
 from enum import Enum
 from typing import NamedTuple
 
+from snipelead.types import RouteName
+
 __all__ = ['Demand', 'POLICIES', 'Policy']
 
 # Own zone is preferred while its targets take at most so many times as long.
 OWN_ZONE_TOLERANCE = 1.5
+# Weight of a target's capacity when candidates are drawn; see
+# docs/design/load.md for other powers.
+CAPACITY_POWER = 2
+# Times below this are not told apart, in seconds.
+MIN_EXPECTED_S = 0.001
 
 
 class Policy(Enum):
@@ -35,17 +42,35 @@
     crossing_s : float or None
         Price of carrying its answer across zones, as time in seconds; None
         prefers the own zone by its load.
+    route : RouteName or None
+        Its route.
     """
 
     once: bool = False
     work_s: float | None = None
     crossing_s: float | None = None
+    route: RouteName | None = None
 
 
 def _pick_two(balancer, observations, now, demand):
+    """Take the cheaper of two, drawn by how much each can do.
+
+    A draw by the square of its capacity gives a target that is twice as
+    quick most requests while it has room; that two are compared by their load
+    keeps many nodes from choosing the same one.
+    """
     if len(observations) == 1:
         return observations[0]
-    first, second = balancer.random.sample(observations, 2)
+    weights = [
+        (o.entry.slots / max(MIN_EXPECTED_S, o.expected_s(now, demand)))
+        ** CAPACITY_POWER
+        for o in observations
+    ]
+    draw = balancer.random.choices
+    (first,) = draw(observations, weights)
+    place = observations.index(first)
+    others = observations[:place] + observations[place + 1 :]
+    (second,) = draw(others, weights[:place] + weights[place + 1 :])
     if first.cost(now, demand) <= second.cost(now, demand):
         return first
     return second
--- a/snipelead/soak/deployment.py
+++ b/snipelead/soak/deployment.py
@@ -6,7 +6,9 @@
 import resource
 import shutil
 import socket
+import subprocess
 import sys
+import threading
 
 import trio
 import yaml
@@ -60,6 +62,31 @@
             *('--settings', str(path)),
         )
 
+    def start(self):
+        """Start the process; it is not ready yet when this returns.
+
+        Its log goes through a pipe, so that a limit on the size of its files
+        does not hide what it does then.
+        """
+        self.popen = subprocess.Popen(
+            self.command(self.write_settings()),
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        copier = threading.Thread(
+            target=_copy_log, args=(self.popen.stdout, self.log_path)
+        )
+        copier.daemon = True
+        copier.start()
+        return self
+
+
+def _copy_log(pipe, path):
+    with pipe, path.open('ab') as log:
+        while data := pipe.read1():
+            log.write(data)
+
 
 class Machine:
     """One machine: its process, and the relay that others reach it by.
@@ -82,7 +109,7 @@
     lives : int
         How often its process was started.
     disk_limited : bool
-        Whether its process can write no file.
+        Whether its process can write no file, or could not in this life.
     """
 
     def __init__(self, name, zone, process, relays):
@@ -133,7 +160,6 @@
     def free_disk(self):
         """Let writes of files succeed again."""
         self._limit_files(resource.RLIM_INFINITY)
-        self.disk_limited = False
 
     def _limit_files(self, size):
         if self.process.is_running():
--- a/snipelead/testing/disk.py
+++ b/snipelead/testing/disk.py
@@ -6,6 +6,7 @@
 import trio
 
 from snipelead.voters.exceptions import FolderInUseError
+from snipelead.voters.files import DiskFullError
 from snipelead.voters.files import Files
 
 __all__ = ['MemoryDisk', 'MemoryFiles']
@@ -27,6 +28,8 @@
         Synced bytes by file name.
     room : int or None
         Bytes that can still be appended; None for no limit.
+    broken : bool
+        Whether each write fails.
     user : MemoryFiles or None
         Holder of the lock.
     writes : int
@@ -38,6 +41,7 @@
         self.max_write_s = max_write_s
         self.contents = {}
         self.room = None
+        self.broken = False
         self.user = None
         self.writes = 0
 
@@ -123,7 +127,9 @@
         if self.crashed:
             raise OSError(errno.EIO, 'the process was killed')
         if disk.room is not None and disk.room < size:
-            raise OSError(errno.ENOSPC, 'no space left on device')
+            raise DiskFullError(errno.ENOSPC, 'no space left on device')
+        if disk.broken:
+            raise OSError(errno.EIO, 'the disk is broken')
         if disk.room is not None:
             disk.room -= size
         disk.writes += 1
--- a/snipelead/voters/events.py
+++ b/snipelead/voters/events.py
@@ -8,6 +8,8 @@
     'JOIN_REQUESTED',
     'MEMBERSHIP_CHANGED',
     'QUORUM_LOST',
+    'DISK_FULL',
+    'DISK_HAS_ROOM',
     'SNAPSHOT_INSTALLED',
     'SNAPSHOT_SAVED',
     'STEPPED_DOWN',
@@ -77,3 +79,16 @@
     'error',
     'The voter stops: a write failed or an invariant is broken.',
 )
+DISK_FULL = Event(
+    1013,
+    'disk_full',
+    'error',
+    'A write waits for room in the data folder; until then the control takes'
+    ' no part in accepting releases.',
+)
+DISK_HAS_ROOM = Event(
+    1014,
+    'disk_has_room',
+    'info',
+    'The write that waited for room in the data folder was made.',
+)
--- a/snipelead/voters/files.py
+++ b/snipelead/voters/files.py
@@ -4,6 +4,7 @@
 of :class:`DiskFiles`.
 """
 
+from contextlib import contextmanager
 import errno
 import fcntl
 import os
@@ -13,17 +14,26 @@
 
 from snipelead.voters.exceptions import FolderInUseError
 
-__all__ = ['DiskFiles', 'Files']
+__all__ = ['DiskFiles', 'DiskFullError', 'Files']
 
 LOCK_NAME = 'lock'
 TEMPORARY_SUFFIX = '.tmp'
 
 
+# No space, quota used up, limit of the size of a file reached.
+_FULL = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+
+
+class DiskFullError(OSError):
+    """A write found no room; it took no effect and may be tried again."""
+
+
 class Files:
     """Files of one data folder.
 
     Every write has reached the disk when its method returns. Failures are
-    raised as :class:`OSError`.
+    raised as :class:`OSError`; a :class:`DiskFullError` says that the same
+    write may be tried again.
     """
 
     async def open(self):
@@ -66,6 +76,17 @@
         raise NotImplementedError
 
 
+@contextmanager
+def _telling_full():
+    """Tell errors of a full disk from others."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in _FULL:
+            raise DiskFullError(*error.args) from error
+        raise
+
+
 def _write_all(descriptor, data):
     view = memoryview(data)
     while view:
@@ -87,12 +108,20 @@
     ----------
     folder : str or Path
         The data folder.
+
+    Attributes
+    ----------
+    appending : dict of str to int
+        Descriptors of files that are appended to.
+    torn : dict of str to int
+        Sizes of files before an append that is not complete, in bytes.
     """
 
     def __init__(self, folder):
         self.folder = Path(folder)
         self.lock = None
         self.appending = {}
+        self.torn = {}
 
     async def open(self):
         """Create the folder, lock it and list its files."""
@@ -136,6 +165,7 @@
         """Write beside the file, sync, rename, sync the folder."""
         await trio.to_thread.run_sync(self._replace, name, data)
 
+    @_telling_full()
     def _replace(self, name, data):
         self._forget(name)
         temporary = self.folder / (name + TEMPORARY_SUFFIX)
@@ -162,8 +192,14 @@
         if os.fstat(descriptor).st_nlink == 0:
             # What goes into a deleted file does not outlive the process.
             raise FileNotFoundError(errno.ENOENT, 'the file is gone', name)
-        _write_all(descriptor, data)
-        os.fdatasync(descriptor)
+        with _telling_full():
+            if name in self.torn:
+                os.ftruncate(descriptor, self.torn[name])
+            else:
+                self.torn[name] = os.fstat(descriptor).st_size
+            _write_all(descriptor, data)
+            os.fdatasync(descriptor)
+        del self.torn[name]
 
     async def truncate(self, name, size):
         """Cut a file and sync it."""
@@ -187,6 +223,7 @@
         _sync_folder(self.folder)
 
     def _forget(self, name):
+        self.torn.pop(name, None)
         descriptor = self.appending.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
--- a/snipelead/voters/storage.py
+++ b/snipelead/voters/storage.py
@@ -9,10 +9,13 @@
 from snipelead.logs import log_event
 from snipelead.types import LogIndex
 from snipelead.types import Term
+from snipelead.voters.events import DISK_FULL
+from snipelead.voters.events import DISK_HAS_ROOM
 from snipelead.voters.events import TORN_TAIL_CUT
 from snipelead.voters.exceptions import CorruptStorageError
 from snipelead.voters.exceptions import StorageWriteError
 from snipelead.voters.exceptions import WrongFolderError
+from snipelead.voters.files import DiskFullError
 from snipelead.voters.frames import pack_frame
 from snipelead.voters.frames import unpack_frame
 from snipelead.voters.frames import unpack_frames
@@ -28,6 +31,9 @@
 SNAPSHOT_PREFIX = 'snapshot-'
 LOG_PREFIX = 'log-'
 EPOCH_BYTES = 8
+# Pause between two tries to write to a full disk, in seconds; well below the
+# time in which an order has to be answered.
+FULL_DISK_PAUSE_S = 0.1
 
 _encode = msgspec.msgpack.encode
 
@@ -77,8 +83,9 @@
 class Storage:
     """Identity, vote, snapshot and log of one member.
 
-    After a failed write nothing is written any more, since it is unknown
-    what reached the disk.
+    A write that finds no room on the disk is tried again until there is
+    some. After any other failed write nothing is written any more, since it
+    is unknown what reached the disk.
 
     Parameters
     ----------
@@ -184,7 +191,7 @@
         if not payloads:
             raise CorruptStorageError(f'{name} has no start', file=name)
         if size < len(data):
-            await self._write(self.files.truncate(name, size))
+            await self._write(self.files.truncate, name, size)
             log_event(TORN_TAIL_CUT, file=name, cut_bytes=len(data) - size)
         start = msgspec.msgpack.decode(payloads[0], type=_LogStart)
         log = Log(start.index, start.term)
@@ -210,9 +217,13 @@
 
     async def close(self):
         """Release the folder; nothing is written any more."""
-        self.failed = True
+        self.give_up()
         await self.files.close()
 
+    def give_up(self):
+        """Write nothing any more, nor wait for room to do so."""
+        self.failed = True
+
     async def save_identity(self, identity):
         """Replace the identity."""
         await self._replace(IDENTITY_NAME, identity)
@@ -230,9 +241,8 @@
 
     async def append(self, entries):
         """Write entries; they replace what they overlap in the log."""
-        await self._write(
-            self.files.append(self._log_name(), pack_frame(_encode(entries)))
-        )
+        frame = pack_frame(_encode(entries))
+        await self._write(self.files.append, self._log_name(), frame)
 
     async def save_state(self, saved, log):
         """Replace the snapshot, then the log by what is still needed.
@@ -250,9 +260,8 @@
         self.saved = saved
         await self._start_log(log)
         if old is not None and old.index != saved.index:
-            await self._write(
-                self.files.remove(self._snapshot_name(old.index))
-            )
+            old_name = self._snapshot_name(old.index)
+            await self._write(self.files.remove, old_name)
 
     async def _start_log(self, log):
         old = self._log_name()
@@ -261,11 +270,10 @@
         frames = [pack_frame(_encode(start))]
         if log.entries:
             frames.append(pack_frame(_encode(log.entries)))
-        await self._write(
-            self.files.replace(self._log_name(), b''.join(frames))
-        )
+        data = b''.join(frames)
+        await self._write(self.files.replace, self._log_name(), data)
         if self.generation > 1:
-            await self._write(self.files.remove(old))
+            await self._write(self.files.remove, old)
 
     def _log_name(self):
         return f'{LOG_PREFIX}{self.generation:012}'
@@ -274,18 +282,41 @@
         return f'{SNAPSHOT_PREFIX}{index:020}'
 
     async def _replace(self, name, value):
-        await self._write(self.files.replace(name, pack_frame(_encode(value))))
+        data = pack_frame(_encode(value))
+        await self._write(self.files.replace, name, data)
 
-    async def _write(self, writing):
+    async def _write(self, write, *args):
+        """Write, waiting for room on the disk if there is none."""
         if self.failed:
-            writing.close()
             raise StorageWriteError('an earlier write failed')
+        waited_from = None
+        while not await self._try_write(write, *args):
+            if waited_from is None:
+                waited_from = trio.current_time()
+                log_event(DISK_FULL, file=args[0])
+            try:
+                await trio.sleep(FULL_DISK_PAUSE_S)
+            except trio.Cancelled:
+                # The caller gives up with the write undone.
+                self.give_up()
+                raise
+            if self.failed:
+                raise StorageWriteError('there was no room until the end')
+        if waited_from is not None:
+            waited_s = trio.current_time() - waited_from
+            log_event(DISK_HAS_ROOM, waited_s=round(waited_s, 3))
+
+    async def _try_write(self, write, *args):
+        """Write once; returns False when the disk has no room."""
         try:
             # A write must not end half-way because its caller gave up.
             with trio.CancelScope(shield=True):
-                await writing
+                await write(*args)
+        except DiskFullError:
+            return False
         except OSError as error:
             self.failed = True
             raise StorageWriteError(
                 f'the data folder cannot be written: {error}'
             ) from error
+        return True
