--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -57,7 +57,9 @@
             self.metrics,
             protocols=front.protocols,
         )
-        self.reports = TargetReports(self.local, front.is_known)
+        self.reports = TargetReports(
+            self.local, front.is_known, knows_past=False
+        )
 
     @property
     def is_ready(self):
--- a/snipelead/emulator/platform.py
+++ b/snipelead/emulator/platform.py
@@ -20,6 +20,7 @@
 __all__ = ['Misbehaviour', 'PlatformTarget', 'RunRequest']
 
 IDLE_S = 60.0
+HEALTH_PATH = b'/health'
 SEAL = b'Response-Seal: 3e1b.07.5a2'
 
 
@@ -109,6 +110,8 @@
         Returns how long the next request takes, in seconds.
     slots : float
         Requests that it runs at a time; it refuses those beyond.
+    is_leaving : bool
+        Whether it says that it is out of service.
     on_run : callable or None
         Told of each request that begins to run, as a :class:`RunRequest`.
     """
@@ -118,6 +121,7 @@
         self.work_s = None
         self.slots = inf
         self.running = 0
+        self.is_leaving = False
         self.on_run = None
         self.listener = listen('127.0.0.1:0')
         host, port = self.listener.getsockname()
@@ -149,6 +153,11 @@
             task_status.started()
 
     async def _handle(self, connection, request):
+        if request.url == HEALTH_PATH:
+            status = 503 if self.is_leaving else 200
+            name = b'Instance-Id: ' + self.target_id.encode()
+            await connection.send(_message(status, b'', name))
+            return
         fields = request.fields
         attempt = fields.get(b'attempt-id', b'')
         act = self.next.pop(0) if self.next else Misbehaviour.NONE
--- a/snipelead/emulator/platform_operator.py
+++ b/snipelead/emulator/platform_operator.py
@@ -182,6 +182,7 @@
         self.born_ms = born_ms
         self.is_leaving = False
         self.numbers = count(1)
+        self.delayed = b''
 
     async def run(self):
         """Report until cancelled."""
@@ -189,9 +190,17 @@
             await self.report()
             await trio.sleep(HEARTBEAT_S)
 
+    async def report_late(self):
+        """Let a report arrive that was delayed on its way."""
+        if self.delayed:
+            await self._call('PUT', self.delayed)
+
     async def report(self):
         """Report once; returns whether it was acknowledged."""
-        answer = await self._call('PUT', self._encode())
+        body = self._encode()
+        if not self.is_leaving:
+            self.delayed = body
+        answer = await self._call('PUT', body)
         return answer is not None and answer.status == 200
 
     async def withdraw(self):
--- a/snipelead/platform/front.py
+++ b/snipelead/platform/front.py
@@ -15,6 +15,7 @@
 from snipelead.platform.events import REPORT_UNREADABLE
 from snipelead.platform.exceptions import UnreadableConfigurationError
 from snipelead.platform.exceptions import UnreadableReportError
+from snipelead.platform.health import serves_now
 from snipelead.platform.reports import decode_report
 from snipelead.platform.requests import PlatformCallerProtocol
 from snipelead.platform.requests import PlatformTargetProtocol
@@ -80,6 +81,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.daemon = None
+        self.nursery = None
         self.protocols = Protocols(
             PlatformCallerProtocol(self.service_beside),
             PlatformTargetProtocol(),
@@ -100,6 +102,7 @@
         self.daemon = daemon
         settings = self.settings
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             await nursery.start(
                 serve_interface, settings.report_address, self.answer_report
             )
@@ -130,8 +133,19 @@
             log_event(REPORT_UNREADABLE, target=target_id, error=str(error))
             return _error_answer(400, error)
         outcome = self.daemon.reports.take(report)
+        if self.daemon.reports.unproved:
+            self.nursery.start_soon(self.prove, report)
         return Answer(_REPORT_STATUS[outcome], b'{}')
 
+    async def prove(self, report):
+        """Ask a target itself whether it serves."""
+        service = self.daemon.holder.current.services.get(report.service)
+        # Without a release its path is not known; the next report asks again.
+        if service is not None and await serves_now(
+            report.address, service.health_path, report.target_id
+        ):
+            self.daemon.reports.prove(report)
+
 
 class PlatformControlFront:
     """Interface of a control: whole releases, sent and read back.
--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -75,6 +75,7 @@
             self.crash_target,
             self.slow_target,
             self.leave_target,
+            self.leave_and_restart,
             self.answer_wrongly,
             self.silence_target,
         )
@@ -288,10 +289,27 @@
     async def leave_target(self):
         """Let a target leave as planned."""
         host = self.random.choice(self.hosts)
-        name = host.machine.name
-        if host.target is None or name in self.busy:
+        if host.target is not None and host.machine.name not in self.busy:
+            self.busy.add(host.machine.name)
+            await self._leave(host)
+
+    async def leave_and_restart(self):
+        """Restart the node beside a target that leaves."""
+        host = self.random.choice(self.hosts)
+        if host.target is None or host.machine.name in self.busy:
             return
-        self.busy.add(name)
+        self.busy.add(host.machine.name)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leave, host)
+            await trio.sleep(self.random.uniform(0.0, 1.0))
+            disturbances = self.ledger.disturbances
+            names = self._names(host.machine)
+            spans = disturbances.begin(names, self.ledger.clock())
+            await self.deployment.restart(host.machine)
+            disturbances.end(spans, self.ledger.clock())
+
+    async def _leave(self, host):
+        name = host.machine.name
         await host.leave(self.random.uniform(*STAYS_S))
         # What it still ran when it ended is cut off.
         disturbances = self.ledger.disturbances
--- a/snipelead/soak/ledger.py
+++ b/snipelead/soak/ledger.py
@@ -168,7 +168,7 @@
         for service in services:
             self.first_sends[service].append(record.sent_at)
 
-    def note_run(self, told, run, link):
+    def note_run(self, told, run):
         """Take a request that a target begins to run.
 
         Parameters
@@ -177,8 +177,6 @@
             What the target was told of the request.
         run : Run
             The target and the moment.
-        link : str
-            Machine beside the target.
         """
         self.counts['run'] += 1
         attempt_id = told.attempt_id
@@ -193,8 +191,8 @@
         record.runs.append(run)
         self._check_runs(record)
         left_at = self.left_at.get(run.target, inf)
-        calm = self.disturbances.is_calm((link,), left_at, run.at)
-        if calm and run.at > left_at + DRAIN_S:
+        # The acknowledgement binds whatever happens to the node meanwhile.
+        if run.at > left_at + DRAIN_S:
             self.fail('DRAIN', f'{run.target} runs {attempt_id} after leaving')
         if record.gone and run.at > record.ended_at + HELD_S:
             self._note_late('GONE', record, run.at)
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -14,6 +14,7 @@
 
 SLOTS = 8
 MEAN_WORK_S = 0.03
+LATE_REPORT_PAUSE_S = 0.4
 FIRST_BORN_MS = 1_700_000_000_000
 # Kinds of wrong answers that a target may give to some requests.
 WRONG_ANSWERS = (
@@ -79,10 +80,14 @@
             Time that it goes on serving, in seconds.
         """
         reporter, name = self.reporter, self.target.target_id
-        reporter.is_leaving = True
+        reporter.is_leaving = self.target.is_leaving = True
         if await reporter.report():
             self.ledger.note_left(name)
-        await trio.sleep(stays_s)
+        # Reports of before may come late all the while.
+        with trio.move_on_after(stays_s):
+            while True:
+                await trio.sleep(LATE_REPORT_PAUSE_S)
+                await reporter.report_late()
         await reporter.withdraw()
         if reporter is self.reporter:
             self.crash()
@@ -121,5 +126,4 @@
         self.ledger.note_run(
             told,
             Run(self.target.target_id, self.service, self.ledger.clock()),
-            self.machine.name,
         )
--- a/snipelead/soak/tests/test_ledger.py
+++ b/snipelead/soak/tests/test_ledger.py
@@ -59,7 +59,6 @@
         self.ledger.note_run(
             msgspec.structs.replace(told, **changes),
             Run(target, service, self.now),
-            'node-2',
         )
 
     def expect(self, rule, function, *args, **kwargs):
--- a/snipelead/targets/events.py
+++ b/snipelead/targets/events.py
@@ -10,6 +10,7 @@
     'TARGET_GONE',
     'TARGET_LEASE_ENDED',
     'TARGET_LEAVING',
+    'TARGET_UNPROVED',
 ]
 
 TARGET_ANNOUNCED = Event(
@@ -43,6 +44,13 @@
     'A report of a target changed nothing, since a newer one is known or it'
     ' names a service that is not.',
 )
+TARGET_UNPROVED = Event(
+    4016,
+    'target_unproved',
+    'info',
+    'A target reported itself to a node that was restarted; it gets no work'
+    ' until it says that it serves, or has reported some times more.',
+)
 TARGET_GONE = Event(4012, 'target_gone', 'info', 'A target withdrew itself.')
 TARGET_LEASE_ENDED = Event(
     5101,
--- a/snipelead/targets/reports.py
+++ b/snipelead/targets/reports.py
@@ -13,6 +13,7 @@
 from snipelead.targets.events import TARGET_ANNOUNCED
 from snipelead.targets.events import TARGET_GONE
 from snipelead.targets.events import TARGET_LEAVING
+from snipelead.targets.events import TARGET_UNPROVED
 from snipelead.types import Address
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
@@ -21,6 +22,10 @@
 __all__ = ['ReportOutcome', 'TargetReport', 'TargetReports']
 
 DEFAULT_CONNECTIONS = 130
+# A target that cannot be asked, or says wrongly that it does not serve, is
+# taken to serve after so many further reports. Reports are late by seconds,
+# which is less than the time between three of them.
+UNPROVED_REPORTS = 2
 
 
 class TargetReport(Struct, frozen=True):
@@ -79,6 +84,10 @@
         Told of the target.
     is_known : callable
         Tells whether a service is known.
+    knows_past : bool
+        Whether no earlier process beside the target took its reports. After
+        a restart the target may have told that it leaves, and a report from
+        before that may come late; so it has to be proved to serve.
 
     Attributes
     ----------
@@ -91,11 +100,16 @@
         Whether the target withdrew itself in this life.
     node_stops : bool
         Whether no target beside the node takes new work any more.
+    unproved : int
+        Further reports after which the target is taken to serve though that
+        was not proved; 0 when it is proved.
     """
 
-    def __init__(self, local, is_known):
+    def __init__(self, local, is_known, knows_past=True):
         self.local = local
         self.is_known = is_known
+        self.knows_past = knows_past
+        self.unproved = 0
         self.newest = None
         self.leaving = False
         self.withdrawn = False
@@ -120,10 +134,26 @@
             return outcome
         if not self._is_same_life(report):
             self._begin_life(report)
+        elif self.unproved > 1:
+            self.unproved -= 1
+        else:
+            self._end_proof()
         self.newest = report
         self._apply(report)
         return outcome
 
+    def prove(self, report):
+        """Take a target to serve that said so itself after a report of it."""
+        if self.unproved and self._is_same_life(report):
+            self._end_proof()
+            if not self.withdrawn:
+                self._apply(self.newest)
+
+    def _end_proof(self):
+        # All reports of later lives come to this process.
+        self.knows_past = True
+        self.unproved = 0
+
     def leave(self):
         """Let the target take no new work, since its node stops."""
         self.node_stops = True
@@ -163,6 +193,7 @@
         return ReportOutcome.TAKEN
 
     def _begin_life(self, report):
+        self.unproved = 0 if self.knows_past else UNPROVED_REPORTS
         # Only one target runs beside a node, so the former one has ended.
         if self.newest is not None:
             self.local.change_state(self.newest.target_id, TargetState.GONE)
@@ -174,6 +205,9 @@
         if leaves and not self.leaving:
             self.leaving = True
             log_event(TARGET_LEAVING, target=report.target_id)
+        if self.unproved and not self.leaving:
+            log_event(TARGET_UNPROVED, target=report.target_id)
+            return
         state = TargetState.LEAVING if self.leaving else TargetState.SERVING
         if self._is_announced(report, state):
             self.local.renew(report.target_id)
--- a/snipelead/targets/tests/test_reports.py
+++ b/snipelead/targets/tests/test_reports.py
@@ -22,10 +22,12 @@
         super().setUp()
         self.services = {'stock', 'contracts'}
 
-    def run_reports(self, test):
+    def run_reports(self, test, knows_past=True):
         async def main():
             local = LocalTargets('n', 'z', '10.0.0.1:1')
-            reports = TargetReports(local, lambda s: s in self.services)
+            reports = TargetReports(
+                local, lambda s: s in self.services, knows_past
+            )
             test(reports, local)
 
         trio.run(main)
@@ -143,3 +145,56 @@
             self.assertIs(SERVING, self.state_of(local))
 
         self.run_reports(test)
+
+    def test_restarted_node_wants_proof_that_a_target_serves(self):
+        def test(reports, local):
+            # It may have told the process before that it leaves.
+            reports.take(FIRST)
+            self.assertIsNone(self.state_of(local))
+            reports.prove(FIRST)
+            self.assertIs(SERVING, self.state_of(local))
+
+        self.run_reports(test, knows_past=False)
+
+    def test_late_report_after_a_restart_does_not_undo_leaving(self):
+        def test(reports, local):
+            reports.take(report(sequence=7))
+            reports.take(report(sequence=9, state=LEAVING))
+            reports.prove(FIRST)
+            self.assertIs(LEAVING, self.state_of(local))
+
+        self.run_reports(test, knows_past=False)
+
+    def test_withdrawn_target_is_not_proved_to_serve(self):
+        def test(reports, local):
+            reports.take(FIRST)
+            reports.withdraw('i-1')
+            reports.prove(FIRST)
+            self.assertIsNone(self.state_of(local))
+
+        self.run_reports(test, knows_past=False)
+
+    def test_target_that_cannot_be_asked_serves_after_some_reports(self):
+        def test(reports, local):
+            for sequence in (1, 2):
+                reports.take(report(sequence=sequence))
+                self.assertIsNone(self.state_of(local))
+            reports.take(report(sequence=3))
+            self.assertIs(SERVING, self.state_of(local))
+
+        self.run_reports(test, knows_past=False)
+
+    def test_proof_of_a_former_life_says_nothing_of_the_next(self):
+        def test(reports, local):
+            later = report(started_ms=2_000)
+            reports.take(FIRST)
+            reports.take(later)
+            reports.prove(FIRST)
+            self.assertIsNone(self.state_of(local))
+            reports.prove(later)
+            self.assertIs(SERVING, self.state_of(local))
+            # From now on all reports come to this process.
+            reports.take(report(target_id='i-2', started_ms=3_000))
+            self.assertIs(SERVING, self.state_of(local, 'i-2'))
+
+        self.run_reports(test, knows_past=False)
