--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 SEED ?= 1
+COUNT ?= 5
+JOBS ?= 2
 MINUTES ?= 5
 
-.PHONY: install quickstart test lint format model soak bench capacity catalogues
+.PHONY: install quickstart test lint format model soak faults bench capacity catalogues
 
 # The stamp keeps repeated targets from reinstalling unchanged dependencies.
 $(VENV)/.installed: pyproject.toml constraints.txt
@@ -35,6 +37,9 @@
 soak: install
 	$(BIN)/python -m snipelead.testing.soak --seed $(SEED) --minutes $(MINUTES)
 
+faults: install
+	$(BIN)/python -m snipelead.soak --seed $(SEED) --count $(COUNT) --jobs $(JOBS)
+
 bench: install
 	$(BIN)/snipelead bench --help
 
