--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -14,6 +14,8 @@
 from specs.node_floor import NodeFloor
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
+from specs.replace_race import ReplaceRace
+from specs.restarted_gate import RestartedGate
 
 MODELS = (
     LogAgreement(max_term=2, max_entries=2),
@@ -26,6 +28,8 @@
     AtMostOnce(max_attempts=1, max_incarnations=3),
     ReleaseRace(max_log=5),
     Drain(),
+    RestartedGate(),
+    ReplaceRace(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
