--- a/specs/replace_race.py
+++ b/specs/replace_race.py
@@ -141,9 +141,10 @@
         """Return the accepted orders of a log, in order."""
         accepted = []
         for order in log:
-            if self._judge(order, accepted) is Outcome.ACCEPTED:
-                if not self._is_resend(order, accepted):
-                    accepted.append(order)
+            outcome = self._judge(order, accepted)
+            resent = self._is_resend(order, accepted)
+            if outcome is Outcome.ACCEPTED and not resent:
+                accepted.append(order)
         return accepted
 
     def _is_resend(self, order, accepted):
