Log what a target answered; tell means from five answers on

Cause: reading the change as a newcomer: a target that did not answer whether it serves left no reason in the log, and the mean of one or two answers would have steered the requests of a node for seconds. Change: event 4017 target_asked; a mean is told from five answers on, with a test.

--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -39,6 +39,9 @@
 RETURN_SPREAD = 0.4
 # Least weight of the newest time in the moving average of a route.
 WORK_SMOOTHING = 0.1
+# Nodes are told a mean from so many answers on: that of fewer is off by more
+# than half of itself in one case of twenty.
+MIN_TOLD_ANSWERS = 5
 # Time that a request of an unknown route is taken to need, in seconds.
 INITIAL_WORK_S = 0.1
 # A route that was never answered is taken to need this share of its target
@@ -211,6 +214,12 @@
         weight = max(WORK_SMOOTHING, 1.0 / count)
         self.by_route[route] = known + weight * (work_s - known)
 
+    def tell(self, route):
+        """Return the mean that others may rely on, or 0.0 before that."""
+        if self.counts.get(route, 0) < MIN_TOLD_ANSWERS:
+            return 0.0
+        return self.by_route[route]
+
     def expect(self, route, latency_s=inf):
         """Return the time expected for a request.
 
--- a/snipelead/nodes/gate.py
+++ b/snipelead/nodes/gate.py
@@ -408,7 +408,7 @@
             int(call.target_s * 1e6),
             round(self.errors, _ERROR_DIGITS),
             int(self.estimate_service_s() * 1e6) if self.is_observed else 0,
-            int(self.work.by_route.get(call.route, 0.0) * 1e6),
+            int(self.work.tell(call.route) * 1e6),
         )
 
     def estimate_service_s(self):
--- a/snipelead/nodes/tests/test_admission.py
+++ b/snipelead/nodes/tests/test_admission.py
@@ -193,6 +193,15 @@
         self.assertEqual(10, len(times))
         self.assertGreater(max(times) - min(times), 0.1)
 
+    def test_mean_of_few_answers_is_not_told(self):
+        work = WorkEstimates()
+        for _ in range(4):
+            work.observe('r', 0.2)
+            self.assertEqual(0.0, work.tell('r'))
+        work.observe('r', 0.7)
+        self.assertAlmostEqual(0.3, work.tell('r'))
+        self.assertEqual(0.0, work.tell('other'))
+
     def test_estimates_follow_the_route(self):
         work = WorkEstimates()
         self.assertAlmostEqual(0.35, work.expect('r', 1.0))
--- a/snipelead/platform/health.py
+++ b/snipelead/platform/health.py
@@ -11,6 +11,8 @@
 from snipelead.http.reading import FieldRules
 from snipelead.http.reading import ResponseReader
 from snipelead.http.writing import encode_head
+from snipelead.logs import log_event
+from snipelead.targets.events import TARGET_ASKED
 
 __all__ = ['serves_now']
 
@@ -38,16 +40,32 @@
     bool
         False also when it gives no answer in time.
     """
-    lines = (b'Host: ' + address.encode(), b'Content-Length: 0')
-    head = encode_head(b'GET %b HTTP/1.1' % path.encode(), lines)
+    status, answerer, error = None, '', 'no answer in time'
     with trio.move_on_after(TIMEOUT_S):
         try:
-            with await connect(address) as connection:
-                await connection.send(head)
-                reader = ResponseReader(connection, DEFAULT_HEAD_BYTES, _RULES)
-                response = await reader.next_response()
-        except (ConnectFailedError, *LOST_ERRORS):
-            return False
-        answerer = response.fields.get(_ANSWERER, b'').decode('latin-1')
-        return response.status == HTTPStatus.OK and answerer == target_id
-    return False
+            response = await _ask(address, path)
+        except (ConnectFailedError, *LOST_ERRORS) as failure:
+            error = failure.message
+        else:
+            error = None
+            status = response.status
+            answerer = response.fields.get(_ANSWERER, b'').decode('latin-1')
+    serves = status == HTTPStatus.OK and answerer == target_id
+    log_event(
+        TARGET_ASKED,
+        target=target_id,
+        serves=serves,
+        status=status,
+        answerer=answerer,
+        error=error,
+    )
+    return serves
+
+
+async def _ask(address, path):
+    lines = (b'Host: ' + address.encode(), b'Content-Length: 0')
+    head = encode_head(b'GET %b HTTP/1.1' % path.encode(), lines)
+    with await connect(address) as connection:
+        await connection.send(head)
+        reader = ResponseReader(connection, DEFAULT_HEAD_BYTES, _RULES)
+        return await reader.next_response()
--- a/snipelead/routing/tests/test_placement.py
+++ b/snipelead/routing/tests/test_placement.py
@@ -150,7 +150,7 @@
             SLOTS,
             target_us=int(job.work_s * 1e6),
             service_us=int(target.service_s * 1e6),
-            work_us=int(target.work.expect('r') * 1e6),
+            work_us=int(target.work.tell('r') * 1e6),
         )
         self.start(now, target)
         self.plan(now + HOP_S, self.end, job, load)
--- a/snipelead/targets/events.py
+++ b/snipelead/targets/events.py
@@ -9,6 +9,7 @@
     'TARGET_ANNOUNCED',
     'TARGET_GONE',
     'TARGET_LEASE_ENDED',
+    'TARGET_ASKED',
     'TARGET_LEAVING',
     'TARGET_UNPROVED',
 ]
@@ -51,6 +52,13 @@
     'A target reported itself to a node that was restarted; it gets no work'
     ' until it says that it serves, or has reported some times more.',
 )
+TARGET_ASKED = Event(
+    4017,
+    'target_asked',
+    'info',
+    'A target was asked whether it serves; with its answer, or why there was'
+    ' none.',
+)
 TARGET_GONE = Event(4012, 'target_gone', 'info', 'A target withdrew itself.')
 TARGET_LEASE_ENDED = Event(
     5101,
