Let the test of SIGHUP wait until the signal was taken

Settings are read once more at the start now, so the test was content before the signal was taken, and trio delivers a signal that nobody took again, to the former handler. No change of the programs.

--- a/snipelead/daemons/tests/test_reloading.py
+++ b/snipelead/daemons/tests/test_reloading.py
@@ -52,8 +52,8 @@
 
         trio.run(main)
 
-    async def wait_settings(self, expected):
-        while expected not in self.daemon.settings:
+    async def wait_settings(self, expected, times=1):
+        while self.daemon.settings.count(expected) < times:
             await trio.sleep(0.001)
 
     def test_change_since_the_start_is_taken(self):
@@ -64,8 +64,10 @@
 
     def test_signal_reads_the_file_again(self):
         async def test():
-            os.kill(os.getpid(), signal.SIGHUP)
             await self.wait_settings('first')
+            os.kill(os.getpid(), signal.SIGHUP)
+            # A signal that is not taken would end the process of the tests.
+            await self.wait_settings('first', times=2)
 
         self.run_watched(test)
 
