Ask a target as soon as the release is there; end waits for room in run

Proof of targets. Change: the question waits for the release. Test: a target that reports before the release is announced without a further report.

--- a/snipelead/platform/front.py
+++ b/snipelead/platform/front.py
@@ -31,6 +31,9 @@
 
 __all__ = ['PlatformControlFront', 'PlatformNodeFront']
 
+# Time that a question to a target waits for the first release, in seconds; by
+# then its next report has come.
+PROOF_WAIT_S = 2.0
 _METRICS_KIND = b'text/plain; version=0.0.4'
 _REPORT_PATH = b'/instances/'
 _ORDER_PATH = b'/config'
@@ -139,8 +142,12 @@
 
     async def prove(self, report):
         """Ask a target itself whether it serves."""
-        service = self.daemon.holder.current.services.get(report.service)
-        # Without a release its path is not known; the next report asks again.
+        holder = self.daemon.holder
+        with trio.move_on_after(PROOF_WAIT_S):
+            # Its path is known only with the release.
+            while report.service not in holder.current.services:
+                await holder.wait_changed()
+        service = holder.current.services.get(report.service)
         if service is not None and await serves_now(
             report.address, service.health_path, report.target_id
         ):
--- a/snipelead/voters/voter.py
+++ b/snipelead/voters/voter.py
@@ -152,7 +152,11 @@
                 for part in self.parts():
                     nursery.start_soon(self.run_part, part)
                 task_status.started()
-                await self.replica.failed.wait()
+                try:
+                    await self.replica.failed.wait()
+                finally:
+                    # A write that waits for room would outlast the voter.
+                    self.replica.storage.give_up()
                 nursery.cancel_scope.cancel()
             raise self.replica.failure
         finally:
@@ -169,20 +173,12 @@
             self.membership.run,
             self.replica.run_compaction,
             self.run_changes,
-            self.guard_storage,
         )
 
     async def drain(self):
         """Hand leadership over before a planned stop."""
         await self.handover.hand_over()
 
-    async def guard_storage(self):
-        """End writes that wait for room once the voter is cancelled."""
-        try:
-            await trio.sleep_forever()
-        finally:
-            self.replica.storage.give_up()
-
     async def run_part(self, part):
         """Run one task; a coded error stops the voter."""
         try:
