--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -20,11 +20,17 @@
 # Requests of one client on a kept connection, and of one pipeline.
 MAX_KEPT = 20
 MAX_PIPELINED = 4
+# Longest pause between two requests, in seconds.
 MAX_PAUSE_S = 0.15
+# Further attempts after a failure that allows them.
 RETRIES = 2
+# Least and greatest time that a client waits, in seconds.
 DEADLINE_S = (0.5, 3.0)
+# Clients of the platform allow a connection one second.
 CONNECT_S = 1.0
+# Share of requests whose client leaves before its deadline.
 GIVE_UP_SHARE = 0.03
+# Longest pause between two questions for the release in force, in seconds.
 PROBE_PAUSE_S = 0.2
 _LOST = (OSError, trio.BrokenResourceError, WrongAnswerError)
 
