Add failing tests of nodes that run older releases while in touch

Operators saw requests refused with 404 by nodes in touch although the change that added the route was acknowledged more than 2 s before.

--- a/snipelead/controls/tests/mesh.py
+++ b/snipelead/controls/tests/mesh.py
@@ -92,7 +92,7 @@
 class Node:
     """A running node of the mesh that records the releases it applied."""
 
-    def __init__(self, mesh, index, zone, incarnation=1):
+    def __init__(self, mesh, index, zone, incarnation=1, **overrides):
         self.address = f'127.0.0.1:{10000 + index}'
         self.settings = NodeSettings(
             node_id=f'n{index}',
@@ -101,6 +101,7 @@
             address=self.address,
             admin_address=self.address,
             controls=mesh.peers,
+            **overrides,
         )
         self.holder = ReleaseHolder()
         self.applied_numbers = []
@@ -155,8 +156,8 @@
         await self.nursery.start(control.run)
         return control
 
-    async def start_node(self, index=0, zone='a', incarnation=1):
-        node = Node(self, index, zone, incarnation)
+    async def start_node(self, index=0, zone='a', incarnation=1, **overrides):
+        node = Node(self, index, zone, incarnation, **overrides)
         await self.nursery.start(node.run)
         return node
 
--- a/snipelead/controls/tests/test_stale_control.py
+++ b/snipelead/controls/tests/test_stale_control.py
@@ -7,10 +7,13 @@
 from snipelead.releases.document import Release
 from snipelead.releases.document import Service
 from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import NodeTimings
 from snipelead.testing.source import FakeSource
 
 # Nodes must have recovered from a network partition after this time.
 STABLE_WINDOW_S = 3.0
+CONTROL_TIMINGS = ControlTimings(exchange_hold_ms=1_200, exchange_miss_ms=600)
+NODE_TIMINGS = NodeTimings(hold_ms=1_200, miss_ms=600)
 
 
 def make_release(number):
@@ -47,3 +50,78 @@
                     await wait_until(lambda: node.number == 2)
 
         run_mesh(main)
+
+    def test_node_leaves_a_stale_control_for_one_that_failed_before(self):
+        """Earlier failures of a control must not outrank its being current."""
+
+        async def main():
+            late = {}
+            for seed in range(10):
+                delay_s = await self.measure_switch_s(seed)
+                if delay_s > STABLE_WINDOW_S:
+                    late[seed] = delay_s
+            self.assertEqual({}, late)
+
+        run_mesh(main)
+
+    async def measure_switch_s(self, seed):
+        """Return when a node got a release that its control cannot get."""
+        async with open_mesh(('own', 'other'), seed=seed) as mesh:
+            isolated, healthy = FakeSource(), FakeSource()
+            for index, source in enumerate((isolated, healthy)):
+                source.publish(make_release(1))
+                await mesh.start_control(
+                    index, source, timings=CONTROL_TIMINGS
+                )
+            node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
+            await wait_until(lambda: node.number == 1)
+            # The zone of the node is cut off, then connected again.
+            mesh.network.cut(node.address, mesh.peers[1].address)
+            isolated.certification_succeeds = False
+            await trio.sleep(12)
+            mesh.network.heal()
+            isolated.certification_succeeds = True
+            await trio.sleep(2)
+            # Now only its control is cut off from the majority.
+            isolated.certification_succeeds = False
+            healthy.publish(make_release(2))
+            isolated_at = trio.current_time()
+            await wait_until(lambda: node.number == 2)
+            return trio.current_time() - isolated_at
+
+
+class ReturnAfterCutTest(TestCase):
+    def test_node_is_current_soon_after_a_cut_of_any_length(self):
+        """Backoff during a long cut must not delay the return from it."""
+
+        async def main():
+            late = {}
+            for quarters in range(4, 80):
+                cut_s = quarters / 4
+                returned_s = await self.measure_return_s(cut_s)
+                if returned_s > STABLE_WINDOW_S:
+                    late[cut_s] = returned_s
+            self.assertEqual({}, late)
+
+        run_mesh(main)
+
+    async def measure_return_s(self, cut_s):
+        """Return how long after a cut a node received a new release."""
+        async with open_mesh(('own', 'other'), seed=cut_s) as mesh:
+            sources = FakeSource(), FakeSource()
+            for index, source in enumerate(sources):
+                source.publish(make_release(1))
+                await mesh.start_control(
+                    index, source, timings=CONTROL_TIMINGS
+                )
+            node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
+            await wait_until(lambda: node.number == 1)
+            for peer in mesh.peers:
+                mesh.network.cut(node.address, peer.address)
+            for source in sources:
+                source.publish(make_release(2))
+            await trio.sleep(cut_s)
+            mesh.network.heal()
+            healed_at = trio.current_time()
+            await wait_until(lambda: node.number == 2)
+            return trio.current_time() - healed_at
