Let nodes leave a stale control for any other one that is current

Operators saw requests refused with 404 by nodes in touch although the change that added the route was acknowledged more than 2 s before.

Cause: a control that failed was avoided for up to 45 s and ranked after one that is possibly stale, and a control that once was possibly stale ranked so for up to 45 s. A node whose own control was cut off from the majority therefore stayed with it although another one was in reach.

Change: while a node or relay polls a possibly stale control it asks all others, also those that failed, whether they are current, at once and then every second, and switches to the first that is. A reply of a control also ends its avoidance.

--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -218,14 +218,22 @@
 
         It is still preferred over controls that failed recently.
         """
-        link.failures = 0
+        self._record_reply(link)
         link.possibly_stale_until = self._jittered_time(STALE_AVOIDANCE_S)
 
+    def is_possibly_stale(self, link):
+        """Return whether a control was possibly stale when it last replied."""
+        return link.possibly_stale_until > trio.current_time()
+
     def mark_current(self, link):
         """Record a reply of a control that is not possibly stale."""
-        link.failures = 0
+        self._record_reply(link)
         link.possibly_stale_until = 0.0
 
+    def _record_reply(self, link):
+        link.failures = 0
+        link.avoided_until = 0.0
+
     def clear_avoidance(self):
         """Stop avoiding the controls that failed or were skipped."""
         for link in self.links:
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -7,6 +7,7 @@
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
+from snipelead.messages import FreshnessRequest
 from snipelead.utils.backoff import Backoff
 
 __all__ = ['ControlPoller']
@@ -18,6 +19,10 @@
 # A control either certifies its release within this time or replies that it
 # cannot.
 MAX_CERTIFICATION_S = 1.0
+# While the polled control is possibly stale, the others are asked this often
+# whether they are.
+FRESHNESS_INTERVAL_S = 1.0
+FRESHNESS_TIMEOUT_S = 0.6
 
 
 class ControlPoller:
@@ -27,6 +32,10 @@
     not arrive within ``hold_ms + miss_ms``, the poller retries on a new
     connection to the same control, and then fails over to another control.
 
+    While it polls a control that is possibly stale, it asks the others
+    whether they are current, also those that failed before, and switches to
+    the first that is.
+
     Parameters
     ----------
     links : ControlLinks
@@ -108,7 +117,10 @@
         return timeout_s * 2 ** min(repeated_failures, MAX_TIMEOUT_DOUBLINGS)
 
     async def _call(self, link, request, timeout_s):
-        """Return the reply, or None if the request became out of date."""
+        """Return the reply, or None if the poll should not go on.
+
+        That is, if the request is out of date or another control is current.
+        """
         replies = []
         failures = []
 
@@ -116,8 +128,14 @@
             await self.wait_request_outdated()
             nursery.cancel_scope.cancel()
 
+        async def cancel_when_another_is_current():
+            await self._find_current_control(link)
+            nursery.cancel_scope.cancel()
+
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_when_outdated)
+            if self.links.is_possibly_stale(link):
+                nursery.start_soon(cancel_when_another_is_current)
             try:
                 replies.append(await link.polls.call(request, timeout_s))
             except SnipeleadError as error:
@@ -127,6 +145,33 @@
             raise failures[0]
         return replies[0] if replies else None
 
+    async def _find_current_control(self, polled_link):
+        """Wait until a control other than the polled one is current."""
+        while True:
+            async with trio.open_nursery() as nursery:
+                for link in self.links.links:
+                    if link is not polled_link:
+                        nursery.start_soon(self._ask_freshness, link)
+            if not self.links.is_possibly_stale(self.links.choose()):
+                return
+            await trio.sleep(FRESHNESS_INTERVAL_S)
+
+    async def _ask_freshness(self, link):
+        """Ask a control whether it is possibly stale and mark its link."""
+        try:
+            reply = await link.calls.call(
+                FreshnessRequest(), FRESHNESS_TIMEOUT_S
+            )
+        except InvariantError:
+            raise
+        except SnipeleadError:
+            # The link keeps its marks, by which it is not preferred.
+            return
+        if reply.possibly_stale:
+            self.links.mark_possibly_stale(link)
+        else:
+            self.links.mark_current(link)
+
     def handle_failure(self, link, error):
         """Record a failed poll; return the delay before the next one."""
         # The first failure may be caused by a broken connection alone, so
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -25,6 +25,8 @@
 from snipelead.messages import ExchangeRequest
 from snipelead.messages import FleetReply
 from snipelead.messages import FleetRequest
+from snipelead.messages import FreshnessReply
+from snipelead.messages import FreshnessRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
 
@@ -94,6 +96,7 @@
             SyncRequest: self.sync,
             FleetRequest: self.handle_fleet,
             ExchangeRequest: self.exchange,
+            FreshnessRequest: self.handle_freshness,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -209,6 +212,10 @@
             self.warming,
         )
 
+    async def handle_freshness(self, request):
+        """Return whether this control is possibly stale."""
+        return FreshnessReply(self.publisher.possibly_stale)
+
     async def collect_fleet_replies(self):
         """Return the views of all controls that reply, this one first.
 
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -17,9 +17,6 @@
 from snipelead.types import Preference
 from snipelead.types import TargetState
 
-# Number of consecutive failures after which the avoidance time is maximal.
-FAILURES_TO_MAX_AVOIDANCE = 5
-
 
 async def _call_handler(control, message):
     return await control.service.handlers()[type(message)](message)
@@ -132,10 +129,9 @@
                 await wait_until(lambda: node.number == 2)
                 for _ in range(4):
                     preferred = node.client.links.choose()
-                    # Several failures in a row lead to a long avoidance.
-                    for _ in range(FAILURES_TO_MAX_AVOIDANCE):
-                        node.client.links.record_failure(preferred)
+                    mesh.network.cut(node.address, preferred.peer.address)
                     await trio.sleep(7)
+                    mesh.network.heal()
                 self.assertEqual(
                     sorted(node.applied_numbers), node.applied_numbers
                 )
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -24,6 +24,8 @@
 from snipelead.messages.registry import REPLY_TYPES
 from snipelead.messages.sync import ControlEndpoint
 from snipelead.messages.sync import digest_controls
+from snipelead.messages.sync import FreshnessReply
+from snipelead.messages.sync import FreshnessRequest
 from snipelead.messages.sync import Registration
 from snipelead.messages.sync import Snapshot
 from snipelead.messages.sync import SyncReply
@@ -44,6 +46,8 @@
     'ExchangeRequest',
     'FleetReply',
     'FleetRequest',
+    'FreshnessReply',
+    'FreshnessRequest',
     'NodeStatus',
     'OutcomesReply',
     'OutcomesRequest',
--- a/snipelead/messages/sync.py
+++ b/snipelead/messages/sync.py
@@ -18,6 +18,8 @@
 
 __all__ = [
     'ControlEndpoint',
+    'FreshnessReply',
+    'FreshnessRequest',
     'Registration',
     'Snapshot',
     'SyncReply',
@@ -214,4 +216,21 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(sorted(controls)))
 
 
+class FreshnessRequest(Struct, frozen=True):
+    """Request whether a control is possibly stale."""
+
+
+class FreshnessReply(Struct, frozen=True):
+    """Reply to a :class:`FreshnessRequest`.
+
+    Parameters
+    ----------
+    possibly_stale : bool
+        Whether the control could not certify its release recently.
+    """
+
+    possibly_stale: bool
+
+
 register_reply(SyncRequest, SyncReply)
+register_reply(FreshnessRequest, FreshnessReply)
