Refuse numbers out of range in configurations and deadlines

A Deadline-Ms of inf or 1e400, a duration of 400 digits and an integer of more than 64 bits in a configuration raised OverflowError, which no handler expects: the process that got it ended instead of answering 400. Numbers are now bounded where they are decoded.

--- a/snipelead/platform/configuration.py
+++ b/snipelead/platform/configuration.py
@@ -1,7 +1,10 @@
 """JSON format in which operators of the platform send and read releases."""
 
+from typing import Annotated
+
 import msgspec
 from msgspec import field
+from msgspec import Meta
 from msgspec import Struct
 
 from snipelead.platform.exceptions import UnreadableConfigurationError
@@ -37,6 +40,8 @@
 # The latency objective of a route may exceed its timeout by less than this.
 MAX_LATENCY_EXCESS_MS = 60_000
 MIN_CONNECTIONS = 1
+# Releases are encoded as msgpack, which has no larger integers.
+_Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 
 
 class ReleaseReplacement(Struct, frozen=True):
@@ -57,7 +62,7 @@
 class _Service(Struct, rename='kebab'):
     name: ServiceName
     health_path: str
-    max_connections: int
+    max_connections: _Integer
     protocol: str = 'h1'
     tls: bool = False
 
@@ -73,8 +78,8 @@
     kind: str
     timeout: str
     target_latency: str
-    priority: int
-    max_attempts: int
+    priority: _Integer
+    max_attempts: _Integer
     service: ServiceName | None = None
     # Each request goes to one of these services, chosen by weight.
     traffic_split: list[_WeightedService] | None = None
@@ -86,8 +91,8 @@
 
 
 class _Limits(Struct, rename='kebab'):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Integer
+    max_body_bytes: _Integer
     header_timeout: str
     idle_timeout: str
 
--- a/snipelead/platform/formats.py
+++ b/snipelead/platform/formats.py
@@ -13,6 +13,8 @@
 
 _DURATION = re.compile(r'(-?\d+(?:\.\d+)?)(ms|s)')
 _RELEASE_NUMBER = re.compile('[0-9a-fA-F]{8}')
+# Largest integer up to which floats are exact.
+MAX_DURATION_MS = 2**53
 _MS_BY_UNIT = {'ms': 1, 's': 1_000}
 
 
@@ -32,7 +34,7 @@
     Raises
     ------
     ValueError
-        If the text does not have this format.
+        If the text does not have this format or the number is out of range.
     """
     match = _DURATION.fullmatch(text)
     if match is None:
@@ -41,7 +43,12 @@
             f' {text!r}'
         )
     number, unit = match.groups()
-    return round(float(number) * _MS_BY_UNIT[unit])
+    duration_ms = float(number) * _MS_BY_UNIT[unit]
+    if abs(duration_ms) > MAX_DURATION_MS:
+        raise ValueError(
+            f'duration must be at most {MAX_DURATION_MS} ms, got {text:.20}...'
+        )
+    return round(duration_ms)
 
 
 def encode_duration(duration_ms):
--- a/snipelead/platform/protocols.py
+++ b/snipelead/platform/protocols.py
@@ -125,7 +125,7 @@
         return None
     try:
         deadline_ms = int(float(value))
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise BadRequestError(
             'Deadline-Ms must be a number of milliseconds, got'
             f' {value.decode("latin-1")!r}'
--- a/snipelead/platform/tests/test_extreme_numbers.py
+++ b/snipelead/platform/tests/test_extreme_numbers.py
@@ -1,4 +1,5 @@
 import copy
+import json
 
 import msgspec
 from testtools import ExpectedException
@@ -38,3 +39,37 @@
         body = msgspec.json.encode(document)
         with ExpectedException(UnreadableConfigurationError):
             decode_configuration(body)
+
+    def test_configuration_with_finite_but_huge_duration_is_unreadable(self):
+        document = copy.deepcopy(DOCUMENT)
+        document['limits']['idle-timeout'] = '9' * 300 + 'ms'
+        body = msgspec.json.encode(document)
+        with ExpectedException(UnreadableConfigurationError):
+            decode_configuration(body)
+
+
+class ExtremeIntegerTest(TestCase):
+    """Guards against an uncaught error for an integer of 31 digits."""
+
+    def check_unreadable(self, part, key):
+        part[key] = 10**30
+        with ExpectedException(UnreadableConfigurationError):
+            decode_configuration(json.dumps(self.document).encode())
+
+    def setUp(self):
+        super().setUp()
+        self.document = copy.deepcopy(DOCUMENT)
+
+    def test_configuration_with_huge_connection_limit_is_unreadable(self):
+        self.check_unreadable(self.document['services'][0], 'max-connections')
+
+    def test_configuration_with_huge_header_limit_is_unreadable(self):
+        self.check_unreadable(self.document['limits'], 'max-header-bytes')
+
+    def test_configuration_with_huge_priority_is_unreadable(self):
+        path = self.document['virtual-hosts'][0]['paths'][0]
+        self.check_unreadable(path, 'priority')
+
+    def test_configuration_with_huge_number_of_attempts_is_unreadable(self):
+        path = self.document['virtual-hosts'][0]['paths'][0]
+        self.check_unreadable(path, 'max-attempts')
