Wait for a write under way before closing the data directory

A control that stopped logged voter_failed (SL1005, bad file descriptor): a cancelled handler still ended its append in a worker thread while the descriptors were closed, so the write could also have gone to a file that got the same descriptor. The close now takes the lock that each write holds; writes that wait for room on a full disk end first.

--- a/snipelead/voters/replica.py
+++ b/snipelead/voters/replica.py
@@ -214,9 +214,13 @@
             )
 
     async def close(self):
-        """Close the data directory."""
+        """Close the data directory once a write under way has ended."""
         self.is_open = False
-        await self.storage.close()
+        self.storage.stop_writes()
+        # The descriptor of a file that is still written must not be reused.
+        with trio.CancelScope(shield=True):
+            async with self.mutex:
+                await self.storage.close()
 
     def fail(self, error):
         """Stop this member permanently; only the first error is kept."""
