Treat a control as possibly stale until it has certified once

A control that had just started, also one that was cut off from the majority, passed as current for the first 1.2 to 2.2 s, so a node that came to it in this time kept an older release and marked it as current. It is now possibly stale until its first certification, which is made at the start.

test_control_is_possibly_stale_until_it_has_certified failed before. The exchange of targets between controls has the same pauses as the polls had; its new test passed without a change (76 cuts, 3 s).

--- a/snipelead/controls/publisher.py
+++ b/snipelead/controls/publisher.py
@@ -1,5 +1,7 @@
 """Publication of releases by a control, and checks that they are current."""
 
+from math import inf
+
 import trio
 
 from snipelead.controls.certification import SharedCertification
@@ -47,8 +49,8 @@
         Latest release adopted from a node, because it was newer than the
         newest known release at that time.
     possibly_stale : bool
-        Whether this control has recently failed to certify its release, so
-        that other controls may hold a newer one.
+        Whether this control has not certified its release recently, or not
+        yet, so that other controls may hold a newer one.
     changed : trio.Event
         Set and replaced before each call of ``on_change``.
     """
@@ -61,7 +63,8 @@
         self.certification = SharedCertification(source)
         self.published = EMPTY_RELEASE
         self.offered = None
-        self.possibly_stale = False
+        # Nothing is proved before the first certification.
+        self.possibly_stale = True
         self.changed = trio.Event()
 
     @property
@@ -123,9 +126,8 @@
 
     async def _watch_freshness(self):
         """Update ``possibly_stale`` from periodic certifications."""
-        certified_at = trio.current_time()
+        certified_at = -inf
         while True:
-            await trio.sleep(FRESHNESS_CHECK_INTERVAL_S)
             check_started_at = trio.current_time()
             with trio.move_on_after(FRESHNESS_CHECK_TIMEOUT_S):
                 if await self.certify():
@@ -133,12 +135,12 @@
             possibly_stale = (
                 trio.current_time() - certified_at > POSSIBLY_STALE_AFTER_S
             )
-            if possibly_stale == self.possibly_stale:
-                continue
-            self.possibly_stale = possibly_stale
-            event = CONTROL_DOUBTFUL if possibly_stale else CONTROL_CURRENT
-            log_event(event, release=self.newest.number)
-            self._notify()
+            if possibly_stale != self.possibly_stale:
+                self.possibly_stale = possibly_stale
+                event = CONTROL_DOUBTFUL if possibly_stale else CONTROL_CURRENT
+                log_event(event, release=self.newest.number)
+                self._notify()
+            await trio.sleep(FRESHNESS_CHECK_INTERVAL_S)
 
     def _publish(self):
         self.published = self.newest
--- a/snipelead/controls/tests/test_stale_control.py
+++ b/snipelead/controls/tests/test_stale_control.py
@@ -4,6 +4,7 @@
 from snipelead.controls.tests.mesh import open_mesh
 from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
+from snipelead.messages import FreshnessRequest
 from snipelead.releases.document import Release
 from snipelead.releases.document import Service
 from snipelead.settings.schema import ControlTimings
@@ -92,6 +93,32 @@
             return trio.current_time() - isolated_at
 
 
+class RestartedControlTest(TestCase):
+    def test_control_is_possibly_stale_until_it_has_certified(self):
+        """A control that restarts during a cut must not pass as current."""
+
+        async def main():
+            async with open_mesh(('own', 'other')) as mesh:
+                isolated, healthy = FakeSource(), FakeSource()
+                isolated.publish(make_release(1))
+                isolated.certification_succeeds = False
+                healthy.publish(make_release(2))
+                await mesh.start_control(1, healthy, timings=CONTROL_TIMINGS)
+                node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
+                await wait_until(lambda: node.number == 2)
+                await mesh.start_control(0, isolated, timings=CONTROL_TIMINGS)
+                link = node.client.links.links[0]
+                request = FreshnessRequest()
+                reply = await link.calls.call(request, STABLE_WINDOW_S)
+                self.assertTrue(reply.possibly_stale)
+                isolated.certification_succeeds = True
+                await trio.sleep(1)
+                reply = await link.calls.call(request, STABLE_WINDOW_S)
+                self.assertFalse(reply.possibly_stale)
+
+        run_mesh(main)
+
+
 class ReturnAfterCutTest(TestCase):
     def test_node_is_current_soon_after_a_cut_of_any_length(self):
         """Backoff during a long cut must not delay the return from it."""
@@ -129,3 +156,38 @@
             healed_at = trio.current_time()
             await wait_until(lambda: node.number == 2)
             return trio.current_time() - healed_at
+
+    def test_controls_exchange_targets_soon_after_a_cut_of_any_length(self):
+        """As above, for the exchange of targets between controls."""
+
+        async def main():
+            late = {}
+            for quarters in range(4, 80):
+                cut_s = quarters / 4
+                returned_s = await self.measure_exchange_s(cut_s)
+                if returned_s > STABLE_WINDOW_S:
+                    late[cut_s] = returned_s
+            self.assertEqual({}, late)
+
+        run_mesh(main)
+
+    async def measure_exchange_s(self, cut_s):
+        """Return how long after a cut a control got a new target."""
+        async with open_mesh(
+            ('own', 'other'), seed=cut_s, handshakes=True
+        ) as mesh:
+            controls = [
+                await mesh.start_control(
+                    index, FakeSource(), timings=CONTROL_TIMINGS
+                )
+                for index in range(2)
+            ]
+            node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
+            mesh.network.cut(*(peer.address for peer in mesh.peers))
+            node.announce()
+            await trio.sleep(cut_s)
+            mesh.network.heal()
+            healed_at = trio.current_time()
+            known = controls[1].service.directory.merged.entries
+            await wait_until(lambda: 't-n0' in known)
+            return trio.current_time() - healed_at
