End the answer of a target that sends bytes without end

A target in trouble may send bytes that are no answer until its caller closes.

The reader now ends a message once more bytes than a head may have led to no part of one, at most 16 interim or other responses and 64 KiB of their bodies are skipped, the size of what is buffered is kept, and a body without a length ends at most 30 s after the deadline. The request ends with 502 (sent, may have run), or is broken off; the connection is closed; requests beside it are answered.

--- a/snipelead/callers/relay.py
+++ b/snipelead/callers/relay.py
@@ -78,9 +78,15 @@
 
 
 async def _relay_remaining_body(connection, call, response, chunked):
-    call.scope.deadline = trio.current_time() + STALL_TIMEOUT_S
+    # A body without a length may never end.
+    latest = inf
+    if response.content_length is None:
+        latest = call.scope.deadline + STALL_TIMEOUT_S
+    call.scope.deadline = min(latest, trio.current_time() + STALL_TIMEOUT_S)
     while data := await response.read():
         await connection.send(encode_chunk(data) if chunked else data)
-        call.scope.deadline = trio.current_time() + STALL_TIMEOUT_S
+        call.scope.deadline = min(
+            latest, trio.current_time() + STALL_TIMEOUT_S
+        )
     if chunked:
         await connection.send(LAST_CHUNK)
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -97,6 +97,7 @@
         self.body_bytes_read = 0
         if self.saved_body:
             self.body_chunks = deque((self.saved_body,))
+            self.buffered_bytes = len(self.saved_body)
 
     @property
     def expects_continue(self):
@@ -112,8 +113,10 @@
         BodyTooLargeError
             If either exceeds the limit.
         """
-        received = sum(map(len, self.body_chunks))
-        if max(received, self.content_length or 0) > self.max_body_bytes:
+        if (
+            max(self.buffered_bytes, self.content_length or 0)
+            > self.max_body_bytes
+        ):
             self.raise_body_too_large()
 
     def raise_body_too_large(self):
@@ -175,6 +178,7 @@
             size += len(data)
         self.body_bytes_read = 0
         self.body_chunks.extendleft(reversed(parts))
+        self.buffered_bytes += size
 
     async def discard(self):
         """Read and discard the rest of the body."""
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -95,6 +95,8 @@
         Reason phrase of a response.
     body_chunks : deque of bytes
         Parts of the body that were received but not read.
+    buffered_bytes : int
+        Total size of ``body_chunks``.
     complete : bool
         Whether the complete body has been received.
     keep_alive : bool
@@ -105,6 +107,7 @@
 
     __slots__ = (
         'body_chunks',
+        'buffered_bytes',
         'complete',
         'field_lines',
         'fields',
@@ -127,6 +130,7 @@
         self.reason = b''
         self.version = '1.1'
         self.body_chunks = deque()
+        self.buffered_bytes = 0
         self.complete = False
         self.keep_alive = True
 
@@ -169,6 +173,7 @@
         """Remove and return the buffered part of the body."""
         data = b''.join(self.body_chunks)
         self.body_chunks.clear()
+        self.buffered_bytes = 0
         return data
 
     async def buffer_body(self, max_bytes):
@@ -184,9 +189,7 @@
         ConnectionLostError, MalformedMessageError
             If the body ends before it is complete.
         """
-        while (
-            not self.complete and sum(map(len, self.body_chunks)) <= max_bytes
-        ):
+        while not self.complete and self.buffered_bytes <= max_bytes:
             await self.reader.receive()
 
     async def read(self):
@@ -201,7 +204,9 @@
             if self.complete:
                 return b''
             await self.reader.receive()
-        return self.body_chunks.popleft()
+        data = self.body_chunks.popleft()
+        self.buffered_bytes -= len(data)
+        return data
 
 
 class _MessageReader:
@@ -229,6 +234,10 @@
         Bytes received of a head that is still incomplete.
     messages_started : int
         Number of messages that the parser has started.
+    parts_received : int
+        Number of complete heads, parts of a body and ends of messages.
+    undelivered_bytes : int
+        Bytes received since the last such part.
     ready_messages : deque of Message
         Messages with a complete head that were not returned yet.
     error : Exception or None
@@ -252,6 +261,8 @@
         self.parsed_head_bytes = 0
         self.incomplete_head_bytes = 0
         self.messages_started = 0
+        self.parts_received = 0
+        self.undelivered_bytes = 0
         self.ready_messages = deque()
         self.error = None
 
@@ -284,13 +295,17 @@
         message.field_lines.append(b'%b: %b' % (name, value))
 
     def on_body(self, data):
+        self.parts_received += 1
         self.current_message.body_chunks.append(data)
+        self.current_message.buffered_bytes += len(data)
 
     def on_message_complete(self):
+        self.parts_received += 1
         message, self.current_message = self.current_message, None
         message.mark_complete()
 
     def complete_head(self):
+        self.parts_received += 1
         self.in_head = False
         if self.parsed_head_bytes > self.max_head_bytes:
             raise HeadTooLargeError(
@@ -306,6 +321,7 @@
 
     def feed(self, data):
         previous, started = self.current_message, self.messages_started
+        parts_before = self.parts_received
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -314,6 +330,22 @@
             self.error = MalformedMessageError(str(error))
         if self.in_head:
             self._count_incomplete_head(previous, started, len(data))
+        self._count_undelivered(parts_before, len(data))
+
+    def _count_undelivered(self, parts_before, received_bytes):
+        """Limit the bytes that lead to no part of a message.
+
+        Trailer fields, chunk extensions and empty lines before a message may
+        go on without end, and httptools keeps an incomplete trailer field.
+        """
+        if self.parts_received > parts_before:
+            self.undelivered_bytes = 0
+            return
+        self.undelivered_bytes += received_bytes
+        if self.error is None and self.undelivered_bytes > self.max_head_bytes:
+            self.error = MalformedMessageError(
+                f'{self.undelivered_bytes} bytes without a part of a message'
+            )
 
     def _count_incomplete_head(self, previous, started, received_bytes):
         """Limit the size of a head that is still incomplete.
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -10,6 +10,7 @@
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.http.exceptions import ConnectFailedError
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
+from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.exceptions import SendFailedError
 from snipelead.http.pool import ConnectionPool
 from snipelead.http.writing import encode_message
@@ -27,6 +28,10 @@
 IDLE_TIMEOUT_S = 4.0
 # The connection is closed after a refusal with a larger body.
 MAX_REFUSAL_BYTES = 64 * 1024
+# Limits of what a target may send before the response to a request: interim
+# responses, late responses to other requests, and the bodies of the latter.
+MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_BYTES = 64 * 1024
 
 
 class TargetSender:
@@ -133,15 +138,14 @@
 
     async def _receive_answer(self, reader, call, request):
         """Return the response for a call, discarding stray responses."""
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES):
             response = await self._receive_final(reader, request)
             match self.protocol.classify_response(response, call):
                 case ResponseKind.ANSWER:
                     call.ran = Ran.YES
                     return response
                 case ResponseKind.STRAY:
-                    while await response.read():
-                        pass
+                    await self._skip_body(response)
                     log_event(ANSWER_STRAY, request=call.request_id)
                 case ResponseKind.BUSY:
                     call.ran = Ran.NO
@@ -165,6 +169,19 @@
                         'the response of the target is invalid',
                         ran=Ran.UNKNOWN,
                     )
+        raise ResponseLostError(
+            'the target sent only responses to other requests', ran=call.ran
+        )
+
+    async def _skip_body(self, response):
+        skipped_bytes = 0
+        while data := await response.read():
+            skipped_bytes += len(data)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise MalformedMessageError(
+                    'the response to another request exceeds'
+                    f' {MAX_SKIPPED_BYTES} bytes'
+                )
 
     async def _buffer_body(self, response):
         """Receive the body completely if it is within the buffer limit."""
@@ -219,10 +236,13 @@
         return finished
 
     async def _receive_final(self, reader, request):
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES):
             response = await reader.next_response(request.method == b'HEAD')
             if not response.is_interim:
                 return response
+        raise MalformedMessageError(
+            f'more than {MAX_SKIPPED_RESPONSES} interim responses'
+        )
 
     def release(self, address, reader, response):
         """Return a connection to the pool, or close it if it is not reusable.
