Know the targets of other controls by the address they came from

A control learned under another id at its address kept the targets of the old id for good, and one that kept its id at a new address lost the targets just fetched, since entries were stored by the id of the link, which changes while its exchange runs. They are stored by address, which does not.

--- a/snipelead/controls/directory.py
+++ b/snipelead/controls/directory.py
@@ -13,10 +13,12 @@
 class ControlDirectory:
     """Targets registered with this control and with the other controls.
 
-    Each control is a source of entries. For each target the entry that is
-    highest by :func:`~snipelead.controls.entries.entry_precedence` wins.
-    Entries from an unreachable control are used only for targets that no
-    other control reports.
+    Each control is a source of entries, known by its address: an id may move
+    to another address, and an address may get another id. For each target the
+    entry that is highest by
+    :func:`~snipelead.controls.entries.entry_precedence` wins. Entries from an
+    unreachable control are used only for targets that no other control
+    reports.
 
     Parameters
     ----------
@@ -58,39 +60,39 @@
         """Wait until an entry of a node that polls this control changes."""
         await self._own_changed.wait()
 
-    def apply_peer(self, control_id, update):
+    def apply_peer(self, address, update):
         """Apply a peer's update about the targets of its own nodes.
 
         Parameters
         ----------
-        control_id : ControlId
-            The peer.
+        address : Address
+            Address of the peer.
         update : DirectoryUpdate
             Changed entries, or all of them if ``update.is_full`` is set.
         """
-        known = self._peers.setdefault(control_id, VersionedEntries())
+        known = self._peers.setdefault(address, VersionedEntries())
         changed_ids = {entry.target_id for entry in update.entries}
         if update.is_full:
             changed_ids |= known.entries.keys()
-            known = self._peers[control_id] = VersionedEntries()
+            known = self._peers[address] = VersionedEntries()
         for entry in update.entries:
             known.put(entry)
         self._merge(changed_ids)
 
-    def set_reachable(self, control_id, reachable):
+    def set_reachable(self, address, reachable):
         """Record whether a peer is reachable."""
-        if reachable == (control_id not in self._unreachable):
+        if reachable == (address not in self._unreachable):
             return
         if reachable:
-            self._unreachable.discard(control_id)
+            self._unreachable.discard(address)
         else:
-            self._unreachable.add(control_id)
-        if control_id in self._peers:
-            self._merge(set(self._peers[control_id].entries))
+            self._unreachable.add(address)
+        if address in self._peers:
+            self._merge(set(self._peers[address].entries))
 
-    def drop_peer(self, control_id):
+    def drop_peer(self, address):
         """Discard the entries received from a peer."""
-        dropped = self._peers.pop(control_id, None)
+        dropped = self._peers.pop(address, None)
         if dropped is not None:
             self._merge(set(dropped.entries))
 
@@ -119,8 +121,8 @@
         """Return the entries from reachable or from unreachable controls."""
         sources = [
             peer.entries
-            for control_id, peer in self._peers.items()
-            if (control_id in self._unreachable) == unreachable
+            for address, peer in self._peers.items()
+            if (address in self._unreachable) == unreachable
         ]
         if not unreachable:
             sources.append(self.own.entries)
--- a/snipelead/controls/exchange.py
+++ b/snipelead/controls/exchange.py
@@ -78,7 +78,7 @@
                 await trio.sleep(self.backoff.next_delay_s())
             else:
                 self._handle_reply(reply.directory)
-        self.directory.drop_peer(self.link.control_id)
+        self.directory.drop_peer(self.link.peer.address)
 
     def _handle_reply(self, update):
         """Mark the peer reachable and apply its update, if there is one."""
@@ -87,10 +87,10 @@
         self.failures = 0
         self.backoff.reset()
         self.last_reply_at = trio.current_time()
-        self.directory.set_reachable(self.link.control_id, True)
+        self.directory.set_reachable(self.link.peer.address, True)
         if update is None:
             return
-        self.directory.apply_peer(self.link.control_id, update)
+        self.directory.apply_peer(self.link.peer.address, update)
         self.epoch = update.epoch
         self.version = update.version
 
@@ -99,7 +99,7 @@
         self.failures += 1
         # The first failure may be caused by a broken connection alone.
         if self.failures == 2:
-            self.directory.set_reachable(self.link.control_id, False)
+            self.directory.set_reachable(self.link.peer.address, False)
             log_event(
                 PEER_LOST, control=self.link.control_id, error=str(error)
             )
@@ -107,7 +107,7 @@
             trio.current_time() - self.last_reply_at >= TARGET_RETENTION_S
         )
         if expired:
-            self.directory.drop_peer(self.link.control_id)
+            self.directory.drop_peer(self.link.peer.address)
             self.epoch = ''
             self.version = 0
             log_event(PEER_EXPIRED, control=self.link.control_id)
