Keep an open claim whose key was returned before

A claim that was settled as unknown, then as not run, and granted again still counted as settled, so a full table could evict it while it was open and grant its key once more. Returning a claim now clears that mark. test_open_claim_after_a_settled_one_is_not_evicted failed before.

--- a/snipelead/voters/claims.py
+++ b/snipelead/voters/claims.py
@@ -181,7 +181,9 @@
 def _settle_record(record, request):
     if request.ran is Ran.NO:
         record = _add_returned(record, request.claim_id)
-        return msgspec.structs.replace(record, holder=ClaimId(''), ran=Ran.NO)
+        return msgspec.structs.replace(
+            record, holder=ClaimId(''), ran=Ran.NO, settled=False
+        )
     return msgspec.structs.replace(
         record, ran=request.ran, settled=True, status=request.status
     )
