Accept a valid note that adds a service named stand-in

The check of a note applies it to a release with a placeholder service of that name, so the note was refused with SL7001 as if the service already existed. The placeholder now gets a name that the note does not use. test_note_that_adds_a_service_named_stand_in_is_valid failed before.

--- a/snipelead/releases/note_application.py
+++ b/snipelead/releases/note_application.py
@@ -1,5 +1,7 @@
 """Application of release notes to the current release."""
 
+from itertools import count
+
 from snipelead.releases.checks import check_release
 from snipelead.releases.document import Release
 from snipelead.releases.document import Route
@@ -7,6 +9,7 @@
 from snipelead.releases.document import Setting
 from snipelead.releases.exceptions import InvalidNoteError
 from snipelead.releases.exceptions import ReleaseNumberTooLowError
+from snipelead.types import ServiceName
 
 __all__ = ['apply_note', 'validate_note']
 
@@ -145,7 +148,7 @@
     prerequisites = _find_prerequisites(note)
     # Apply the note to a placeholder release that contains the prerequisites.
     services = {name: Service(name) for name in prerequisites['service']}
-    placeholder = next(iter(services), 'stand-in')
+    placeholder = next(iter(services), _find_unused_service_name(note))
     routes = {
         name: Route(name, placeholder) for name in prerequisites['route']
     }
@@ -158,3 +161,15 @@
         for kind, names in prerequisites.items()
         for name in names
     )
+
+
+def _find_unused_service_name(note):
+    used = {
+        service.name if isinstance(service, Service) else service
+        for service in (change.service for change in note.changes)
+    }
+    return next(
+        name
+        for number in count()
+        if (name := ServiceName(f'service-{number}')) not in used
+    )
