Let a relay reload its settings

The reload of a relay control ended in AttributeError, so it never learned of the voters of changed settings. It now opens links to them. test_relay_reloads_its_settings failed before.

--- a/snipelead/controls/relay.py
+++ b/snipelead/controls/relay.py
@@ -19,11 +19,11 @@
 from snipelead.messages import SyncRequest
 from snipelead.nodes.holder import ReleaseHolder
 from snipelead.releases.checks import check_release
+from snipelead.types import ControlRole
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
 from snipelead.types import NoteId
 from snipelead.voters.history import History
-from snipelead.voters.peers import voting_peers
 
 __all__ = ['RelaySource']
 
@@ -120,13 +120,12 @@
     def __init__(self, settings, transport, rng=None):
         self.settings = settings
         self.transport = transport
-        voters = tuple(
-            peer
-            for peer in voting_peers(settings)
-            if peer.control_id != settings.control_id
-        )
         self.links = ControlLinks(
-            voters, settings.zone, settings.control_id, transport, rng
+            self._other_voters(settings.peers),
+            settings.zone,
+            settings.control_id,
+            transport,
+            rng,
         )
         self.holder = ReleaseHolder()
         self.holder.observers.append(self._record_release)
@@ -156,6 +155,24 @@
             OutcomesRequest: self._forward,
         }
 
+    def add_peers(self, peers):
+        """Open links to the voters of changed settings.
+
+        Parameters
+        ----------
+        peers : tuple of Peer
+            Controls in the settings.
+        """
+        self.links.add(self._other_voters(peers))
+
+    def _other_voters(self, peers):
+        own_id = self.settings.control_id
+        return tuple(
+            peer
+            for peer in peers
+            if peer.role is ControlRole.VOTER and peer.control_id != own_id
+        )
+
     def find_by_digest(self, digest):
         """Return a recent release by digest, or None."""
         return self.history.find_by_digest(digest)
