Keep a tombstone that arrives twice

A node took a repeated tombstone for the end of a lease and removed it, so an older SERVING entry was accepted again, and the later eviction of the tombstone raised KeyError. test_tombstone_received_twice_supersedes_older_entry failed before.

--- a/snipelead/nodes/directory.py
+++ b/snipelead/nodes/directory.py
@@ -105,6 +105,8 @@
             return False
         is_gone = entry.state is TargetState.GONE
         if is_gone and not supersedes(entry, known):
+            if known.state is TargetState.GONE:
+                return False
             # Only the lease has expired; the same entry may come back.
             del self._entries[entry.target_id]
             return True
