Remove the fields that any Connection field lists

Of several Connection fields only the last counted, so fields listed by the others were forwarded. Their values are now joined. test_fields_listed_by_any_connection_field_are_removed failed before.

--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -288,6 +288,8 @@
             or lower_name in self.rules.removed
             or lower_name.startswith(INTERNAL_FIELD_PREFIXES)
         ):
+            if lower_name == b'connection' and lower_name in message.fields:
+                value = b'%b, %b' % (message.fields[lower_name], value)
             message.fields[lower_name] = value
             return
         if lower_name in self.rules.inspected:
