--- a/snipelead/controls/events.py
+++ b/snipelead/controls/events.py
@@ -8,6 +8,8 @@
     'CONTROL_DOUBTFUL',
     'CONTROL_LOST',
     'CONTROL_REACHED',
+    'CONTROL_STALE',
+    'CONTROL_SWITCHED',
     'CONTROL_WARM',
     'DELTA_REFUSED',
     'FLOOR_CERTIFIED',
@@ -136,3 +138,16 @@
     'info',
     'The list of controls was received from a control.',
 )
+CONTROL_STALE = Event(
+    2031,
+    'control_stale',
+    'warning',
+    'The control that this process polls is possibly stale; the others are'
+    ' asked whether they are current.',
+)
+CONTROL_SWITCHED = Event(
+    2032,
+    'control_switched',
+    'info',
+    'This process leaves a possibly stale control for one that is current.',
+)
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -4,6 +4,8 @@
 
 from snipelead.controls.events import CONTROL_LOST
 from snipelead.controls.events import CONTROL_REACHED
+from snipelead.controls.events import CONTROL_STALE
+from snipelead.controls.events import CONTROL_SWITCHED
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
@@ -101,6 +103,8 @@
             log_event(CONTROL_REACHED, control=link.control_id)
         link.responsive = True
         if reply.possibly_stale:
+            if not self.links.is_possibly_stale(link):
+                log_event(CONTROL_STALE, control=link.control_id)
             self.links.mark_possibly_stale(link)
         else:
             self.links.mark_current(link)
@@ -156,7 +160,15 @@
                 for link in self.links.links:
                     if link is not polled_link:
                         nursery.start_soon(self._ask_freshness, link)
-            if not self.links.is_possibly_stale(self.links.choose()):
+            best = self.links.choose()
+            if best is not polled_link and not self.links.is_possibly_stale(
+                best
+            ):
+                log_event(
+                    CONTROL_SWITCHED,
+                    control=best.control_id,
+                    left=polled_link.control_id,
+                )
                 return
             await trio.sleep(FRESHNESS_INTERVAL_S)
 
