--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -8,6 +8,7 @@
 
 from specs.at_most_once import AtMostOnce
 from specs.checking import check_model
+from specs.control_choice import ControlChoice
 from specs.disk_loss import DiskLoss
 from specs.drain import Drain
 from specs.log_agreement import LogAgreement
@@ -30,6 +31,7 @@
     Drain(),
     NodeRestart(),
     ReplaceRace(),
+    ControlChoice(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
