--- a/snipelead/soak/disturbances.py
+++ b/snipelead/soak/disturbances.py
@@ -47,6 +47,10 @@
             self.fault_spans[name].append(span)
         return spans
 
+    def record_event(self, name, now):
+        """Record a fault that only disturbs at one moment."""
+        self.fault_spans[name].append([now, now])
+
     def end_fault(self, spans, now):
         """Record the end of a fault.
 
--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -19,6 +19,8 @@
 FAULT_FREE_S = 7.0
 FAULT_FREE_PROBABILITY = 0.1
 FREEZE_DURATION_RANGE_S = (0.3, 5.0)
+# Longer than the time in which nodes must leave a control that is silent.
+SILENCE_DURATION_RANGE_S = (6.0, 10.0)
 DELAY_RANGE_S = (0.005, 0.15)
 SLOWDOWN_RANGE = (3.0, 15.0)
 FAULTY_RESPONSE_PROBABILITY = 0.3
@@ -48,8 +50,8 @@
     ----------
     injected : list of str
         Names of the injected faults, in order.
-    replacing_disk : bool
-        Whether a control is replacing a lost disk.
+    needs_other_controls : bool
+        Whether a fault of one control needs the others to form a majority.
     busy_machines : set of str
         Names of the machines that no further fault may affect.
     fault_types : tuple of callable
@@ -62,7 +64,7 @@
         self.checker = checker
         self.rng = rng
         self.injected = []
-        self.replacing_disk = False
+        self.needs_other_controls = False
         self.busy_machines = set()
         self.fault_types = (
             self.kill,
@@ -73,6 +75,8 @@
             self.restart_nodes_in_turn,
             self.kill_controls,
             self.kill_many,
+            self.silence_control,
+            self.silence_control,
             self.erase_disk,
             self.block_writes,
             self.reload_settings,
@@ -117,7 +121,9 @@
                 machine.allow_writes()
             if not machine.process.is_running():
                 await self.deployment.restart(machine)
-        self.checker.disturbances.end_all_faults(self.checker.clock())
+        now = self.checker.clock()
+        self.checker.disturbances.end_all_faults(now)
+        self.checker.disturbances.record_event(ANY_CONTROL, now)
 
     # Selection of machines
 
@@ -225,33 +231,72 @@
         if machine is not None and machine.process.is_running():
             machine.process.popen.send_signal(signal.SIGHUP)
 
-    # Disks
+    # Single controls, while the others form a majority
 
-    async def erase_disk(self):
-        """Erase the disk of one control.
+    def _reserve_other_controls(self, machine):
+        """Keep the other controls from faults; return their names, or None.
 
-        Does nothing unless the other controls are undisturbed and have
-        recovered from the previous loss.
+        Returns None, and keeps none, unless they are undisturbed.
         """
-        machine = self._choose_idle(self.deployment.controls)
-        if self.replacing_disk or machine is None:
-            return
+        if self.needs_other_controls or machine is None:
+            return None
         others = [c.name for c in self.deployment.controls if c is not machine]
         now = self.checker.clock()
         if not self.checker.disturbances.is_undisturbed(
             (*others, ANY_CONTROL), now, now
         ):
-            return
-        self.replacing_disk = True
-        # The other controls must form a majority until the disk is replaced.
+            return None
+        self.needs_other_controls = True
         self.busy_machines.update(others)
+        return others
+
+    def _release_other_controls(self, others):
+        self.busy_machines.difference_update(others)
+        self.needs_other_controls = False
+
+    async def silence_control(self):
+        """Freeze a control, or cut it off, for long.
+
+        Only its start and its end disturb the fleet: in between, the nodes
+        must get releases from the other controls.
+        """
+        machine = self._choose_idle(self.deployment.controls)
+        others = self._reserve_other_controls(machine)
+        if others is None:
+            return
+        disturbances = self.checker.disturbances
+        apply, undo = self.rng.choice(((_freeze, _thaw), (_partition, _heal)))
+        self.busy_machines.add(machine.name)
+        now = self.checker.clock()
+        spans = disturbances.begin_fault((machine.name,), now)
+        disturbances.record_event(ANY_CONTROL, now)
+        apply(machine)
+        await trio.sleep(self.rng.uniform(*SILENCE_DURATION_RANGE_S))
+        undo(machine)
+        now = self.checker.clock()
+        disturbances.end_fault(spans, now)
+        disturbances.record_event(ANY_CONTROL, now)
+        self.busy_machines.discard(machine.name)
+        self._release_other_controls(others)
+
+    async def erase_disk(self):
+        """Erase the disk of one control.
+
+        Does nothing unless the other controls are undisturbed and have
+        recovered from the previous loss.
+        """
+        machine = self._choose_idle(self.deployment.controls)
+        others = self._reserve_other_controls(machine)
+        if others is None:
+            return
         await self._disturb([machine], _erase_disk, _start, (0.3, 2.0))
         disturbances = self.checker.disturbances
         spans = disturbances.begin_fault((ANY_CONTROL,), self.checker.clock())
         await trio.sleep(CATCH_UP_S)
         disturbances.end_fault(spans, self.checker.clock())
-        self.busy_machines.difference_update(others)
-        self.replacing_disk = False
+        self._release_other_controls(others)
+
+    # Disks
 
     async def block_writes(self):
         """Make all file writes of a control fail for a while."""
