Bound the load and side effects of asking other controls

A node asked all other controls on the channel that carries claims, where a timeout would have ended claims under way, and a stale reply also ended the pause of a control that was skipped for want of a certificate. It now asks at most three at a time, on the idle channels of polls, and only a control that is current is no longer avoided.

--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -218,7 +218,7 @@
 
         It is still preferred over controls that failed recently.
         """
-        self._record_reply(link)
+        link.failures = 0
         link.possibly_stale_until = self._jittered_time(STALE_AVOIDANCE_S)
 
     def is_possibly_stale(self, link):
@@ -227,12 +227,9 @@
 
     def mark_current(self, link):
         """Record a reply of a control that is not possibly stale."""
-        self._record_reply(link)
-        link.possibly_stale_until = 0.0
-
-    def _record_reply(self, link):
         link.failures = 0
         link.avoided_until = 0.0
+        link.possibly_stale_until = 0.0
 
     def clear_avoidance(self):
         """Stop avoiding the controls that failed or were skipped."""
--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -23,9 +23,11 @@
 # A control either certifies its release within this time or replies that it
 # cannot.
 MAX_CERTIFICATION_S = 1.0
-# While the polled control is possibly stale, the others are asked this often
-# whether they are.
+# While the polled control is possibly stale, up to this many of the others are
+# asked this often whether they are. The number bounds the load of a fleet that
+# has no majority of voters.
 FRESHNESS_INTERVAL_S = 1.0
+MAX_CONTROLS_ASKED = 3
 FRESHNESS_TIMEOUT_S = 0.6
 
 
@@ -36,9 +38,9 @@
     not arrive within ``hold_ms + miss_ms``, the poller retries on a new
     connection to the same control, and then fails over to another control.
 
-    While it polls a control that is possibly stale, it asks the others
-    whether they are current, also those that failed before, and switches to
-    the first that is.
+    While it polls a control that is possibly stale, it asks others whether
+    they are current, also those that failed before, and switches to the first
+    that is.
 
     Parameters
     ----------
@@ -155,11 +157,12 @@
 
     async def _find_current_control(self, polled_link):
         """Wait until a control other than the polled one is current."""
+        others = [link for link in self.links.links if link is not polled_link]
+        asked = min(len(others), MAX_CONTROLS_ASKED)
         while True:
             async with trio.open_nursery() as nursery:
-                for link in self.links.links:
-                    if link is not polled_link:
-                        nursery.start_soon(self._ask_freshness, link)
+                for link in self.links.rng.sample(others, asked):
+                    nursery.start_soon(self._ask_freshness, link)
             best = self.links.choose()
             if best is not polled_link and not self.links.is_possibly_stale(
                 best
@@ -175,7 +178,9 @@
     async def _ask_freshness(self, link):
         """Ask a control whether it is possibly stale and mark its link."""
         try:
-            reply = await link.calls.call(
+            # This channel is idle, so that a timeout, which resets it, ends
+            # no other call.
+            reply = await link.polls.call(
                 FreshnessRequest(), FRESHNESS_TIMEOUT_S
             )
         except InvariantError:
--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -1,5 +1,6 @@
 """In-memory transport that can drop, delay and duplicate messages."""
 
+from math import inf
 import random
 
 import trio
@@ -10,6 +11,7 @@
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.rpc.stream import CONNECT_TIMEOUT_S
+from snipelead.rpc.stream import USER_TIMEOUT_MS
 
 __all__ = ['MemoryNetwork', 'MemoryTransport']
 
@@ -29,9 +31,10 @@
     duplication_probability : float
         Probability that a request is delivered twice.
     handshakes : bool
-        Whether the first call of a channel, and the first one after a
-        failure, has to open a connection, so that it is not sent if the
-        server cannot be reached.
+        Whether channels behave like TCP connections: the first call, and the
+        first one after a failure, opens a connection and is not sent if the
+        server cannot be reached, and a request that stays unacknowledged
+        ends its connection.
 
     Attributes
     ----------
@@ -143,10 +146,27 @@
             return
         raise RpcNotSentError(f'cannot connect to {self.address}')
 
+    async def transmit_request(self):
+        """Transmit a request; fail if it stays unacknowledged for long.
+
+        Raises
+        ------
+        RpcUnreachableError
+            If the network models connections and the request is lost.
+        """
+        timeout_s = USER_TIMEOUT_MS / 1_000
+        if not self.network.handshakes:
+            timeout_s = inf
+        with trio.move_on_after(timeout_s):
+            await self.network.transmit(self.source, self.address)
+            return
+        self.connected = False
+        raise RpcUnreachableError(f'the connection to {self.address} is lost')
+
     async def send_request(self, method, payload):
         """Transmit a request, execute it and transmit its response."""
         await self.connect()
-        await self.network.transmit(self.source, self.address)
+        await self.transmit_request()
         server = self.network.servers.get(self.address)
         if server is None:
             self.connected = False
