Bound the opening of connections over gRPC as over plain TCP

The same cause as on the platform: a call that began during a partition hung until its own timeout, since the kernel repeats a lost opening packet only after 1, 3 and 7 s.

--- a/snipelead/rpc/base.py
+++ b/snipelead/rpc/base.py
@@ -16,7 +16,17 @@
 from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcTimeoutError
 
-__all__ = ['Channel', 'Handlers', 'Transport', 'TransportStats']
+__all__ = [
+    'CONNECT_TIMEOUT_S',
+    'Channel',
+    'Handlers',
+    'Transport',
+    'TransportStats',
+]
+
+# A connection is opened within this time or not at all. The kernel repeats a
+# lost opening packet only after 1, 3 and 7 s; a new attempt sends it at once.
+CONNECT_TIMEOUT_S = 0.5
 
 # Handlers by request type. A handler takes the request and returns the reply
 # or raises a coded error, which is raised again at the caller.
--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -7,6 +7,7 @@
 """
 
 from asyncio import CancelledError
+from asyncio import wait_for
 from contextlib import asynccontextmanager
 import logging
 
@@ -27,6 +28,7 @@
 from snipelead.exceptions import InvariantError
 from snipelead.logs import log_event
 from snipelead.rpc.base import Channel
+from snipelead.rpc.base import CONNECT_TIMEOUT_S
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
 from snipelead.rpc.events import PROCEDURE_FAILED
@@ -66,7 +68,8 @@
 async def _call_unary(connection, method, payload):
     """Connect if needed and make a unary call; runs under asyncio."""
     try:
-        await connection.__connect__()
+        # Its TimeoutError is an OSError.
+        await wait_for(connection.__connect__(), CONNECT_TIMEOUT_S)
     except OSError as error:
         raise _ConnectError(str(error)) from error
     stub = UnaryUnaryMethod(
--- a/snipelead/rpc/stream.py
+++ b/snipelead/rpc/stream.py
@@ -21,6 +21,7 @@
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.logs import log_event
 from snipelead.rpc.base import Channel
+from snipelead.rpc.base import CONNECT_TIMEOUT_S
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import encode_error
 from snipelead.rpc.base import Transport
@@ -36,9 +37,6 @@
 # TCP_USER_TIMEOUT, the time for which sent data may stay unacknowledged; it
 # allows for two retransmissions.
 USER_TIMEOUT_MS = 1_000
-# A connection is opened within this time or not at all. The kernel repeats a
-# lost opening packet only after 1, 3 and 7 s; a new attempt sends it at once.
-CONNECT_TIMEOUT_S = 0.5
 _LENGTH_PREFIX = struct.Struct('>I')
 
 _encode = msgspec.msgpack.encode
--- a/snipelead/testing/network.py
+++ b/snipelead/testing/network.py
@@ -6,11 +6,11 @@
 import trio
 
 from snipelead.rpc.base import Channel
+from snipelead.rpc.base import CONNECT_TIMEOUT_S
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
-from snipelead.rpc.stream import CONNECT_TIMEOUT_S
 from snipelead.rpc.stream import USER_TIMEOUT_MS
 
 __all__ = ['MemoryNetwork', 'MemoryTransport']
