Refuse a split route whose own service is unknown

A configuration whose route named an unknown service was acknowledged if the route also had a traffic split, since only the parts were checked. test_unknown_service_beside_a_split_is_rejected failed before.

--- a/snipelead/platform/tests/test_configuration.py
+++ b/snipelead/platform/tests/test_configuration.py
@@ -141,6 +141,10 @@
         self.paths[1]['traffic-split'][1]['service'] = 'nobody'
         self.check_invalid(DanglingReferenceError)
 
+    def test_unknown_service_beside_a_split_is_rejected(self):
+        self.paths[1]['service'] = 'nobody'
+        self.check_invalid(DanglingReferenceError)
+
     def test_negative_weight_is_rejected(self):
         self.paths[1]['traffic-split'][1]['weight'] = -1
         self.check_invalid(InvalidNoteError)
--- a/snipelead/releases/checks.py
+++ b/snipelead/releases/checks.py
@@ -49,7 +49,7 @@
 
 
 def _check_references(route, release):
-    for service in route.services:
+    for service in (route.service, *route.services):
         if service not in release.services:
             raise DanglingReferenceError(
                 f'route {route.name!r} refers to service {service!r},'
