--- a/snipelead/controls/tests/mesh.py
+++ b/snipelead/controls/tests/mesh.py
@@ -12,6 +12,7 @@
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import ControlTimings
 from snipelead.settings.schema import NodeSettings
+from snipelead.settings.schema import NodeTimings
 from snipelead.settings.schema import Peer
 from snipelead.targets.local import LocalTargets
 from snipelead.testing.network import MemoryNetwork
@@ -22,6 +23,11 @@
 from snipelead.types import TargetState
 
 POLL_INTERVAL_S = 0.01
+# Timings and bounds of deployments that state such bounds: a node counts as in
+# touch again this long after the last fault.
+CONTROL_TIMINGS = ControlTimings(exchange_hold_ms=1_200, exchange_miss_ms=600)
+NODE_TIMINGS = NodeTimings(hold_ms=1_200, miss_ms=600)
+STABLE_WINDOW_S = 3.0
 TIME_LIMIT_S = 1_000
 
 
--- a/snipelead/controls/tests/test_stale_control.py
+++ b/snipelead/controls/tests/test_stale_control.py
@@ -1,26 +1,31 @@
 from testtools import TestCase
 import trio
 
+from snipelead.controls.tests.mesh import CONTROL_TIMINGS
+from snipelead.controls.tests.mesh import NODE_TIMINGS
 from snipelead.controls.tests.mesh import open_mesh
 from snipelead.controls.tests.mesh import run_mesh
+from snipelead.controls.tests.mesh import STABLE_WINDOW_S
 from snipelead.controls.tests.mesh import wait_until
 from snipelead.messages import FreshnessRequest
 from snipelead.releases.document import Release
 from snipelead.releases.document import Service
-from snipelead.settings.schema import ControlTimings
-from snipelead.settings.schema import NodeTimings
 from snipelead.testing.source import FakeSource
 
-# Nodes must have recovered from a network partition after this time.
-STABLE_WINDOW_S = 3.0
-CONTROL_TIMINGS = ControlTimings(exchange_hold_ms=1_200, exchange_miss_ms=600)
-NODE_TIMINGS = NodeTimings(hold_ms=1_200, miss_ms=600)
-
 
 def make_release(number):
     return Release(number, {'stock': Service('stock')})
 
 
+async def start_controls(mesh):
+    """Start a control per zone with release 1; return their sources."""
+    sources = [FakeSource() for _ in mesh.peers]
+    for index, source in enumerate(sources):
+        source.publish(make_release(1))
+        await mesh.start_control(index, source, timings=CONTROL_TIMINGS)
+    return sources
+
+
 class StaleControlTest(TestCase):
     def test_node_switches_from_a_partitioned_control(self):
         """A partitioned control still replies to nodes, with old releases.
@@ -32,15 +37,12 @@
         async def main():
             async with open_mesh(('own', 'other')) as mesh:
                 isolated, healthy = FakeSource(), FakeSource()
-                timings = ControlTimings(
-                    exchange_hold_ms=1_200, exchange_miss_ms=600
-                )
                 # The node starts before the controls, so its first polls
                 # fail, as when all processes start at the same time.
                 node = await mesh.start_node(0, 'own')
                 await trio.sleep(1)
-                await mesh.start_control(0, isolated, timings=timings)
-                await mesh.start_control(1, healthy, timings=timings)
+                await mesh.start_control(0, isolated, timings=CONTROL_TIMINGS)
+                await mesh.start_control(1, healthy, timings=CONTROL_TIMINGS)
                 for source in (isolated, healthy):
                     source.publish(make_release(1))
                 await wait_until(lambda: node.number == 1)
@@ -70,12 +72,7 @@
         async with open_mesh(
             ('own', 'other'), seed=seed, handshakes=True
         ) as mesh:
-            isolated, healthy = FakeSource(), FakeSource()
-            for index, source in enumerate((isolated, healthy)):
-                source.publish(make_release(1))
-                await mesh.start_control(
-                    index, source, timings=CONTROL_TIMINGS
-                )
+            isolated, healthy = await start_controls(mesh)
             node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
             await wait_until(lambda: node.number == 1)
             # The zone of the node is cut off, then connected again.
@@ -139,12 +136,7 @@
         async with open_mesh(
             ('own', 'other'), seed=cut_s, handshakes=True
         ) as mesh:
-            sources = FakeSource(), FakeSource()
-            for index, source in enumerate(sources):
-                source.publish(make_release(1))
-                await mesh.start_control(
-                    index, source, timings=CONTROL_TIMINGS
-                )
+            sources = await start_controls(mesh)
             node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
             await wait_until(lambda: node.number == 1)
             for peer in mesh.peers:
--- a/snipelead/controls/tests/test_timely_releases.py
+++ b/snipelead/controls/tests/test_timely_releases.py
@@ -7,10 +7,11 @@
 from testtools import TestCase
 import trio
 
+from snipelead.controls.tests.mesh import CONTROL_TIMINGS
+from snipelead.controls.tests.mesh import NODE_TIMINGS
 from snipelead.controls.tests.mesh import open_mesh
 from snipelead.controls.tests.mesh import run_mesh
-from snipelead.settings.schema import ControlTimings
-from snipelead.settings.schema import NodeTimings
+from snipelead.controls.tests.mesh import STABLE_WINDOW_S
 from snipelead.testing.releases import change_route
 from snipelead.testing.releases import make_release
 from snipelead.testing.source import FakeSource
@@ -19,17 +20,12 @@
 FAULTS = 14
 ZONES = ('a', 'b', 'c')
 NODES = 6
-# Stated bounds of the deployments: a node counts as in touch again this long
-# after the last fault, and a release must then be in force this long after
-# its acceptance.
-STABLE_WINDOW_S = 3.0
+# A release must be in force on nodes in touch this long after its acceptance.
 APPLY_LIMIT_S = 2.0
 CHANGE_INTERVAL_S = 0.7
 CHECK_INTERVAL_S = 0.05
 MAX_FAULT_S = 14.0
 MAX_CATCH_UP_S = 0.8
-CONTROL_TIMINGS = ControlTimings(exchange_hold_ms=1_200, exchange_miss_ms=600)
-NODE_TIMINGS = NodeTimings(hold_ms=1_200, miss_ms=600)
 
 
 class TimelyReleasesRun:
@@ -37,6 +33,20 @@
 
     At most one control is faulty at a time; the other two accept releases.
     Nodes may be cut off at any time.
+
+    Attributes
+    ----------
+    accepted : list of (float, ReleaseNumber)
+        Time of the acceptance of each release, and its number.
+    isolated, down : set of int
+        Controls that are up without a majority, and those that are down.
+    core_event_at : float
+        Time of the last fault, or end of one, of any control.
+    node_event_at : list of float
+        Time of the last cut, or end of one, of each node.
+    late : list of tuple
+        Times at which a node in touch ran an older release: time, node, its
+        release and the one that it had to run.
     """
 
     def __init__(self, mesh, seed):
@@ -47,7 +57,6 @@
         self.sources = [FakeSource(self.newest) for _ in ZONES]
         self.controls = []
         self.nodes = []
-        # Controls that are up but lack the majority, and those that are down.
         self.isolated = set()
         self.down = set()
         self.control_fault = False
