Cut nodes off for real in the tests of the node simulation

Two tests made nodes leave their control by recording failures of it while it replied. Both now cut the links for 20 s, wait until the nodes have left, and check that they come back: as strict, by the directories as well.

--- a/benchmarks/tests/test_node_simulation.py
+++ b/benchmarks/tests/test_node_simulation.py
@@ -13,18 +13,31 @@
 NODES = 4
 IDLE_PERIOD_S = 15.0
 LEASE_S = 12.0
-# After so many consecutive failures a control is retried no sooner than after
-# this delay.
-FAILURE_COUNT = 5
 MIN_RETURN_DELAY_S = 15.0
+# Long enough for several failures in a row.
+CUT_S = 20.0
 
 
 class MemoryNodeSimulation(NodeSimulation):
     """Simulation that reads from the controls whether they are warm."""
 
-    def __init__(self, controls, nodes):
+    def __init__(self, controls, nodes, network):
         super().__init__(None, nodes)
         self.controls = controls
+        self.network = network
+
+    async def cut_from_preferred_control(self, nodes):
+        """Cut nodes off from the control that they prefer, for a while."""
+        epochs = [node.directory.epoch for node in nodes]
+        for node in nodes:
+            link = node.client.links.links[0]
+            self.network.cut(link.polls.source, link.peer.address)
+        await trio.sleep(CUT_S)
+        for node, epoch in zip(nodes, epochs, strict=True):
+            await wait_until(
+                lambda node=node, epoch=epoch: node.directory.epoch != epoch
+            )
+        self.network.heal()
 
     async def is_warming(self):
         return any(control.service.warming for control in self.controls)
@@ -43,7 +56,7 @@
         await mesh.nursery.start(nodes[-1].client.run)
         nodes[-1].directory.subscribe(SERVICE)
         nodes[-1].announce()
-    simulation = MemoryNodeSimulation(controls, nodes)
+    simulation = MemoryNodeSimulation(controls, nodes, mesh.network)
     await simulation.wait_targets(NODES)
     return simulation
 
@@ -80,13 +93,18 @@
 
     def test_waits_until_nodes_return_to_the_preferred_control(self):
         async def prepare(simulation):
-            for node in simulation.nodes:
-                links = node.client.links
-                for _ in range(FAILURE_COUNT):
-                    links.record_failure(links.links[0])
+            await simulation.cut_from_preferred_control(simulation.nodes)
+            self.simulation = simulation
 
         end_time_s = self.check_steady(prepare)
-        self.assertGreater(end_time_s, MIN_RETURN_DELAY_S)
+        self.assertGreater(end_time_s, CUT_S)
+        epochs = {
+            control.address: control.service.directory.merged.epoch
+            for control in self.simulation.controls
+        }
+        for node in self.simulation.nodes:
+            preferred = node.client.links.links[0].peer.address
+            self.assertEqual(epochs[preferred], node.directory.epoch)
 
     def test_waits_until_nodes_return_to_a_recovered_control(
         self,
@@ -112,10 +130,7 @@
                 await simulation.wait_steady()
                 node = simulation.nodes[0]
                 epoch = node.directory.epoch
-                links = node.client.links
-                for _ in range(FAILURE_COUNT):
-                    links.record_failure(links.links[0])
-                await wait_until(lambda: node.directory.epoch != epoch)
+                await simulation.cut_from_preferred_control([node])
                 await wait_until(lambda: node.directory.epoch == epoch)
                 self.assertEqual(
                     NODES, len(node.directory.get_targets(SERVICE))
