Keep the cancellation of a gRPC call that opens its connection

Callers saw: a call that was cancelled, or whose time limit passed, as its connection opened never ended. An election that waits for the votes of such a call, or the stop of a process, waited for ever.

Cause: the time limit for opening a connection used asyncio.wait_for, which on Python 3.11 returns the result instead of the cancellation when both arrive together; trio delivers it once only. Now the limit is a cancel scope of trio around the opening alone.

Ruled out: grpclib loses none; the same calls without wait_for end at each step.

--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -7,7 +7,6 @@
 """
 
 from asyncio import CancelledError
-from asyncio import wait_for
 from contextlib import asynccontextmanager
 import logging
 
@@ -61,23 +60,6 @@
     return host.strip('[]'), int(port)
 
 
-class _ConnectError(Exception):
-    """The connection could not be opened, so that nothing was sent."""
-
-
-async def _call_unary(connection, method, payload):
-    """Connect if needed and make a unary call; runs under asyncio."""
-    try:
-        # Its TimeoutError is an OSError.
-        await wait_for(connection.__connect__(), CONNECT_TIMEOUT_S)
-    except OSError as error:
-        raise _ConnectError(str(error)) from error
-    stub = UnaryUnaryMethod(
-        connection, f'{SERVICE_PATH}/{method}', bytes, bytes
-    )
-    return await stub(payload)
-
-
 class GrpcChannel(Channel):
     """Channel over one HTTP/2 connection.
 
@@ -102,19 +84,30 @@
     async def send_request(self, method, payload):
         """Send an encoded request and return the encoded envelope."""
         connection = self._get_connection()
+        await self._open(connection)
+        stub = UnaryUnaryMethod(
+            connection, f'{SERVICE_PATH}/{method}', bytes, bytes
+        )
         try:
-            return await aio_as_trio(_call_unary)(connection, method, payload)
-        except _ConnectError as error:
-            self._discard(connection)
-            raise RpcNotSentError(
-                f'cannot connect to {self.address}: {error}'
-            ) from error
+            return await aio_as_trio(stub)(payload)
         except (GRPCError, StreamTerminatedError, OSError) as error:
             self._discard(connection)
             raise RpcUnreachableError(
                 f'cannot reach {self.address}: {error}'
             ) from error
 
+    async def _open(self, connection):
+        """Open a connection, unless it is open."""
+        try:
+            # asyncio.wait_for may lose a cancellation.
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await aio_as_trio(connection.__connect__)()
+        except (OSError, trio.TooSlowError) as error:
+            self._discard(connection)
+            raise RpcNotSentError(
+                f'cannot connect to {self.address}: {error}'
+            ) from error
+
     def _discard(self, connection):
         """Close a failed connection, unless it was already replaced."""
         if self.connection is connection:
