Close gRPC connections that open after their channel was reset

Cause: a call that times out resets the channel while another call still opens the connection, which is no longer known to the channel and so never closed. When it is collected, grpclib reports an unclosed connection to the asyncio loop, which ends the process.

Change: each call that ends on a connection that was replaced closes it.

Measured: the test resets the channel after each of 0 to 39 scheduler steps.

--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -67,6 +67,7 @@
     ----------
     connection : grpclib.client.Channel or None
         Current connection, None until the first call and after a failure.
+        A call may open a replaced connection again and closes it in the end.
     """
 
     def __init__(self, address, stats):
@@ -84,17 +85,20 @@
     async def send_request(self, method, payload):
         """Send an encoded request and return the encoded envelope."""
         connection = self._get_connection()
-        await self._open(connection)
-        stub = UnaryUnaryMethod(
-            connection, f'{SERVICE_PATH}/{method}', bytes, bytes
-        )
         try:
+            await self._open(connection)
+            stub = UnaryUnaryMethod(
+                connection, f'{SERVICE_PATH}/{method}', bytes, bytes
+            )
             return await aio_as_trio(stub)(payload)
         except (GRPCError, StreamTerminatedError, OSError) as error:
             self._discard(connection)
             raise RpcUnreachableError(
                 f'cannot reach {self.address}: {error}'
             ) from error
+        finally:
+            if self.connection is not connection:
+                connection.close()
 
     async def _open(self, connection):
         """Open a connection, unless it is open."""
--- a/snipelead/rpc/tests/test_grpc_interruption.py
+++ b/snipelead/rpc/tests/test_grpc_interruption.py
@@ -8,16 +8,17 @@
 from snipelead.messages import CertifyRequest
 from snipelead.rpc.grpc import open_grpc_transport
 
-TIMEOUT_S = 20.0
+LONG_TIMEOUT_S = 20.0
+SHORT_TIMEOUT_S = 0.05
 # More scheduler steps than a call takes to open its connection and be sent.
 STEPS = 40
 # Far above the time of all interrupted calls together.
 WATCHDOG_S = 10.0
 
 
-async def _call(channel):
+async def _call(channel, timeout_s):
     try:
-        await channel.call(CertifyRequest(), TIMEOUT_S)
+        await channel.call(CertifyRequest(), timeout_s)
     except SnipeleadError:
         pass
 
@@ -25,13 +26,15 @@
 class GrpcInterruptionTest(TestCase):
     """Calls that are interrupted after each number of scheduler steps."""
 
-    def interrupt_calls(self, interrupt):
-        """Interrupt calls that get no response; each has to end at once.
+    def interrupt_calls(self, interrupt, timeout_s=LONG_TIMEOUT_S):
+        """Interrupt calls that get no response; each has to end.
 
         Parameters
         ----------
         interrupt : callable
             Asynchronous; takes the channel and the nursery of the call.
+        timeout_s : float
+            Time limit of each call in seconds.
         """
 
         async def run():
@@ -55,7 +58,7 @@
         async def interrupt_one(transport, address, steps):
             async with transport.connect(address) as channel:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(_call, channel)
+                    nursery.start_soon(_call, channel, timeout_s)
                     for _ in range(steps):
                         await trio.lowlevel.checkpoint()
                     await interrupt(channel, nursery)
@@ -72,3 +75,10 @@
             nursery.cancel_scope.cancel()
 
         self.interrupt_calls(cancel)
+
+    def test_connection_opened_after_a_reset_is_closed(self):
+        # The loop ended the process when an open one was collected.
+        async def reset(channel, nursery):
+            await channel.reset()
+
+        self.interrupt_calls(reset, SHORT_TIMEOUT_S)
