Fail gRPC calls on a connection that closes with a coded error

Callers saw: a control or node could end when a peer closed a connection at the moment of the next call on it.

Cause: grpclib removes the transport of a connection on GOAWAY or a protocol error, but counts the connection as open until the loop reports its loss. A call in between raises AttributeError, which no caller of a channel expects.

Change: any error of grpclib is an RpcUnreachableError, which says that the server may have run the call.

Measured: the test starts a second call after each of 0 to 39 scheduler steps on a connection that the server closes.

--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -17,7 +17,6 @@
 from grpclib.const import Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
-from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 import trio
 from trio_asyncio import aio_as_trio
@@ -25,6 +24,7 @@
 from trio_asyncio import trio_as_aio
 
 from snipelead.exceptions import InvariantError
+from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import CONNECT_TIMEOUT_S
@@ -91,7 +91,10 @@
                 connection, f'{SERVICE_PATH}/{method}', bytes, bytes
             )
             return await aio_as_trio(stub)(payload)
-        except (GRPCError, StreamTerminatedError, OSError) as error:
+        except SnipeleadError:
+            raise
+        # grpclib raises errors of many types if a connection closes meanwhile.
+        except Exception as error:
             self._discard(connection)
             raise RpcUnreachableError(
                 f'cannot reach {self.address}: {error}'
--- a/snipelead/rpc/tests/test_grpc_interruption.py
+++ b/snipelead/rpc/tests/test_grpc_interruption.py
@@ -10,8 +10,11 @@
 
 LONG_TIMEOUT_S = 20.0
 SHORT_TIMEOUT_S = 0.05
+RECEIVE_BYTES = 1_000
 # More scheduler steps than a call takes to open its connection and be sent.
 STEPS = 40
+# HTTP/2 frame GOAWAY without an error.
+GOAWAY = bytes([0, 0, 8, 7]) + bytes(13)
 # Far above the time of all interrupted calls together.
 WATCHDOG_S = 10.0
 
@@ -82,3 +85,30 @@
             await channel.reset()
 
         self.interrupt_calls(reset, SHORT_TIMEOUT_S)
+
+    def test_call_on_a_closing_connection_fails_with_a_coded_error(self):
+        # An AttributeError of grpclib ended the process of the caller.
+        async def say_goodbye(stream):
+            async with stream:
+                await stream.receive_some(RECEIVE_BYTES)
+                await stream.send_all(GOAWAY)
+
+        async def run():
+            async with open_grpc_transport() as transport:
+                async with trio.open_nursery() as server_nursery:
+                    listeners = await server_nursery.start(
+                        trio.serve_tcp, say_goodbye, 0
+                    )
+                    port = listeners[0].socket.getsockname()[1]
+                    for steps in range(STEPS):
+                        async with (
+                            transport.connect(f'127.0.0.1:{port}') as channel,
+                            trio.open_nursery() as nursery,
+                        ):
+                            nursery.start_soon(_call, channel, LONG_TIMEOUT_S)
+                            for _ in range(steps):
+                                await trio.lowlevel.checkpoint()
+                            nursery.start_soon(_call, channel, LONG_TIMEOUT_S)
+                    server_nursery.cancel_scope.cancel()
+
+        trio.run(run)
