Let invalid bytes end only their gRPC connection

Callers saw: bytes of any peer on the address of a control or node could end the process, for example an HTTP/2 header that isn't ASCII.

Cause: trio-asyncio ends the loop, and with it the process, on any error that a callback of the loop raises; grpclib decodes headers in one.

Change: such an error is logged as event 6002; asyncio has closed the connection by then, and its calls fail. InvariantError of handlers still stops the process, as it takes another way.

--- a/snipelead/rpc/events.py
+++ b/snipelead/rpc/events.py
@@ -2,7 +2,7 @@
 
 from snipelead.logs import Event
 
-__all__ = ['PROCEDURE_FAILED']
+__all__ = ['CONNECTION_FAILED', 'PROCEDURE_FAILED']
 
 PROCEDURE_FAILED = Event(
     6001,
@@ -11,3 +11,10 @@
     'A handler raised an unexpected error; the caller got an error that'
     ' leaves the outcome unknown. Report it with the traceback.',
 )
+CONNECTION_FAILED = Event(
+    6002,
+    'rpc_connection_failed',
+    'warning',
+    'The RPC library failed on a connection, which is closed; calls on it fail'
+    ' or time out. A peer may have sent invalid bytes.',
+)
--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -30,6 +30,7 @@
 from snipelead.rpc.base import CONNECT_TIMEOUT_S
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import Transport
+from snipelead.rpc.events import CONNECTION_FAILED
 from snipelead.rpc.events import PROCEDURE_FAILED
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
@@ -232,8 +233,17 @@
             server.close()
 
 
+def _log_connection_error(loop, context):
+    """Log an error of the loop, which by default ends the process."""
+    log_event(
+        CONNECTION_FAILED,
+        error=repr(context.get('exception') or context['message']),
+    )
+
+
 @asynccontextmanager
 async def open_grpc_transport():
     """Run an asyncio loop under trio and yield a gRPC transport."""
-    async with open_loop():
+    async with open_loop() as loop:
+        loop.set_exception_handler(_log_connection_error)
         yield GrpcTransport()
--- a/snipelead/rpc/tests/test_grpc.py
+++ b/snipelead/rpc/tests/test_grpc.py
@@ -14,6 +14,14 @@
 
 TIMEOUT_S = 20.0
 REPLY = CertifyReply(EMPTY_RELEASE.release_id, True)
+RECEIVE_BYTES = 1_000
+# HTTP/2 preface, SETTINGS, and HEADERS with a path that isn't ASCII.
+INVALID_PATH = (
+    b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+    + bytes([0, 0, 0, 4, 0, 0, 0, 0, 0])
+    + bytes([0, 0, 10, 1, 4, 0, 0, 0, 1])
+    + b'\x00\x05:path\x02\xff\xff'
+)
 
 
 async def _reply(request):
@@ -84,6 +92,19 @@
 
         self.run_with_server(fail_once, check)
 
+    def test_invalid_header_closes_only_its_connection(self):
+        # An error in a callback of the loop ended the process.
+        async def check(channel):
+            host, port = channel.address.split(':')
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                await stream.send_all(INVALID_PATH)
+                while await stream.receive_some(RECEIVE_BYTES):
+                    pass
+            reply = await channel.call(CertifyRequest(), TIMEOUT_S)
+            self.assertEqual(REPLY, reply)
+
+        self.run_with_server(_reply, check)
+
     def test_timeout_replaces_the_connection(self):
         async def check(channel):
             error = None
