Count a waiting request as started when it is given its slot

Callers saw: the estimate of a target's service time could jump to the time of the clock for as long as a request that was given a slot had not run yet, so that nodes refused or moved requests without need.

Cause: a queued request counted as in flight as soon as a slot became free, but its start time was added only when its task ran.

Change: a slot is taken with its start time; the waiting request carries it to the call, also if the call is cancelled in between.

--- a/snipelead/nodes/fair_queue.py
+++ b/snipelead/nodes/fair_queue.py
@@ -25,20 +25,36 @@
         Set when the request was given a slot or was evicted.
     granted : bool
         Whether the request was given a slot.
+    granted_at : float
+        When the request was given a slot, in seconds of trio's clock.
     evicted : bool
         Whether the request was removed from a full queue in favour of another
         one.
     """
 
-    __slots__ = ('done', 'evicted', 'granted', 'request_class', 'tenant')
+    __slots__ = (
+        'done',
+        'evicted',
+        'granted',
+        'granted_at',
+        'request_class',
+        'tenant',
+    )
 
     def __init__(self, request_class, tenant):
         self.request_class = request_class
         self.tenant = tenant
         self.done = trio.Event()
         self.granted = False
+        self.granted_at = 0.0
         self.evicted = False
 
+    def grant(self, now):
+        """Wake the request, which was given a slot."""
+        self.granted = True
+        self.granted_at = now
+        self.done.set()
+
 
 class _TenantQueues:
     """Round robin over tenants, first in, first out within each."""
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -72,6 +72,8 @@
         Set when the request was given a slot or was evicted.
     granted : bool
         Whether the request was given a slot.
+    granted_at : float
+        When the request was given a slot, in seconds of trio's clock.
     evicted : bool
         Whether the request was removed because it cannot be answered before
         its deadline.
@@ -82,6 +84,7 @@
         'done',
         'evicted',
         'granted',
+        'granted_at',
         'latency_deadline',
         'priority',
         'service_s',
@@ -94,8 +97,15 @@
         self.deadline = deadline
         self.done = trio.Event()
         self.granted = False
+        self.granted_at = 0.0
         self.evicted = False
 
+    def grant(self, now):
+        """Wake the request, which was given a slot."""
+        self.granted = True
+        self.granted_at = now
+        self.done.set()
+
     @property
     def latest_start(self):
         """Latest start time that allows for a response within the latency."""
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -146,8 +146,6 @@
             raise
         if call.is_sampled:
             log_decision(CALL_ADMITTED, call, **self.describe(call))
-        call.slot_acquired_at = trio.current_time()
-        self.slot_start_sum_s += call.slot_acquired_at
         try:
             return await self.send_admitted(
                 call, request, attempt_id, incarnation
@@ -265,6 +263,11 @@
     def acquire_slot(self, request_class):
         """Take a slot.
 
+        Returns
+        -------
+        float
+            Current time in seconds of trio's clock.
+
         Raises
         ------
         InvariantError
@@ -274,8 +277,11 @@
             raise InvariantError(
                 f'{self.target_id} would exceed its {self.slots} slots'
             )
+        now = trio.current_time()
         self.in_flight += 1
+        self.slot_start_sum_s += now
         self.batch_in_flight += request_class is RequestClass.BATCH
+        return now
 
     def release_slot(self, call):
         """Release the slot of a call and start waiting requests."""
@@ -290,17 +296,13 @@
         now = trio.current_time()
         while self.latency_queue and self.in_flight < self.slots:
             waiter = self.latency_queue.pop(now)
-            self.acquire_slot(RequestClass.INTERACTIVE)
-            waiter.granted = True
-            waiter.done.set()
+            waiter.grant(self.acquire_slot(RequestClass.INTERACTIVE))
         while self.fair_queue and self.in_flight < self.slots:
             batch_allowed = self.has_slot(RequestClass.BATCH)
             waiter = self.fair_queue.pop(batch_allowed)
             if waiter is None:
                 return
-            self.acquire_slot(waiter.request_class)
-            waiter.granted = True
-            waiter.done.set()
+            waiter.grant(self.acquire_slot(waiter.request_class))
 
     # Queues
 
@@ -315,7 +317,7 @@
         """
         waiting = self.fair_queue or self.latency_queue
         if not waiting and self.has_slot(call.request_class):
-            self.acquire_slot(call.request_class)
+            call.slot_acquired_at = self.acquire_slot(call.request_class)
             return
         if call.latency_deadline is None:
             max_wait_s = self.limits.queue_wait_ms / 1_000
@@ -334,6 +336,7 @@
         if not waiter.granted:
             self.remove_waiter(waiter)
             raise self.make_overloaded_error(call)
+        call.slot_acquired_at = waiter.granted_at
 
     def enqueue_by_latency(self, call):
         """Put a call with a latency objective into the latency queue.
@@ -431,6 +434,7 @@
     def cancel_waiter(self, waiter, call):
         """Remove a cancelled call from its queue or release its slot."""
         if waiter.granted:
+            call.slot_acquired_at = waiter.granted_at
             self.release_slot(call)
         else:
             self.remove_waiter(waiter)
