Count a batch request with a latency objective under its own class

Callers saw: batch_in_flight could become negative, after which batch requests took slots that are reserved for others.

Cause: a request from the latency queue took its slot as interactive and returned it under its own class.

Change: the waiting request carries its class.

Measured: test_batch_request_with_latency_objective_returns_its_slot failed before (-1) and passes; 151 tests of nodes and callers pass.

--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -11,6 +11,7 @@
 import trio
 
 from snipelead.releases.document import MAX_TRACKED_ROUTES
+from snipelead.types import RequestClass
 from snipelead.utils.bounded_dict import BoundedDict
 
 __all__ = [
@@ -65,6 +66,8 @@
         When the response becomes late, in seconds of trio's clock.
     deadline : float
         When the caller stops waiting, in seconds of trio's clock.
+    request_class : RequestClass
+        Class whose slots the request counts towards.
 
     Attributes
     ----------
@@ -87,14 +90,23 @@
         'granted_at',
         'latency_deadline',
         'priority',
+        'request_class',
         'service_s',
     )
 
-    def __init__(self, priority, service_s, latency_deadline, deadline):
+    def __init__(
+        self,
+        priority,
+        service_s,
+        latency_deadline,
+        deadline,
+        request_class=RequestClass.INTERACTIVE,
+    ):
         self.priority = priority
         self.service_s = service_s
         self.latency_deadline = latency_deadline
         self.deadline = deadline
+        self.request_class = request_class
         self.done = trio.Event()
         self.granted = False
         self.granted_at = 0.0
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -296,7 +296,7 @@
         now = trio.current_time()
         while self.latency_queue and self.in_flight < self.slots:
             waiter = self.latency_queue.pop(now)
-            waiter.grant(self.acquire_slot(RequestClass.INTERACTIVE))
+            waiter.grant(self.acquire_slot(waiter.request_class))
         while self.fair_queue and self.in_flight < self.slots:
             batch_allowed = self.has_slot(RequestClass.BATCH)
             waiter = self.fair_queue.pop(batch_allowed)
@@ -352,6 +352,7 @@
             self.estimate_call_service_s(call),
             call.latency_deadline,
             call.deadline,
+            call.request_class,
         )
         slots = max(1, self.slots)
         queue_wait_s = self.latency_queue.service_ahead_s(waiter, now) / slots
