--- a/snipelead/daemons/tests/fleet_case.py
+++ b/snipelead/daemons/tests/fleet_case.py
@@ -76,6 +76,7 @@
         self.fleet = Fleet(self.directory, **parameters)
         self.addOnException(self.attach_logs)
         self.addCleanup(self.fleet.__exit__)
+        self.addCleanup(self.check_no_process_ended)
         self.client = self.fleet.client
         return self.fleet
 
@@ -102,6 +103,13 @@
         for node in self.fleet.nodes:
             self.wait_until_serving(node)
 
+    def check_no_process_ended(self):
+        """Fail if a process ended without being asked to."""
+        ended = [
+            p.name for p in self.fleet.processes if p.has_ended_by_itself()
+        ]
+        self.assertEqual([], ended, 'processes that ended by themselves')
+
     def attach_logs(self, exc_info):
         for process in self.fleet.processes:
             if process.log_path.exists():
--- a/snipelead/testing/processes.py
+++ b/snipelead/testing/processes.py
@@ -83,6 +83,13 @@
         Name of the process and its files.
     directory : Path
         Directory for the settings file and the log.
+
+    Attributes
+    ----------
+    popen : subprocess.Popen or None
+        Latest started process, None before the first start.
+    stop_requested : bool
+        Whether that process was killed or terminated.
     """
 
     def __init__(self, settings, name, directory):
@@ -90,6 +97,7 @@
         self.name = name
         self.directory = Path(directory)
         self.popen = None
+        self.stop_requested = False
 
     @property
     def kind(self):
@@ -124,12 +132,21 @@
                 stdout=log,
                 stderr=log,
             )
+        self.stop_requested = False
         return self
 
     def is_running(self):
         """Return whether the process was started and has not exited."""
         return self.popen is not None and self.popen.poll() is None
 
+    def has_ended_by_itself(self):
+        """Return whether the process ended without being asked to."""
+        return (
+            self.popen is not None
+            and self.popen.poll() is not None
+            and not self.stop_requested
+        )
+
     def check_running(self):
         """Return True, or raise if the process is not running.
 
@@ -148,6 +165,7 @@
     def kill(self):
         """Send SIGKILL and wait until the process exits."""
         if self.is_running():
+            self.stop_requested = True
             self.popen.kill()
             self.popen.wait(STOP_TIMEOUT_S)
 
@@ -161,6 +179,7 @@
 
     def terminate(self):
         """Send SIGTERM, wait for the exit and return the exit status."""
+        self.stop_requested = True
         self.popen.terminate()
         return self.popen.wait(STOP_TIMEOUT_S)
 
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -71,7 +71,8 @@
 
     def reset(self):
         """Reset all open connections to clients and to the upstream."""
-        for connection in tuple(self._connections):
+        connections, self._connections = self._connections, set()
+        for connection in connections:
             for stream in connection:
                 stream.socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
--- a/snipelead/testing/tests/test_processes.py
+++ b/snipelead/testing/tests/test_processes.py
@@ -23,6 +23,19 @@
             with ExpectedException(ProcessEndedError, '.*control-0.*SL5.*'):
                 fleet.start()
 
+    def test_process_that_is_killed_by_others_has_ended_by_itself(self):
+        directory = self.useFixture(TempDir()).path
+        with Fleet(directory, controls=1, services=[]) as fleet:
+            [control] = fleet.controls
+            control.start()
+            self.assertFalse(control.has_ended_by_itself())
+            control.popen.kill()
+            control.popen.wait()
+            self.assertTrue(control.has_ended_by_itself())
+            control.start()
+            control.kill()
+            self.assertFalse(control.has_ended_by_itself())
+
     def test_timeout_names_condition_and_last_value(self):
         with ExpectedException(
             ConditionTimeoutError, '.*some condition.*None.*'
