Keep processes without free file descriptors running

Callers saw: a control or node that had used up its file descriptors ended as soon as it accepted a connection of another process, or opened one.

Cause: the server of the stream transport did not expect accept() to fail, and connect() made its socket outside the code that turns errors into ConnectFailedError. The server for callers had its own handling.

Found while looking for the class of the control that ended during a partition: what goes wrong on one connection ends the process.

Change: the server tries again after 0.1 s, as the one for callers; a connection that cannot be opened is not sent on.

Measured: test_descriptors.py, test_stream failed before (OSError 24 from accept); both pass, as do the tests of rpc, http and platform.

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -17,6 +17,7 @@
 from snipelead.callers.request import CallerReader
 from snipelead.callers.request import Request
 from snipelead.exceptions import InvariantError
+from snipelead.http.connection import ACCEPT_RETRY_DELAY_S
 from snipelead.http.connection import Connection
 from snipelead.http.exceptions import HeadTooLargeError
 from snipelead.http.exceptions import MalformedMessageError
@@ -29,8 +30,6 @@
 # Idle timeout while draining. It leaves time for a request that the caller
 # sent before it noticed the drain.
 DRAIN_IDLE_TIMEOUT_S = 0.5
-# Delay after accept() failed because no file descriptor was free.
-ACCEPT_RETRY_DELAY_S = 0.1
 
 
 class ConnectionServer:
--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -14,7 +14,16 @@
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import SendFailedError
 
-__all__ = ['Connection', 'connect', 'listen', 'split_address']
+__all__ = [
+    'ACCEPT_RETRY_DELAY_S',
+    'Connection',
+    'connect',
+    'listen',
+    'split_address',
+]
+
+# Pause of a server after it had no file descriptor for a new connection.
+ACCEPT_RETRY_DELAY_S = 0.1
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 1024
@@ -212,7 +221,10 @@
         If the connection could not be opened; nothing was sent.
     """
     host, port = split_address(address)
-    sock = trio.socket.socket(_address_family(host), socket.SOCK_STREAM)
+    try:
+        sock = trio.socket.socket(_address_family(host), socket.SOCK_STREAM)
+    except OSError as error:
+        raise ConnectFailedError(f'{address}: {error}') from error
     try:
         await sock.connect((host, port))
     except OSError as error:
--- a/snipelead/rpc/stream.py
+++ b/snipelead/rpc/stream.py
@@ -14,6 +14,7 @@
 import trio
 
 from snipelead.exceptions import InvariantError
+from snipelead.http.connection import ACCEPT_RETRY_DELAY_S
 from snipelead.http.connection import connect
 from snipelead.http.connection import Connection
 from snipelead.http.connection import listen
@@ -273,23 +274,31 @@
             async with trio.open_nursery() as nursery:
                 task_status.started(address)
                 while True:
-                    await trio.lowlevel.wait_readable(listener)
-                    for connection in _accept_pending(listener):
+                    for connection in await _accept(listener):
                         nursery.start_soon(
                             _serve_connection, connection, handlers
                         )
 
 
+async def _accept(listener):
+    """Wait for a connection and accept all that are pending."""
+    while True:
+        await trio.lowlevel.wait_readable(listener)
+        if connections := _accept_pending(listener):
+            return connections
+        await trio.sleep(ACCEPT_RETRY_DELAY_S)
+
+
 def _accept_pending(listener):
-    """Accept all pending connections without blocking."""
+    """Accept pending connections while there are file descriptors."""
     connections = []
     while True:
         try:
             sock, _ = listener.accept()
-        except BlockingIOError:
-            return connections
         except ConnectionAbortedError:
             continue
+        except OSError:
+            return connections
         connection = Connection(sock)
         connection.set_user_timeout(USER_TIMEOUT_MS)
         connections.append(connection)
