Use up the file descriptors of nodes in the soak

The soak could not see that a process without free file descriptors ended.

A limit of 0 failed at first, since poll() then fails for the open files, which no real shortage does.

--- a/snipelead/soak/deployment.py
+++ b/snipelead/soak/deployment.py
@@ -155,18 +155,34 @@
 
     def block_writes(self):
         """Make all file writes of the process fail."""
-        self._set_file_size_limit(0)
+        self._set_soft_limit(resource.RLIMIT_FSIZE, 0)
         self.writes_blocked = True
 
     def allow_writes(self):
         """Make file writes of the process succeed again."""
-        self._set_file_size_limit(resource.RLIM_INFINITY)
+        self._reset_soft_limit(resource.RLIMIT_FSIZE)
 
-    def _set_file_size_limit(self, size):
+    def block_descriptors(self):
+        """Leave the process at most a few file descriptors."""
+        if self.process.is_running():
+            # poll() fails if there are more open files than the limit allows.
+            directory = Path(f'/proc/{self.process.popen.pid}/fd')
+            newest = max((int(p.name) for p in directory.iterdir()), default=0)
+            self._set_soft_limit(resource.RLIMIT_NOFILE, newest + 1)
+
+    def allow_descriptors(self):
+        """Allow the process new file descriptors again."""
+        self._reset_soft_limit(resource.RLIMIT_NOFILE)
+
+    def _set_soft_limit(self, limit, value):
         if self.process.is_running():
-            limits = (size, resource.RLIM_INFINITY)
             pid = self.process.popen.pid
-            resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+            _, hard = resource.prlimit(pid, limit)
+            resource.prlimit(pid, limit, (value, hard))
+
+    def _reset_soft_limit(self, limit):
+        # The processes inherit the soft limits of this one.
+        self._set_soft_limit(limit, resource.getrlimit(limit)[0])
 
     def erase_data(self):
         """Remove the data directory; the process must not run."""
--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -79,6 +79,7 @@
             self.silence_control,
             self.erase_disk,
             self.block_writes,
+            self.block_descriptors,
             self.reload_settings,
             self.partition,
             self.partition_one_way,
@@ -119,6 +120,7 @@
                 machine.thaw()
             if machine.writes_blocked:
                 machine.allow_writes()
+            machine.allow_descriptors()
             if not machine.process.is_running():
                 await self.deployment.restart(machine)
         now = self.checker.clock()
@@ -305,6 +307,11 @@
 
     # Network connections
 
+    async def block_descriptors(self):
+        """Leave a node no file descriptors for new connections."""
+        machine = self._choose_idle(self.deployment.nodes)
+        await self._disturb([machine], _block_descriptors, _allow_descriptors)
+
     async def partition(self):
         """Block the traffic to and from a machine."""
         await self._disturb([self._choose_idle()], _partition, _heal)
@@ -449,6 +456,14 @@
     machine.allow_writes()
 
 
+def _block_descriptors(machine):
+    machine.block_descriptors()
+
+
+def _allow_descriptors(machine):
+    machine.allow_descriptors()
+
+
 def _partition(machine, *directions):
     for relay in machine.relays:
         relay.cut(*directions)
