--- a/snipelead/rpc/tests/test_grpc_interruption.py
+++ b/snipelead/rpc/tests/test_grpc_interruption.py
@@ -66,7 +66,7 @@
                         await trio.lowlevel.checkpoint()
                     await interrupt(channel, nursery)
             del channel
-            # The loop is told of connections that were not closed.
+            # grpclib reports open connections when they are collected.
             gc.collect()
             await trio.lowlevel.checkpoint()
 
