--- a/snipelead/rpc/grpc.py
+++ b/snipelead/rpc/grpc.py
@@ -24,7 +24,6 @@
 from trio_asyncio import trio_as_aio
 
 from snipelead.exceptions import InvariantError
-from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.rpc.base import Channel
 from snipelead.rpc.base import CONNECT_TIMEOUT_S
@@ -88,18 +87,7 @@
         connection = self._get_connection()
         try:
             await self._open(connection)
-            stub = UnaryUnaryMethod(
-                connection, f'{SERVICE_PATH}/{method}', bytes, bytes
-            )
-            return await aio_as_trio(stub)(payload)
-        except SnipeleadError:
-            raise
-        # grpclib raises errors of many types if a connection closes meanwhile.
-        except Exception as error:
-            self._discard(connection)
-            raise RpcUnreachableError(
-                f'cannot reach {self.address}: {error}'
-            ) from error
+            return await self._call(connection, method, payload)
         finally:
             if self.connection is not connection:
                 connection.close()
@@ -110,11 +98,30 @@
             # asyncio.wait_for may lose a cancellation.
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await aio_as_trio(connection.__connect__)()
-        except (OSError, trio.TooSlowError) as error:
+        except OSError as error:
             self._discard(connection)
             raise RpcNotSentError(
                 f'cannot connect to {self.address}: {error}'
             ) from error
+        except trio.TooSlowError as error:
+            self._discard(connection)
+            raise RpcNotSentError(
+                f'cannot connect to {self.address} within'
+                f' {CONNECT_TIMEOUT_S} s'
+            ) from error
+
+    async def _call(self, connection, method, payload):
+        stub = UnaryUnaryMethod(
+            connection, f'{SERVICE_PATH}/{method}', bytes, bytes
+        )
+        try:
+            return await aio_as_trio(stub)(payload)
+        # grpclib raises errors of many types if the connection closes.
+        except Exception as error:
+            self._discard(connection)
+            raise RpcUnreachableError(
+                f'cannot reach {self.address}: {error}'
+            ) from error
 
     def _discard(self, connection):
         """Close a failed connection, unless it was already replaced."""
