Use up descriptors in the soak only once a node has loaded

The fault had hit a process restarted just before; no process can start without descriptors, so the fault now chooses nodes that have run for 5 s.

--- a/snipelead/soak/deployment.py
+++ b/snipelead/soak/deployment.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import trio
 import yaml
@@ -36,6 +37,8 @@
 # Delay between killing a process and starting it again, in seconds.
 RESTART_DELAY_S = 0.3
 EXIT_POLL_S = 0.02
+# Time in which a started process loads its modules, in seconds.
+LOADING_S = 5.0
 
 
 class MachineState(Enum):
@@ -109,6 +112,8 @@
         Expected state of the process.
     incarnation : int
         Number of starts of the process.
+    started_at : float
+        Time of the last start, in seconds of the monotonic clock.
     writes_blocked : bool
         Whether file writes were blocked since the last start.
     """
@@ -120,6 +125,7 @@
         self.relays = relays
         self.state = MachineState.KILLED
         self.incarnation = 0
+        self.started_at = 0.0
         self.writes_blocked = False
 
     def start(self):
@@ -127,8 +133,16 @@
         self.process.start()
         self.state = MachineState.RUNNING
         self.incarnation += 1
+        self.started_at = time.monotonic()
         self.writes_blocked = False
 
+    def has_started(self):
+        """Return whether the process has had time to load its modules."""
+        return (
+            self.state is MachineState.RUNNING
+            and time.monotonic() - self.started_at >= LOADING_S
+        )
+
     def kill(self):
         """Kill the process."""
         self.process.kill()
