--- a/snipelead/routing/tests/test_split.py
+++ b/snipelead/routing/tests/test_split.py
@@ -1,4 +1,5 @@
 from collections import Counter
+from random import Random
 
 from testtools import TestCase
 
@@ -47,11 +48,38 @@
         self.assertGreaterEqual(counts['s1'], 9)
 
     def test_routes_are_independent(self):
-        one, other = make_route(1.0, 1.0), make_route(1.0, 1.0, name='q')
-        self.assertEqual(self.choose(one, 1), self.choose(other, 1))
+        one, other = make_route(3.0, 2.0), make_route(1.0, 1.0, name='q')
+        alone, beside = TrafficSplitter(Random(1)), TrafficSplitter(Random(1))
+        expected = [alone.choose(one) for _ in range(20)]
+        chosen = []
+        for _ in range(20):
+            chosen.append(beside.choose(one))
+            beside.choose(other)
+        self.assertEqual(expected, chosen)
 
     def test_number_of_routes_is_bounded(self):
         for number in range(MAX_TRACKED_ROUTES + 10):
             self.choose(make_route(1.0, 1.0, name=f'r{number}'), 1)
         self.assertEqual(MAX_TRACKED_ROUTES, len(self.table.credits))
         self.assertNotIn('r0', self.table.credits)
+
+
+class FleetSplitTest(TestCase):
+    def test_shares_hold_over_many_nodes_with_few_requests_each(self):
+        """Nodes that all began with the same service missed the weights."""
+        for weights in ((90.0, 10.0), (70.0, 30.0), (50.0, 30.0, 20.0)):
+            for requests_per_node in range(1, 6):
+                with self.subTest(weights=weights, count=requests_per_node):
+                    self.check_shares(weights, requests_per_node)
+
+    def check_shares(self, weights, requests_per_node):
+        route = make_route(*weights)
+        counts = Counter()
+        for node in range(400):
+            splitter = TrafficSplitter(Random(node))
+            for _ in range(requests_per_node):
+                counts[splitter.choose(route)] += 1
+        for index, weight in enumerate(weights):
+            share = counts[f's{index}'] / counts.total()
+            # The platform allows a deviation of 0.1.
+            self.assertLess(abs(share - weight / sum(weights)), 0.1)
