Act on no deadline that ran out while the process was paused

Cause: trio's clock stops while a VM is suspended, so deadlines and leases moved on by the length of the suspension. After a pause of any kind a call whose deadline had passed was still sent, with 1 ms left, until the watcher cancelled it, and requests whose senders had left meanwhile were run. Change: the processes use a clock that counts suspensions; the deadline is checked right before a call is sent to a target or to a node, where it is refused as not run; after a pause, requests of connections that were closed are dropped.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 import trio
 
+from snipelead.callers.exceptions import DeadlineExceededError
 from snipelead.releases.document import DEFAULT_MAX_ATTEMPTS
 from snipelead.types import AttemptId
 from snipelead.types import Incarnation
@@ -201,6 +202,22 @@
         """Set the deadline on the cancel scope."""
         self.scope.deadline = self.deadline
 
+    def check_deadline(self):
+        """Check that the deadline has not passed.
+
+        A process that was paused may run before the watcher has cancelled
+        the call.
+
+        Raises
+        ------
+        DeadlineExceededError
+            If the deadline has passed.
+        """
+        if trio.current_time() >= self.deadline:
+            raise DeadlineExceededError(
+                'the deadline of the request has passed'
+            )
+
     def remaining_ms(self):
         """Return the time until the deadline in milliseconds, at least 0."""
         return max(0, int((self.deadline - trio.current_time()) * 1_000))
--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -30,6 +30,10 @@
 # Idle timeout while draining. It leaves time for a request that the caller
 # sent before it noticed the drain.
 DRAIN_IDLE_TIMEOUT_S = 0.5
+# If two ticks are further apart, this process was paused.
+PAUSE_THRESHOLD_S = 1.5
+# Requests that arrived during a pause are read within this time after it.
+PAUSE_RECOVERY_S = 1.0
 
 
 class ConnectionServer:
@@ -65,6 +69,9 @@
     last_tick_at : float
         Time of the last tick in seconds of trio's clock; precise enough to
         detect idle connections.
+    pause_ended_at : float
+        When this process last continued after a pause, in seconds of trio's
+        clock.
     """
 
     def __init__(
@@ -86,6 +93,7 @@
         self.active_requests = {}
         self.draining = False
         self.last_tick_at = 0.0
+        self.pause_ended_at = -inf
 
     async def run(self, nursery):
         """Accept connections until the listening socket is closed.
@@ -135,6 +143,8 @@
         now : float
             Time in seconds of trio's clock.
         """
+        if self._was_paused(now):
+            self.pause_ended_at = now
         self.last_tick_at = now
         for connection in tuple(self.connections):
             idle_s = now - connection.last_used_at
@@ -145,6 +155,21 @@
             if connection.is_idle():
                 connection.close()
 
+    def _was_paused(self, now):
+        return now - self.last_tick_at > PAUSE_THRESHOLD_S
+
+    def is_abandoned(self, connection):
+        """Return whether a request was abandoned before it was read.
+
+        Its sender gave it up while this process was paused. The time left
+        that the request states was measured before the pause.
+        """
+        now = trio.current_time()
+        return (
+            self._was_paused(now)
+            or now - self.pause_ended_at < PAUSE_RECOVERY_S
+        ) and connection.is_hung_up()
+
     def is_busy(self, connection):
         """Return whether a request of a connection is being handled."""
         return connection in self.active_requests
@@ -245,6 +270,10 @@
 
     async def handle_request(self, connection, request):
         """Handle one request; it stays active if it is cancelled."""
+        if self.is_abandoned(connection):
+            self.active_requests.pop(connection, None)
+            connection.abort()
+            return
         self.active_requests[connection] = request
         try:
             await self.handle(connection, request)
--- a/snipelead/callers/pipelining.py
+++ b/snipelead/callers/pipelining.py
@@ -94,6 +94,10 @@
         """Send nothing, since earlier responses may not have been sent."""
         return len(data)
 
+    def is_hung_up(self):
+        """Return whether the peer closed or reset the connection."""
+        return self.connection.is_hung_up()
+
     def abort(self):
         """Reset the connection."""
         self.connection.abort()
--- a/snipelead/cli/daemons.py
+++ b/snipelead/cli/daemons.py
@@ -11,6 +11,7 @@
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import NodeSettings
 from snipelead.settings.schema import TargetSettings
+from snipelead.utils.clock import SuspendAwareClock
 
 __all__ = ['ControlCommand', 'NodeCommand', 'TargetCommand']
 
@@ -53,7 +54,11 @@
             raise UsageError('--settings FILE is required')
         settings = load_settings(path, self.settings_type)
         module = import_module(self.module_name)
-        trio.run(getattr(module, self.function_name), settings)
+        trio.run(
+            getattr(module, self.function_name),
+            settings,
+            clock=SuspendAwareClock(),
+        )
 
 
 class ControlCommand(DaemonCommand):
--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -5,6 +5,7 @@
 without blocking. That is too slow for the call path.
 """
 
+import select
 import socket
 import struct
 
@@ -166,6 +167,17 @@
             return False
         return False
 
+    def is_hung_up(self):
+        """Return whether the peer closed or reset the connection.
+
+        Unlike :meth:`is_idle`, it ignores data that was received before.
+        """
+        if self.closed:
+            return True
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def abort(self):
         """Close with a TCP reset.
 
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -7,6 +7,7 @@
 import trio
 
 from snipelead.callers.exceptions import CallError
+from snipelead.callers.exceptions import DeadlineExceededError
 from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.http.exceptions import ConnectFailedError
@@ -106,6 +107,11 @@
         reader = self.pool.acquire(entry.address)
         if reader is None:
             reader = await self._connect(entry)
+        try:
+            call.check_deadline()
+        except DeadlineExceededError:
+            self.pool.release(entry.address, reader)
+            raise
         call.ran = Ran.UNKNOWN
         try:
             response = await self._exchange(
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -222,6 +222,7 @@
             reader = await self.sender.acquire(address)
             # It may also have left while the connection was being opened.
             self.get_accepting_target(incarnation)
+            call.check_deadline()
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             raise
--- a/snipelead/platform/__main__.py
+++ b/snipelead/platform/__main__.py
@@ -49,17 +49,19 @@
     from snipelead.platform.settings import load_platform_settings
     from snipelead.platform.settings import PlatformControlSettings
     from snipelead.platform.settings import PlatformNodeSettings
+    from snipelead.utils.clock import SuspendAwareClock
 
     settings = load_platform_settings(path)
     match settings:
         case PlatformNodeSettings():
             from snipelead.platform.node import run_platform_node
 
-            trio.run(run_platform_node, settings, path)
+            run_process = run_platform_node
         case PlatformControlSettings():
             from snipelead.platform.control import run_platform_control
 
-            trio.run(run_platform_control, settings, path)
+            run_process = run_platform_control
+    trio.run(run_process, settings, path, clock=SuspendAwareClock())
 
 
 if __name__ == '__main__':
