Log the server errors of targets for all requests

Cause: a request that ended with its target's own 500 had no log line unless its id was in the sample, and of one that was then sent elsewhere the first answer was missing. Change: call_answered is written for each server error. Measured: test_server_error_of_a_target_is_explained fails before.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -236,15 +236,15 @@
         size = response.response.content_length
         if size is not None:
             self.balancer.record_response_size(call.route, size)
-        if call.is_sampled:
-            log_decision(
+        is_error = response.response.is_server_error
+        if is_error or call.is_sampled:
+            log_failure(
                 CALL_ANSWERED,
                 call,
                 target=observation.entry.target_id,
                 status=response.response.status,
                 after_ms=call.age_ms(),
             )
-        is_error = response.response.is_server_error
         load = response.load
         observation.record_response(now - started_at, is_error, load, now)
         if not is_error:
--- a/snipelead/platform/tests/test_log_diagnosis.py
+++ b/snipelead/platform/tests/test_log_diagnosis.py
@@ -88,6 +88,20 @@
 
         self.run_with_both_paths(test)
 
+    def test_server_error_of_a_target_is_explained(self):
+        """A request that ended with its target's own 500 had no line."""
+
+        async def test(target):
+            self.output.truncate(0)
+            target.next_misbehaviours = [Misbehaviour.ERROR]
+            response, _ = await self.call(
+                '/orders/1', 'POST', Attempt_Id=REQUEST_ID
+            )
+            self.assertEqual(500, response.status)
+            self.check_explanation('call_answered', 'status=500')
+
+        self.run_with_both_paths(test)
+
     def test_refusal_by_a_leaving_target_is_explained(self):
         async def test(nursery):
             self.near.announce(TargetState.LEAVING)
