Allow retries in a fleet of any size

Cause: each node's part of the shared retry budget was also the capacity of its bucket. Change: the capacity is at least one token; a bucket starts with one with the probability of its part, so that all together hold no more than before. Measured: test_retries_are_possible_in_a_fleet_of_any_size fails before.

--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -130,7 +130,9 @@
             node_count = max(
                 MIN_RETRY_SHARING_NODES, self.directory.count_nodes()
             )
-            budget.set_burst(self.retry_extra / node_count)
+            budget.set_burst(
+                self.retry_extra / node_count, self.random.random()
+            )
         return budget
 
     def get_observations(self, service):
--- a/snipelead/routing/budget.py
+++ b/snipelead/routing/budget.py
@@ -19,8 +19,25 @@
         self.burst = burst
         self.tokens = burst
 
-    def set_burst(self, burst):
-        """Set the capacity; surplus tokens are dropped."""
+    def set_burst(self, burst, random_fraction=0.0):
+        """Set the capacity; surplus tokens are dropped.
+
+        A capacity below one token would never allow a retry. It is raised to
+        one, and when it first falls below one, the bucket keeps its token
+        with the probability of ``burst``, so that many buckets together hold
+        ``burst`` tokens each.
+
+        Parameters
+        ----------
+        burst : float
+            New capacity.
+        random_fraction : float
+            Random number from 0 to 1.
+        """
+        if burst < 1.0:
+            if self.burst > 1.0 and random_fraction >= burst:
+                self.tokens = 0.0
+            burst = 1.0
         self.burst = burst
         self.tokens = min(self.tokens, burst)
 
--- a/snipelead/routing/tests/test_balancer.py
+++ b/snipelead/routing/tests/test_balancer.py
@@ -1,4 +1,5 @@
 from collections import Counter
+from random import Random
 
 from testtools import ExpectedException
 from testtools import TestCase
@@ -246,6 +247,20 @@
             retries += budget.try_take()
         self.assertIn(retries, range(95, 104))
 
+    def test_retries_are_possible_in_a_fleet_of_any_size(self):
+        """No node of a large fleet had a whole token, so none retried."""
+        rng = Random(1)
+        budgets = [RetryBudget(0.1) for _ in range(1_000)]
+        for budget in budgets:
+            budget.set_burst(0.2, rng.random())
+        without_requests = sum(budget.try_take() for budget in budgets)
+        self.assertIn(without_requests, range(150, 251))
+        for budget in budgets:
+            for _ in range(50):
+                budget.add_attempt()
+                budget.set_burst(0.2, rng.random())
+        self.assertEqual(1_000, sum(budget.try_take() for budget in budgets))
+
     def test_reserve_is_not_spent(self):
         budget = RetryBudget(0.1, burst=2.0)
         self.assertFalse(budget.try_take(reserve=2.0))
