--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -55,7 +55,8 @@
 # node closes its listening sockets.
 FINAL_DRAIN_S = 0.5
 # Callers have left a stopping node if they have been silent for this time.
-CALLERS_QUIET_S = 1.0
+# Callers that have run out of other nodes come back after a while.
+CALLERS_QUIET_S = 3.0
 _TICKS_PER_CLEANUP = 20
 
 
