Reject heartbeats and weights with numbers out of range

Cause: slots, sequence or start time of a heartbeat could have any number of digits. The node passed them on with its next poll, whose encoding failed and ended the process. A weight beyond the range of floats in a configuration was answered with 500 instead of 400. Change: both are refused as unreadable. Measured: ExtremeHeartbeatTest and ExtremeWeightTest fail before.

--- a/snipelead/platform/configuration.py
+++ b/snipelead/platform/configuration.py
@@ -135,7 +135,7 @@
         services = {s.name: _decode_service(s) for s in document.services}
         routes = _decode_routes(document.virtual_hosts)
         settings = _decode_limits(document.limits)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, OverflowError) as error:
         raise UnreadableConfigurationError(
             f'the configuration is malformed: {error}'
         ) from error
--- a/snipelead/platform/heartbeats.py
+++ b/snipelead/platform/heartbeats.py
@@ -1,7 +1,10 @@
 """Decoding of the heartbeats that targets send."""
 
+from typing import Annotated
+
 import msgspec
 from msgspec import field
+from msgspec import Meta
 from msgspec import Struct
 
 from snipelead.platform.exceptions import UnreadableHeartbeatError
@@ -19,10 +22,15 @@
 _STATES = {'ready': TargetState.SERVING, 'draining': TargetState.LEAVING}
 
 
+# Messages between processes have no larger integers.
+MAX_INTEGER = 2**63 - 1
+_Counter = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _Info(Struct, frozen=True):
     service: ServiceName
     zone: ZoneName
-    slots: int
+    slots: Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
     # Version of the target's software, not of a release.
     version: str
 
@@ -30,7 +38,7 @@
 class _Status(Struct, frozen=True):
     state: str
     # Sequence number of the heartbeat since the target started.
-    seq: int
+    seq: _Counter
     # Remaining warm-up time, in which the target responds slowly.
     cold_remaining: str = field(name='cold-remaining')
 
@@ -40,7 +48,7 @@
     info: _Info
     status: _Status
     # Unix time of the target's start, in milliseconds.
-    born: int
+    born: _Counter
 
 
 _decode = msgspec.json.Decoder(_Heartbeat, strict=True).decode
@@ -74,12 +82,11 @@
         ) from error
     info, status = heartbeat.info, heartbeat.status
     state = _STATES.get(status.state)
-    if state is None or not is_address(heartbeat.address) or info.slots < 1:
+    if state is None or not is_address(heartbeat.address):
         raise UnreadableHeartbeatError(
             f'the heartbeat of target {target_id} has invalid values: state'
             f' must be ready or draining, got {status.state!r}; address must'
-            f' be IP:port, got {heartbeat.address!r}; slots must be at least'
-            f' 1, got {info.slots}'
+            f' be IP:port, got {heartbeat.address!r}'
         )
     return TargetHeartbeat(
         TargetId(target_id),
--- a/snipelead/platform/tests/test_extreme_numbers.py
+++ b/snipelead/platform/tests/test_extreme_numbers.py
@@ -9,6 +9,8 @@
 from snipelead.http.reading import Message
 from snipelead.platform.configuration import decode_configuration
 from snipelead.platform.exceptions import UnreadableConfigurationError
+from snipelead.platform.exceptions import UnreadableHeartbeatError
+from snipelead.platform.heartbeats import decode_heartbeat
 from snipelead.platform.protocols import PlatformCallerProtocol
 from snipelead.platform.tests.test_configuration import DOCUMENT
 
@@ -73,3 +75,50 @@
     def test_configuration_with_huge_number_of_attempts_is_unreadable(self):
         path = self.document['virtual-hosts'][0]['paths'][0]
         self.check_unreadable(path, 'max-attempts')
+
+
+class ExtremeWeightTest(TestCase):
+    """Guards against an uncaught error for a weight of 401 digits."""
+
+    def test_weight_beyond_the_range_of_floats_is_unreadable(self):
+        document = copy.deepcopy(DOCUMENT)
+        path = document['virtual-hosts'][0]['paths'][0]
+        path.pop('service', None)
+        service = document['services'][0]['name']
+        path['traffic-split'] = [{'service': service, 'weight': 10**400}]
+        with ExpectedException(UnreadableConfigurationError):
+            decode_configuration(json.dumps(document).encode())
+
+
+class ExtremeHeartbeatTest(TestCase):
+    """A number too large for the next poll ended the node's process."""
+
+    def make_heartbeat(self, slots=6, sequence=1, started_ms=1):
+        return json.dumps(
+            {
+                'address': '10.1.0.9:8080',
+                'info': {
+                    'service': 'stock',
+                    'zone': 'a',
+                    'slots': slots,
+                    'version': 'v1',
+                },
+                'status': {
+                    'state': 'ready',
+                    'seq': sequence,
+                    'cold-remaining': '0ms',
+                },
+                'born': started_ms,
+            }
+        ).encode()
+
+    def test_numbers_that_cannot_be_passed_on_are_unreadable(self):
+        for field in ('slots', 'sequence', 'started_ms'):
+            for number in (10**30, 2**63, -1, -(10**30)):
+                body = self.make_heartbeat(**{field: number})
+                with ExpectedException(UnreadableHeartbeatError):
+                    decode_heartbeat('t', body)
+
+    def test_largest_numbers_can_be_passed_on(self):
+        body = self.make_heartbeat(2**63 - 1, 2**63 - 1, 2**63 - 1)
+        msgspec.msgpack.encode(decode_heartbeat('t', body))
