Send nothing within or after a refusal that was sent in part

Cause: only responses of targets were marked as started. If the peer of a connection did not read, the heartbeat of a forwarded call could be put within the bytes of a refusal, and a refusal that was cut by the deadline was followed by a second response on the same connection. Change: a refusal counts as started once its turn has come; a call that is cancelled afterwards resets the connection. Measured: test_partial_responses.py does not end before, passes after.

--- a/snipelead/callers/execution.py
+++ b/snipelead/callers/execution.py
@@ -129,6 +129,9 @@
     encode = request.reader.protocol.encode_error_response
     try:
         await connection.wait_for_response_turn(request)
+        if request.call is not None:
+            # Nothing else may be sent if this response is sent in parts.
+            request.call.response_started = True
         await connection.send(
             encode(error, ran, request.keep_alive, head_only)
         )
