Use a connected socket in the test of partial refusals

Measured: with a socket pair the test fails without the change (the second response is sent and waits, TooSlowError after 5 s) and passes with it.

--- a/snipelead/callers/tests/test_partial_responses.py
+++ b/snipelead/callers/tests/test_partial_responses.py
@@ -1,3 +1,4 @@
+from socket import socketpair
 from types import SimpleNamespace
 
 from testtools import TestCase
@@ -22,7 +23,7 @@
     def __init__(self):
         self.closed = False
         self.cancel_scope = trio.CancelScope()
-        self.sock = trio.socket.socket()
+        self.sock, self.peer = socketpair()
         self.sent = []
 
     async def wait_for_response_turn(self, request):
@@ -63,7 +64,7 @@
                 method=b'POST',
                 reader=SimpleNamespace(protocol=DEFAULT_CALLER_PROTOCOL),
             )
-            with connection.sock:
+            with connection.sock, connection.peer:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(handle, connection, request, call)
                     await trio.testing.wait_all_tasks_blocked()
