Close the connection of a call that expires before it is sent

Cause: found while reading: a connection to the target that was taken for a call that is then refused, as its target leaves or its deadline has passed, was left to the garbage collector. A mean of exactly zero would have ended the tick of the node by a division. Change: the connection is closed; a mean of zero is not published. Measured: tests of nodes, pauses, limiter and protocols pass; no test shows the connection, which reference counting closes soon.

--- a/snipelead/nodes/relative_service_time.py
+++ b/snipelead/nodes/relative_service_time.py
@@ -101,7 +101,7 @@
             for count in PUBLISHED_SAMPLE_COUNTS
         ):
             return True
-        if not self.published:
+        if not self.published or not self.mean:
             return False
         factor = self.mean / self.published
         return max(factor, 1.0 / factor) >= CHANGE_FACTOR
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -240,11 +240,16 @@
             # The target may have started leaving while the request waited.
             address = self.get_accepting_target(incarnation).target_address
             reader = await self.sender.acquire(address)
+        except BaseException:
+            self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
+            raise
+        try:
             # It may also have left while the connection was being opened.
             self.get_accepting_target(incarnation)
             call.check_deadline()
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
+            reader.connection.close()
             raise
         try:
             if call.at_most_once:
