Detect a silent control while the own target changes

Cause: a node interrupts its poll when a fact about its target changes, and the next poll had the full time limit again. Since targets publish their service times, such changes come up to once a second, so that a control that had fallen silent was not left in time. Change: the poll after an interrupted one has no hold time and is not interrupted itself. Measured: test_changes_of_a_target_do_not_hide_a_silent_control fails before (not left within 3 s), passes after.

--- a/snipelead/controls/polling.py
+++ b/snipelead/controls/polling.py
@@ -60,6 +60,7 @@
         self.backoff = Backoff(
             FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S, links.rng
         )
+        self.poll_cancelled = False
 
     def make_request(self, link, hold_ms):
         """Return the request to send to a control."""
@@ -88,9 +89,13 @@
 
     async def poll(self, link):
         """Poll a control once; return the delay before the next poll."""
-        # If the last poll failed, poll without a hold time, so that a
-        # reachable control replies at once.
-        hold_ms = self.hold_ms if link.responsive else 0
+        # If the last poll failed or was cancelled, poll without a hold time,
+        # so that a reachable control replies at once. Such a poll is not
+        # cancelled, so that changes do not delay the detection of a silent
+        # control.
+        may_hold = link.responsive and not self.poll_cancelled
+        hold_ms = self.hold_ms if may_hold else 0
+        self.poll_cancelled = False
         request = self.make_request(link, hold_ms)
         timeout_s = self._timeout_s(link, request)
         try:
@@ -100,6 +105,7 @@
         except SnipeleadError as error:
             return self.handle_failure(link, error)
         if reply is None:
+            self.poll_cancelled = True
             return 0.0
         if not link.responsive:
             log_event(CONTROL_REACHED, control=link.control_id)
@@ -143,7 +149,8 @@
             nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(cancel_when_outdated)
+            if request.hold_ms:
+                nursery.start_soon(cancel_when_outdated)
             if self.links.is_possibly_stale(link):
                 nursery.start_soon(cancel_when_another_is_current)
             try:
--- a/snipelead/controls/tests/test_stale_control.py
+++ b/snipelead/controls/tests/test_stale_control.py
@@ -90,6 +90,37 @@
             return trio.current_time() - isolated_at
 
 
+class ChangingTargetsTest(TestCase):
+    def test_changes_of_a_target_do_not_hide_a_silent_control(self):
+        """Each change began the poll anew, and with it its time limit."""
+
+        async def main():
+            # Calls go over connections that stay open during the cut.
+            async with open_mesh(('own', 'other')) as mesh:
+                sources = await start_controls(mesh)
+                node = await mesh.start_node(0, 'own', timings=NODE_TIMINGS)
+                await wait_until(lambda: node.number == 1)
+                node.announce()
+                await trio.sleep(2)
+                mesh.network.cut(node.address, mesh.peers[0].address)
+                for source in sources:
+                    source.publish(make_release(2))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(change_target, node)
+                    with trio.fail_after(STABLE_WINDOW_S):
+                        await wait_until(lambda: node.number == 2)
+                    nursery.cancel_scope.cancel()
+
+        async def change_target(node):
+            while True:
+                await trio.sleep(1)
+                node.local_targets.set_relative_service_time(
+                    't-n0', trio.current_time()
+                )
+
+        run_mesh(main)
+
+
 class RestartedControlTest(TestCase):
     def test_control_is_possibly_stale_until_it_has_certified(self):
         """A control that restarts during a cut must not pass as current."""
