Read, log and expose what targets state in their responses

On call, nothing told the hypotheses about broken rate limits apart: no line and no metric showed a limit. The platform's folder now decodes the fields in which a target states a rate limit or that it is leaving, from responses of any kind and from health checks. A node logs when a limit is first stated, changes by a quarter, ends or is invalid (4018 to 4021) and when a target states that it is leaving (4022), and exposes the limits of its target as snipelead_target_rate_limit.

A status belongs to one incarnation of a target, so directory entries carry the target's start time beside that of its node: 9 bytes more for each change of an entry. Responses may overtake each other: a lower limit counts at once, a higher one or none only if its request was sent after the limit in force was last stated.

Nothing acts on a status yet.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -28,6 +28,7 @@
 from snipelead.targets.protocol import DEFAULT_TARGET_PROTOCOL
 from snipelead.targets.protocol import TargetProtocol
 from snipelead.targets.sender import TargetSender
+from snipelead.targets.status import TargetStatuses
 
 __all__ = ['CallPath', 'Protocols']
 
@@ -83,6 +84,8 @@
         Seed of the random choices.
     protocols : Protocols
         Header field conventions of callers and targets.
+    statuses : TargetStatuses or None
+        Statuses that targets have stated.
 
     Attributes
     ----------
@@ -110,8 +113,10 @@
         policy=Policy.OBSERVED,
         seed=None,
         protocols=DEFAULT_PROTOCOLS,
+        statuses=None,
     ):
         self.protocols = protocols
+        self.statuses = statuses or TargetStatuses()
         self.settings = settings
         self.holder = holder
         self.directory = directory
@@ -154,7 +159,10 @@
     def _build_components(self):
         settings = self.settings
         limits = settings.limits
-        self.sender = TargetSender(self.protocols.target)
+        self.statuses.on_rate_limit = self.metrics.set_rate_limit
+        self.sender = TargetSender(
+            self.protocols.target, statuses=self.statuses
+        )
         self.reachability = ReachabilityMonitor(self.directory, settings.zone)
         self.forwarder = Forwarder(self.reachability)
         self.limiters = TargetLimiters(
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -10,6 +10,7 @@
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.leases import expire_targets
 from snipelead.targets.local import LocalTargets
+from snipelead.targets.status import TargetStatuses
 
 __all__ = ['NodeDaemon']
 
@@ -40,6 +41,8 @@
         Targets of all nodes.
     local_targets : LocalTargets
         Targets that announced themselves to this node.
+    statuses : TargetStatuses
+        Statuses that targets have stated in their responses.
     sync_client : SyncClient
         Client that receives releases and targets from the controls.
     call_path : CallPath
@@ -60,6 +63,7 @@
             settings.zone,
             settings.advertised_address or settings.address,
         )
+        self.statuses = TargetStatuses()
         self.sync_client = SyncClient(
             settings,
             transport,
@@ -75,6 +79,7 @@
             self.sync_client,
             self.metrics,
             protocols=frontend.protocols,
+            statuses=self.statuses,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -112,6 +112,12 @@
         Maximum number of concurrent requests; further ones are refused.
     is_leaving : bool
         Whether the health check reports the target as out of service.
+    states_leaving : bool
+        Whether all responses state that the target is leaving.
+    rate_limits : tuple of bytes
+        Values of the rate limit fields of all responses.
+    on_receive : callable or None
+        Called with the attempt id of each request that arrives.
     on_run : callable or None
         Called with a :class:`StartedRequest` for each request that starts to
         run.
@@ -123,6 +129,9 @@
         self.slots = inf
         self.in_flight = 0
         self.is_leaving = False
+        self.states_leaving = False
+        self.rate_limits = ()
+        self.on_receive = None
         self.on_run = None
         self.listener = listen('127.0.0.1:0')
         host, port = self.listener.getsockname()
@@ -157,10 +166,12 @@
         if request.url == HEALTH_PATH:
             status = 503 if self.is_leaving else 200
             id_field = b'Instance-Id: ' + self.target_id.encode()
-            await connection.send(_encode_message(status, b'', id_field))
+            await connection.send(self._encode_message(status, b'', id_field))
             return
         fields = request.fields
         attempt_id = fields.get(b'attempt-id', b'')
+        if self.on_receive is not None:
+            self.on_receive(attempt_id.decode())
         misbehaviour = (
             self.next_misbehaviours.pop(0)
             if self.next_misbehaviours
@@ -206,11 +217,11 @@
         match misbehaviour:
             case Misbehaviour.SHED:
                 await connection.send(
-                    _encode_message(503, b'', b'Not-Executed: 1')
+                    self._encode_message(503, b'', b'Not-Executed: 1')
                 )
             case Misbehaviour.MOVED:
                 await connection.send(
-                    _encode_message(421, b'', b'Instance-Id: another')
+                    self._encode_message(421, b'', b'Instance-Id: another')
                 )
             case Misbehaviour.UNCERTAIN:
                 await connection.send(
@@ -240,9 +251,15 @@
                     )
                 )
             case Misbehaviour.ANONYMOUS:
-                await connection.send(_encode_message(200, body, SEAL_FIELD))
+                await connection.send(
+                    self._encode_message(200, body, SEAL_FIELD)
+                )
             case Misbehaviour.UNFRAMED:
-                field_lines = (b'Attempt-Id: ' + attempt_id, SEAL_FIELD)
+                field_lines = (
+                    b'Attempt-Id: ' + attempt_id,
+                    SEAL_FIELD,
+                    *self._status_fields(),
+                )
                 head = encode_head(status_line(200), field_lines)
                 await connection.send(head + body)
                 connection.close()
@@ -252,7 +269,7 @@
                 await connection.send(valid_response)
 
     def _encode_response(self, status, attempt_id, body, *field_lines):
-        return _encode_message(
+        return self._encode_message(
             status,
             body,
             b'Attempt-Id: ' + attempt_id,
@@ -260,7 +277,12 @@
             *field_lines,
         )
 
+    def _encode_message(self, status, body, *field_lines):
+        length = b'Content-Length: %d' % len(body)
+        field_lines = (length, *field_lines, *self._status_fields())
+        return encode_head(status_line(status), field_lines) + body
 
-def _encode_message(status, body, *field_lines):
-    length = b'Content-Length: %d' % len(body)
-    return encode_head(status_line(status), (length, *field_lines)) + body
+    def _status_fields(self):
+        limits = (b'Server-Limit: ' + value for value in self.rate_limits)
+        leaving = (b'Server-Leaving: 1',) if self.states_leaving else ()
+        return (*limits, *leaving)
--- a/snipelead/messages/targets.py
+++ b/snipelead/messages/targets.py
@@ -10,6 +10,7 @@
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
 from snipelead.types import TargetState
+from snipelead.types import UNKNOWN_INCARNATION
 from snipelead.types import ZoneName
 
 __all__ = [
@@ -49,6 +50,9 @@
     relative_service_time : float
         Mean service time in proportion to the latency objectives of the
         routes; 0.0 if not known. Comparable among targets of a service.
+    target_incarnation : Incarnation
+        Start time of the target itself in milliseconds since the Unix epoch;
+        0 if not known. A target may start again under the same id.
     """
 
     target_id: TargetId
@@ -62,6 +66,7 @@
     slots: int = 20
     connections: int = 130
     relative_service_time: float = 0.0
+    target_incarnation: Incarnation = UNKNOWN_INCARNATION
 
 
 class DirectoryUpdate(
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
 from aioprometheus.collectors import Registry
 from aioprometheus.histogram import Histogram as BucketHistogram
@@ -108,6 +109,9 @@
         Attempts of each call, by tenant and request class.
     calls : Counter
         Calls by status and by whether a target ran them.
+    rate_limits : Gauge
+        Rate limits that targets have stated, in requests per second, by
+        target.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -147,6 +151,11 @@
             'Calls by status of the answer and by whether they ran.',
             registry=self.registry,
         )
+        self.rate_limits = Gauge(
+            'snipelead_target_rate_limit',
+            'Requests per second that a target accepts from all nodes.',
+            registry=self.registry,
+        )
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -181,6 +190,14 @@
         status = call.status or _cancelled_call_status(call)
         self.count_call(status, call.outcome)
 
+    def set_rate_limit(self, target_id, rate_limit):
+        """Set the rate limit that a target has stated; None ends it."""
+        labels = {'target': target_id}
+        if rate_limit is None:
+            self.rate_limits.values.pop(labels, None)
+        else:
+            self.rate_limits.set(labels, rate_limit)
+
     def count_call(self, status, ran):
         """Count a call by status and by whether a target ran it."""
         self.call_counts[status, ran] += 1
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -245,7 +245,7 @@
             raise
         try:
             # It may also have left while the connection was being opened.
-            self.get_accepting_target(incarnation)
+            entry = self.get_accepting_target(incarnation).entry
             call.check_deadline()
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
@@ -255,7 +255,7 @@
             if call.at_most_once:
                 self.attempts.mark_sent(attempt_id)
             response = await self.sender.send_request(
-                reader, call, request, self.target_id
+                reader, call, request, entry
             )
         except TargetBusyError as error:
             self.sender.release(address, reader, error.response)
--- a/snipelead/platform/frontend.py
+++ b/snipelead/platform/frontend.py
@@ -15,7 +15,7 @@
 from snipelead.platform.events import REPORT_UNREADABLE
 from snipelead.platform.exceptions import UnreadableConfigurationError
 from snipelead.platform.exceptions import UnreadableHeartbeatError
-from snipelead.platform.health import is_serving
+from snipelead.platform.health import check_health
 from snipelead.platform.heartbeats import decode_heartbeat
 from snipelead.platform.protocols import PlatformCallerProtocol
 from snipelead.platform.protocols import PlatformTargetProtocol
@@ -175,9 +175,18 @@
             while heartbeat.service not in holder.current.services:
                 await holder.wait_changed()
         service = holder.current.services.get(heartbeat.service)
-        if service is not None and await is_serving(
+        if service is None:
+            return
+        report = await check_health(
             heartbeat.address, service.health_path, heartbeat.target_id
-        ):
+        )
+        self.daemon.statuses.record(
+            heartbeat.target_id,
+            heartbeat.started_ms,
+            report.status,
+            report.sent_at,
+        )
+        if report.serving:
             self.daemon.heartbeat_tracker.confirm_serving(heartbeat)
 
 
--- a/snipelead/platform/protocols.py
+++ b/snipelead/platform/protocols.py
@@ -1,6 +1,7 @@
 """HTTP header fields that the platform's clients and targets use."""
 
 import json
+import re
 
 from snipelead.callers.exceptions import BadRequestError
 from snipelead.callers.protocol import CallerOptions
@@ -9,11 +10,18 @@
 from snipelead.http.writing import encode_head
 from snipelead.http.writing import status_line
 from snipelead.releases.document import MAX_DEADLINE_MS
+from snipelead.targets.protocol import NO_STATUS
 from snipelead.targets.protocol import ResponseKind
 from snipelead.targets.protocol import TargetProtocol
+from snipelead.targets.status import TargetStatus
 from snipelead.types import Ran
 
-__all__ = ['PlatformCallerProtocol', 'PlatformTargetProtocol']
+__all__ = [
+    'PlatformCallerProtocol',
+    'PlatformTargetProtocol',
+    'STATUS_FIELDS',
+    'read_target_status',
+]
 
 _CALLER_SERVICE = b'caller-service'
 _DEADLINE_MS = b'deadline-ms'
@@ -26,6 +34,14 @@
 # Proves the origin and completeness of a target's response.
 _RESPONSE_SEAL = b'response-seal'
 _CONTENT_ENCODING = b'content-encoding'
+# Requests per second that the target accepts from all nodes together.
+_SERVER_LIMIT = b'server-limit'
+# Present with this value if the target is leaving.
+_SERVER_LEAVING = b'server-leaving'
+_LEAVING = b'1'
+# Fields in which a target states its status.
+STATUS_FIELDS = frozenset((_SERVER_LIMIT, _SERVER_LEAVING))
+_DECIMAL_NUMBER = re.compile(rb'\d{1,9}(\.\d{1,32})?')
 
 # Statuses that guarantee that a request was not and will not be executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -141,11 +157,42 @@
     return status
 
 
+def read_target_status(response):
+    """Return what a response states about its target.
+
+    Parameters
+    ----------
+    response : Message
+        Response of the target to a request or a health check.
+
+    Returns
+    -------
+    TargetStatus
+    """
+    fields = response.fields
+    limit = fields.get(_SERVER_LIMIT)
+    is_leaving = fields.get(_SERVER_LEAVING, b'').strip() == _LEAVING
+    if limit is None:
+        return TargetStatus(is_leaving=True) if is_leaving else NO_STATUS
+    limit = limit.strip()
+    if _is_repeated(response, _SERVER_LIMIT) or (
+        _DECIMAL_NUMBER.fullmatch(limit) is None
+    ):
+        return TargetStatus(None, is_leaving, limit.decode('latin-1') or '?')
+    return TargetStatus(float(limit), is_leaving)
+
+
+def _is_repeated(response, name):
+    lines = [line.lower() for line in response.field_lines]
+    return sum(line.startswith(name + b':') for line in lines) > 1
+
+
 class PlatformTargetProtocol(TargetProtocol):
     """Protocol between nodes and their local targets."""
 
     rules = FieldRules(
-        inspected=frozenset((_ATTEMPT_ID, _RESPONSE_SEAL, _CONTENT_ENCODING)),
+        inspected=STATUS_FIELDS
+        | {_ATTEMPT_ID, _RESPONSE_SEAL, _CONTENT_ENCODING},
         removed=frozenset((_NOT_EXECUTED,)),
     )
     max_buffered_bytes = 1024 * 1024
@@ -177,6 +224,10 @@
             return ResponseKind.BROKEN
         return ResponseKind.ANSWER
 
+    def read_status(self, response):
+        """Return what a response states about its target."""
+        return read_target_status(response)
+
     def keep_alive_s(self, response):
         """Return the keep-alive timeout of a connection, less a margin."""
         header = response.fields.get(b'keep-alive', b'')
--- a/snipelead/platform/tests/test_target_verification.py
+++ b/snipelead/platform/tests/test_target_verification.py
@@ -13,6 +13,7 @@
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.heartbeats import TargetHeartbeat
 from snipelead.targets.local import LocalTargets
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import TargetState
 
 RELEASE = Release(
@@ -30,7 +31,9 @@
             )
             frontend = PlatformNodeFrontend(None)
             frontend.daemon = SimpleNamespace(
-                holder=ReleaseHolder(), heartbeat_tracker=tracker
+                holder=ReleaseHolder(),
+                heartbeat_tracker=tracker,
+                statuses=TargetStatuses(),
             )
             heartbeat = TargetHeartbeat(
                 'i-1', 'stock', target.address, 9, TargetState.SERVING, 1, 1
--- a/snipelead/targets/events.py
+++ b/snipelead/targets/events.py
@@ -6,6 +6,11 @@
     'REPORT_DROPPED',
     'ANSWER_BROKEN',
     'ANSWER_STRAY',
+    'LEAVING_STATED',
+    'RATE_LIMIT_CHANGED',
+    'RATE_LIMIT_ENDED',
+    'RATE_LIMIT_INVALID',
+    'RATE_LIMIT_STATED',
     'TARGET_ANNOUNCED',
     'TARGET_GONE',
     'TARGET_LEASE_ENDED',
@@ -59,6 +64,33 @@
     'A health check of a target ended; the line shows the response or why'
     ' there was none.',
 )
+RATE_LIMIT_STATED = Event(
+    4018,
+    'rate_limit_stated',
+    'warning',
+    'A target states that it accepts at most `limit` requests per second from'
+    ' all nodes together. Check why it is short of capacity.',
+)
+RATE_LIMIT_CHANGED = Event(
+    4019, 'rate_limit_changed', 'info', 'A target changed its rate limit.'
+)
+RATE_LIMIT_ENDED = Event(
+    4020, 'rate_limit_ended', 'info', 'A target no longer limits its rate.'
+)
+RATE_LIMIT_INVALID = Event(
+    4021,
+    'rate_limit_invalid',
+    'warning',
+    'A target stated a rate limit that is not a decimal number. It is ignored,'
+    ' and further ones of the same target are not logged.',
+)
+LEAVING_STATED = Event(
+    4022,
+    'leaving_stated',
+    'info',
+    'A target stated in a response that it is leaving; it receives no new'
+    ' requests from this node.',
+)
 TARGET_GONE = Event(
     4012, 'target_gone', 'info', 'A target withdrew its registration.'
 )
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -16,6 +16,7 @@
 from snipelead.targets.events import TARGET_LEAVING
 from snipelead.targets.events import TARGET_UNPROVED
 from snipelead.types import Address
+from snipelead.types import Incarnation
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
 from snipelead.types import TargetState
@@ -247,6 +248,7 @@
             heartbeat.slots,
             DEFAULT_CONNECTIONS,
             state,
+            Incarnation(heartbeat.started_ms),
         )
         log_event(
             TARGET_ANNOUNCED,
@@ -263,5 +265,6 @@
             (announced.target_address, announced.entry.service)
             == (heartbeat.address, heartbeat.service)
             and announced.entry.slots == heartbeat.slots
+            and announced.entry.target_incarnation == heartbeat.started_ms
             and announced.entry.state is state
         )
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -8,6 +8,7 @@
 from snipelead.messages import TargetEntry
 from snipelead.types import Incarnation
 from snipelead.types import TargetState
+from snipelead.types import UNKNOWN_INCARNATION
 
 __all__ = ['LocalTarget', 'LocalTargets']
 
@@ -76,7 +77,14 @@
         self._notify()
 
     def announce(
-        self, target_id, service, target_address, slots, connections, state
+        self,
+        target_id,
+        service,
+        target_address,
+        slots,
+        connections,
+        state,
+        target_incarnation=UNKNOWN_INCARNATION,
     ):
         """Register a target or replace its entry.
 
@@ -92,6 +100,9 @@
             Maximum numbers of concurrent requests and of connections.
         state : TargetState
             State of the target.
+        target_incarnation : Incarnation
+            Start time of the target, see
+            :class:`~snipelead.messages.TargetEntry`.
         """
         self.sequence += 1
         known = self.targets.get(target_id)
@@ -107,6 +118,7 @@
             slots,
             connections,
             known.entry.relative_service_time if known else 0.0,
+            target_incarnation,
         )
         self.targets[target_id] = LocalTarget(
             target_address, entry, trio.current_time()
@@ -162,6 +174,7 @@
             target.entry.slots,
             target.entry.connections,
             state,
+            target.entry.target_incarnation,
         )
 
     def _notify(self):
--- a/snipelead/targets/protocol.py
+++ b/snipelead/targets/protocol.py
@@ -3,10 +3,14 @@
 from enum import Enum
 
 from snipelead.http.reading import FieldRules
+from snipelead.targets.status import TargetStatus
 
 __all__ = ['DEFAULT_TARGET_PROTOCOL', 'ResponseKind', 'TargetProtocol']
 
 
+NO_STATUS = TargetStatus()
+
+
 class ResponseKind(Enum):
     """Meaning of a received response for the pending request."""
 
@@ -76,6 +80,20 @@
         """
         return ResponseKind.ANSWER
 
+    def read_status(self, response):
+        """Return what a response states about its target.
+
+        Parameters
+        ----------
+        response : Message
+            Response of the target to any request.
+
+        Returns
+        -------
+        TargetStatus
+        """
+        return NO_STATUS
+
     def keep_alive_s(self, response):
         """Return the keep-alive timeout that a response states.
 
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -1,6 +1,7 @@
 """Client side of the connections from a node to its local targets."""
 
 from contextlib import suppress
+from math import inf
 
 import trio
 
@@ -20,6 +21,7 @@
 from snipelead.targets.events import ANSWER_STRAY
 from snipelead.targets.protocol import DEFAULT_TARGET_PROTOCOL
 from snipelead.targets.protocol import ResponseKind
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import Ran
 
 __all__ = ['TargetSender']
@@ -45,10 +47,18 @@
         Protocol between the node and its targets.
     max_idle : int
         Maximum number of idle connections kept for each target.
+    statuses : TargetStatuses or None
+        Receives what the targets state about themselves.
     """
 
-    def __init__(self, protocol=DEFAULT_TARGET_PROTOCOL, max_idle=64):
+    def __init__(
+        self,
+        protocol=DEFAULT_TARGET_PROTOCOL,
+        max_idle=64,
+        statuses=None,
+    ):
         self.protocol = protocol
+        self.statuses = statuses or TargetStatuses()
         self.pool = ConnectionPool(IDLE_TIMEOUT_S, max_idle, protocol.rules)
 
     def __enter__(self):
@@ -83,7 +93,7 @@
         except ConnectFailedError as error:
             raise TargetUnreachableError(error.message) from error
 
-    async def send_request(self, reader, call, request, target_id):
+    async def send_request(self, reader, call, request, entry):
         """Send a request and return its response.
 
         Once sending begins, the target may execute the request: ``call.ran``
@@ -99,7 +109,7 @@
             updated.
         request : Request
             Request to send.
-        target_id : TargetId
+        entry : TargetEntry
             Target that the request is intended for.
 
         Returns
@@ -117,13 +127,15 @@
         """
         line = b'%b %b HTTP/1.1' % (request.method, request.url)
         field_lines = self.protocol.request_field_lines(
-            request, call, target_id
+            request, call, entry.target_id
         )
         call.ran = Ran.UNKNOWN
         sent_at = trio.current_time()
         try:
             fully_sent = await self._send(reader, line, field_lines, request)
-            response = await self._receive_answer(reader, call, request)
+            response = await self._receive_answer(
+                reader, call, request, entry, sent_at
+            )
             call.target_time_s = trio.current_time() - sent_at
             await self._buffer_body(response)
         except INCOMPLETE_MESSAGE_ERRORS as error:
@@ -136,11 +148,19 @@
             response.keep_alive = False
         return response
 
-    async def _receive_answer(self, reader, call, request):
+    async def _receive_answer(self, reader, call, request, entry, sent_at):
         """Return the response for a call, discarding stray responses."""
         for _ in range(MAX_SKIPPED_RESPONSES):
             response = await self._receive_final(reader, request)
-            match self.protocol.classify_response(response, call):
+            kind = self.protocol.classify_response(response, call)
+            if kind is not ResponseKind.MISDIRECTED:
+                self.statuses.record(
+                    entry.target_id,
+                    entry.target_incarnation,
+                    self.protocol.read_status(response),
+                    -inf if kind is ResponseKind.STRAY else sent_at,
+                )
+            match kind:
                 case ResponseKind.ANSWER:
                     call.ran = Ran.YES
                     return response
