Keep to the rate limit that a target states

No process read the field, so targets were limited by slots alone.

All requests to a target pass its own node, so the limiter there holds them to the stated rate with a token bucket: a quarter of a second of burst, empty at first. Whatever reaches the target costs a token: first attempts, retries, calls of running work, requests that it rejects. The wait for a token counts as waiting for a slot does, so a request waits only if it can still be answered in time; others are refused at once with SL3026 and a Retry-After that follows from the limit, and are tried at other targets without a retry token. The log line of a refusal has the limit, its age and the rate of the last 4 s.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -171,6 +171,7 @@
             limits,
             TICK_INTERVAL_S,
             self.holder,
+            self.statuses,
         )
         self.balancer = Balancer(
             settings.zone,
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -28,6 +28,7 @@
     'NodeNotReadyError',
     'NodeStoppingError',
     'OverloadedError',
+    'RateLimitedError',
     'RequestHeadTooLargeError',
     'ResponseLostError',
     'TargetBusyError',
@@ -108,6 +109,12 @@
     retry_on_other_target = True
 
 
+class RateLimitedError(OverloadedError):
+    """The target states a rate limit that leaves no room for the request."""
+
+    code = 'SL3026'
+
+
 class TargetLeavingError(CallError):
     """The target is leaving and accepts no new requests."""
 
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -202,15 +202,37 @@
         """Total expected service time of all waiting requests, in seconds."""
         return sum(w.service_s for w in self.waiters)
 
-    def pop_infeasible(self, now):
-        """Remove and return the requests that cannot meet their deadline."""
-        infeasible = [
-            w for w in self.waiters if now + w.service_s > w.deadline
-        ]
-        for waiter in infeasible:
-            self.waiters.remove(waiter)
+    def pop_infeasible(self, now, estimate_wait_s=None):
+        """Remove and return the requests that cannot meet their deadline.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        estimate_wait_s : callable or None
+            Returns the time until a request starts, in seconds, given the
+            number of requests before it. None if it may start at any time.
+        """
+        infeasible = []
+        if not self.waiters:
+            return infeasible
+        feasible_count = 0
+        for waiter in sorted(self.waiters, key=lambda w: w.sort_key(now)):
+            wait_s = (
+                estimate_wait_s(feasible_count) if estimate_wait_s else 0.0
+            )
+            if now + wait_s + waiter.service_s > waiter.deadline:
+                infeasible.append(waiter)
+                self.waiters.remove(waiter)
+            else:
+                feasible_count += 1
         return infeasible
 
+    def count_ahead(self, waiter, now):
+        """Return the number of requests before a new one."""
+        key = waiter.sort_key(now)
+        return sum(w.sort_key(now) <= key for w in self.waiters)
+
 
 def choose_retry_after_s(drain_s, slack_s, random_fraction):
     """Return the time after which a refused caller should retry, in seconds.
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -10,6 +10,7 @@
 from snipelead.callers.exceptions import DuplicateAttemptError
 from snipelead.callers.exceptions import MisdirectedRequestError
 from snipelead.callers.exceptions import OverloadedError
+from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import TargetBusyError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
@@ -26,7 +27,9 @@
 from snipelead.nodes.latency_queue import ServiceTimes
 from snipelead.nodes.local_response import LocalResponse
 from snipelead.nodes.peer_messages import Load
+from snipelead.nodes.rate_limiter import RateLimiter
 from snipelead.nodes.relative_service_time import RelativeServiceTime
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import RequestClass
 from snipelead.types import TargetState
 
@@ -62,6 +65,8 @@
         Limits of the queue.
     holder : ReleaseHolder or None
         Holds the release with the latency objectives of the routes.
+    statuses : TargetStatuses or None
+        Statuses that targets have stated.
 
     Attributes
     ----------
@@ -83,6 +88,8 @@
         Moving average of the share of server errors among the responses.
     relative_service_time : RelativeServiceTime
         How slow the target is, as told to all nodes.
+    rate_limiter : RateLimiter
+        Keeps to the rate limit that the target states.
     """
 
     def __init__(
@@ -93,6 +100,7 @@
         attempts,
         limits,
         holder=None,
+        statuses=None,
     ):
         self.target_id = target_id
         self.local_targets = local_targets
@@ -100,6 +108,8 @@
         self.attempts = attempts
         self.limits = limits
         self.holder = holder
+        self.statuses = statuses or TargetStatuses()
+        self.rate_limiter = RateLimiter()
         self.in_flight = 0
         self.batch_in_flight = 0
         self.random = Random()
@@ -186,8 +196,36 @@
                 self.service_times.estimate_s(call.route) * 1_000
             ),
             'deadline_ms': call.remaining_ms(),
+            **self._describe_rate_limit(),
         }
 
+    def _describe_rate_limit(self):
+        status = self.find_status()
+        if status is None or status.rate_limit is None:
+            return {}
+        now = trio.current_time()
+        return {
+            'limit': status.rate_limit,
+            'limit_age_s': round(now - status.stated_at, 3),
+            'rate': self.rate_limiter.measure_rate(now),
+        }
+
+    def find_status(self):
+        """Return what the target has stated about itself, or None."""
+        target = self.local_targets.targets.get(self.target_id)
+        if target is None:
+            return None
+        return self.statuses.find(
+            self.target_id, target.entry.target_incarnation
+        )
+
+    def update_rate_limit(self, now):
+        """Apply the rate limit that the target states at present."""
+        status = self.find_status()
+        self.rate_limiter.set_rate(
+            None if status is None else status.rate_limit, now
+        )
+
     def begin_attempt(self, call, attempt_id):
         """Record an attempt that must not be repeated.
 
@@ -320,14 +358,24 @@
     def start_queued(self):
         """Give free slots to waiting requests."""
         now = trio.current_time()
-        while self.latency_queue and self.in_flight < self.slots:
+        self.update_rate_limit(now)
+        while (
+            self.latency_queue
+            and self.in_flight < self.slots
+            and self.rate_limiter.try_take(now)
+        ):
             waiter = self.latency_queue.pop(now)
             waiter.grant(self.acquire_slot(waiter.request_class))
-        while self.fair_queue and self.in_flight < self.slots:
+        while (
+            self.fair_queue
+            and self.in_flight < self.slots
+            and self.rate_limiter.has_token(now)
+        ):
             batch_allowed = self.has_slot(RequestClass.BATCH)
             waiter = self.fair_queue.pop(batch_allowed)
             if waiter is None:
                 return
+            self.rate_limiter.take(now)
             waiter.grant(self.acquire_slot(waiter.request_class))
 
     # Queues
@@ -341,8 +389,14 @@
             If the call got no slot in time. Raised without waiting if the
             expected wait is too long or the queue is full.
         """
+        now = trio.current_time()
+        self.update_rate_limit(now)
         waiting = self.fair_queue or self.latency_queue
-        if not waiting and self.has_slot(call.request_class):
+        if (
+            not waiting
+            and self.has_slot(call.request_class)
+            and self.rate_limiter.try_take(now)
+        ):
             call.slot_acquired_at = self.acquire_slot(call.request_class)
             return
         if call.latency_deadline is None:
@@ -381,7 +435,12 @@
             call.request_class,
         )
         slots = max(1, self.slots)
-        queue_wait_s = self.latency_queue.service_ahead_s(waiter, now) / slots
+        queue_wait_s = max(
+            self.latency_queue.service_ahead_s(waiter, now) / slots,
+            self.rate_limiter.wait_s(
+                self.latency_queue.count_ahead(waiter, now), now
+            ),
+        )
         if not waiter.may_wait(queue_wait_s, self.mean_service_s / slots, now):
             raise self.make_overloaded_error(call)
         self.latency_queue.push(waiter)
@@ -394,8 +453,18 @@
         return self.service_times.estimate_s(call.route, latency_s)
 
     def tick(self, now):
-        """Evict waiting requests that cannot meet their deadline."""
-        for waiter in self.latency_queue.pop_infeasible(now):
+        """Start waiting requests that may be sent; evict infeasible ones."""
+        self.update_rate_limit(now)
+        is_limited = self.rate_limiter.rate is not None
+        if is_limited:
+            self.start_queued()
+        infeasible = self.latency_queue.pop_infeasible(
+            now,
+            (lambda ahead: self.rate_limiter.wait_s(ahead, now))
+            if is_limited
+            else None,
+        )
+        for waiter in infeasible:
             waiter.evicted = True
             waiter.done.set()
 
@@ -436,25 +505,37 @@
     def estimate_wait_s(self, call):
         """Return the expected wait of a new request, in seconds."""
         ahead = self.fair_queue.count_ahead(call.request_class, call.tenant)
-        return (ahead + 1) * self.mean_service_s / max(1, self.slots)
+        return max(
+            (ahead + 1) * self.mean_service_s / max(1, self.slots),
+            self.rate_limiter.wait_s(ahead, trio.current_time()),
+        )
 
     def make_overloaded_error(self, call):
         """Return the error for a refused call, with its retry delay."""
         wait_s = self.estimate_wait_s(call)
         if call.latency_deadline is not None:
             wait_s = self.choose_call_retry_s(call)
-        wait_ms = int(wait_s * 1_000)
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1_000))
+        if not self.rate_limiter.has_token(trio.current_time()):
+            return RateLimitedError(
+                f'{self.target_id} accepts {self.rate_limiter.rate:g} requests'
+                ' per second',
+                retry_after_ms=retry_after_ms,
+            )
         return OverloadedError(
             f'{self.target_id} is at its limit of {self.slots} requests',
-            retry_after_ms=max(MIN_RETRY_AFTER_MS, wait_ms),
+            retry_after_ms=retry_after_ms,
         )
 
     def choose_call_retry_s(self, call):
         """Return the retry delay of a call with a latency objective."""
-        drain_s = (
-            self.latency_queue.total_service_s + self.mean_service_s
-        ) / max(1, self.slots)
-        slack_s = call.latency_deadline - trio.current_time()
+        now = trio.current_time()
+        service_s = self.latency_queue.total_service_s + self.mean_service_s
+        drain_s = max(
+            service_s / max(1, self.slots),
+            self.rate_limiter.wait_s(len(self.latency_queue), now),
+        )
+        slack_s = call.latency_deadline - now
         slack_s -= SERVICE_TIME_MARGIN * self.estimate_call_service_s(call)
         return choose_retry_after_s(drain_s, slack_s, self.random.random())
 
--- a/snipelead/nodes/target_limiters.py
+++ b/snipelead/nodes/target_limiters.py
@@ -6,6 +6,7 @@
 from snipelead.nodes.attempts import AttemptTable
 from snipelead.nodes.target_limiter import TargetLimiter
 from snipelead.releases.document import MAX_DEADLINE_MS
+from snipelead.targets.status import TargetStatuses
 
 __all__ = ['TargetLimiters']
 
@@ -29,6 +30,8 @@
         Interval at which :meth:`tick` is called, in seconds.
     holder : ReleaseHolder or None
         Holds the release with the latency objectives of the routes.
+    statuses : TargetStatuses or None
+        Statuses that targets have stated.
 
     Attributes
     ----------
@@ -40,11 +43,20 @@
         Whether the node is stopping and refuses requests of other nodes.
     """
 
-    def __init__(self, local_targets, sender, limits, tick_s, holder=None):
+    def __init__(
+        self,
+        local_targets,
+        sender,
+        limits,
+        tick_s,
+        holder=None,
+        statuses=None,
+    ):
         self.local_targets = local_targets
         self.sender = sender
         self.limits = limits
         self.holder = holder
+        self.statuses = statuses or TargetStatuses()
         self.attempts = AttemptTable(int(ATTEMPT_RETENTION_S / tick_s))
         self.by_target = {}
         self.stopping = False
@@ -79,6 +91,7 @@
             self.attempts,
             self.limits,
             self.holder,
+            self.statuses,
         )
         self.by_target[target_id] = limiter
         return limiter
--- a/snipelead/platform/tests/test_limits_and_leaving.py
+++ b/snipelead/platform/tests/test_limits_and_leaving.py
@@ -259,6 +259,98 @@
     def test_target_gets_no_more_than_a_rate_below_one_per_node(self):
         self.check_constant_limit(b'1.5')
 
+    def test_target_gets_most_of_its_stated_rate(self):
+        async def scenario(nursery):
+            await trio.sleep(2.0)
+            self.node.target.rate_limits = (b'20',)
+            await trio.sleep(10.0)
+
+        self.requests_per_s = 150.0
+        self.run_scenario(scenario)
+        self.check_limit(20.0, 2.0)
+        self.assertGreater(len(self.arrivals_at(self.node, 6.0, 12.0)), 90)
+
+    def test_requests_beyond_the_limit_go_to_other_targets(self):
+        async def scenario(nursery):
+            await trio.sleep(2.0)
+            self.node.target.rate_limits = (b'1.5',)
+            await trio.sleep(8.0)
+
+        self.run_scenario(scenario)
+        statuses = self.count_statuses(3.0)
+        self.assertGreater(statuses[200], 700)
+        self.assertEqual(0, statuses.total() - statuses[200])
+
+    def check_end_is_noticed(self, value):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.rate_limits = (value,)
+            await trio.sleep(9.0)
+            self.node.target.rate_limits = ()
+            await trio.sleep(10.0)
+
+        self.run_scenario(scenario)
+        self.check_limit(float(value), 1.0, until=10.0)
+        # About a third of all requests.
+        arrivals = self.arrivals_at(self.node, 16.0, 20.0)
+        self.assertGreater(len(arrivals), 100)
+
+    def test_end_of_a_limit_is_noticed(self):
+        self.check_end_is_noticed(b'20')
+
+    def test_end_of_a_limit_of_zero_is_noticed(self):
+        self.check_end_is_noticed(b'0')
+
+    def test_lower_limit_applies_at_once(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.rate_limits = (b'20',)
+            await trio.sleep(7.0)
+            self.node.target.rate_limits = (b'2',)
+            await trio.sleep(8.0)
+
+        self.run_scenario(scenario)
+        self.check_limit(20.0, 1.0)
+        self.check_limit(2.0, 8.5 - STABLE_WINDOW_S)
+
+    def test_limit_holds_while_the_target_rejects_requests(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.rate_limits = (b'2',)
+            await trio.sleep(2.0)
+            # It refuses all requests and states its limit with it.
+            self.node.target.slots = 0
+            await trio.sleep(8.0)
+
+        self.run_scenario(scenario)
+        self.check_limit(2.0, 1.0)
+
+    def test_request_that_no_target_has_room_for_is_refused_at_once(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            for node in self.nodes:
+                node.target.rate_limits = (b'2',)
+            await trio.sleep(4.0)
+            caller = await Caller.open(self.node.path.caller_address)
+            started_at = trio.current_time()
+            refusal = None
+            with caller.connection:
+                while refusal is None:
+                    started_at = trio.current_time()
+                    self.sent['x'] = ('x', started_at)
+                    response, _ = await caller.call(
+                        '/reads/1', Attempt_Id='x', Deadline_Ms=1_500
+                    )
+                    if response.status == 503:
+                        refusal = response
+            self.assertLess(trio.current_time() - started_at, 0.3)
+            retry_after_s = float(refusal.fields[b'retry-after'])
+            self.assertTrue(0.05 < retry_after_s < 1.5, retry_after_s)
+            await trio.sleep(6.0)
+
+        self.run_scenario(scenario)
+        self.check_limit(2.0, 1.0)
+
     def test_limit_holds_after_a_restart_of_the_node_of_the_target(self):
         # The limit was forgotten by the only process that enforces it, while
         # other nodes had told their callers.
