Keep a stated rate limit across restarts of the node that enforces it

A target's limit is enforced by the node beside it alone. The class is state that one process holds for all and that its restart forgets.

The node beside a target now tells the others, with each response that it forwards and each refusal for the limit, what the target has stated, and they tell it back with their requests. A new process applies a limit that it is told until the target itself has responded to it. Nothing is sent about targets that have stated nothing, and a status is bound to one incarnation of the target.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -164,7 +164,7 @@
             self.protocols.target, statuses=self.statuses
         )
         self.reachability = ReachabilityMonitor(self.directory, settings.zone)
-        self.forwarder = Forwarder(self.reachability)
+        self.forwarder = Forwarder(self.reachability, self.statuses)
         self.limiters = TargetLimiters(
             self.local_targets,
             self.sender,
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -8,6 +8,7 @@
 
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import DeadlineExceededError
+from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.http.exceptions import ConnectFailedError
@@ -19,14 +20,21 @@
 from snipelead.http.writing import send_message
 from snipelead.http.writing import send_remaining_body
 from snipelead.nodes.peer_messages import CALL_FIELD
+from snipelead.nodes.peer_messages import decode_status
 from snipelead.nodes.peer_messages import encode_field
 from snipelead.nodes.peer_messages import FENCE_FIELD
 from snipelead.nodes.peer_messages import FenceRequest
 from snipelead.nodes.peer_messages import HEARTBEAT_TIMEOUT_S
+from snipelead.nodes.peer_messages import make_status_message
+from snipelead.nodes.peer_messages import STATUS_FIELD
 from snipelead.nodes.peer_responses import PeerResponse
 from snipelead.nodes.peer_responses import read_fence_reply
 from snipelead.nodes.peer_responses import read_refusal
 from snipelead.nodes.reachability import PeerFailure
+from snipelead.targets.protocol import NO_STATUS
+from snipelead.targets.status import StatusSource
+from snipelead.targets.status import TargetStatus
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import Ran
 
 __all__ = ['Forwarder']
@@ -56,6 +64,8 @@
     ----------
     reachability : ReachabilityMonitor or None
         Notified of nodes that are unreachable.
+    statuses : TargetStatuses or None
+        Statuses that targets have stated.
 
     Attributes
     ----------
@@ -66,8 +76,9 @@
         Time of the last :meth:`tick`, in seconds of trio's clock.
     """
 
-    def __init__(self, reachability=None):
+    def __init__(self, reachability=None, statuses=None):
         self.reachability = reachability
+        self.statuses = statuses or TargetStatuses()
         self.pool = ConnectionPool(
             IDLE_TIMEOUT_S,
             MAX_IDLE_CONNECTIONS,
@@ -115,11 +126,13 @@
             self.pool.release(entry.address, reader)
             raise
         call.ran = Ran.UNKNOWN
+        sent_at = trio.current_time()
         try:
             response = await self._exchange(
                 reader, entry, call, request, attempt_id
             )
             refusal = await read_refusal(response)
+            self._record_status(entry, response, refusal, sent_at)
         except INCOMPLETE_MESSAGE_ERRORS as error:
             # A reset discards request bytes that the kernel has not sent yet.
             reader.connection.abort()
@@ -142,6 +155,29 @@
         call.ran = Ran.YES
         return peer_response
 
+    def _record_status(self, entry, response, refusal, sent_at):
+        """Record what the target has stated according to its node."""
+        message = decode_status(response)
+        incarnation = entry.target_incarnation
+        match refusal:
+            case RateLimitedError() if 'rate_limit' in refusal.details:
+                status = TargetStatus(float(refusal.details['rate_limit']))
+            case None if message is None:
+                status = NO_STATUS
+            case None:
+                incarnation = message.target_incarnation
+                status = TargetStatus(message.rate_limit, message.is_leaving)
+            case _:
+                # A refusal of the node for a reason of its own.
+                return
+        self.statuses.record(
+            entry.target_id,
+            incarnation,
+            status,
+            sent_at,
+            StatusSource.TARGET_NODE,
+        )
+
     async def _connect(self, entry):
         address = entry.address
         with trio.move_on_after(CONNECT_TIMEOUT_S):
@@ -162,6 +198,11 @@
     async def _exchange(self, reader, entry, call, request, attempt_id):
         info = call.make_metadata(entry, attempt_id, DEADLINE_MARGIN_MS)
         field_lines = [*request.field_lines, encode_field(CALL_FIELD, info)]
+        status = make_status_message(
+            self.statuses.find(entry.target_id, entry.target_incarnation)
+        )
+        if status is not None:
+            field_lines.append(encode_field(STATUS_FIELD, status))
         request_line = b'%b %b HTTP/1.1' % (request.method, request.url)
         self.last_received_at[reader] = trio.current_time()
         try:
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -1,6 +1,9 @@
 """Header fields and messages exchanged by nodes on the call path."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 from msgspec import Struct
 
 from snipelead.types import AttemptId
@@ -11,13 +14,18 @@
     'CALL_FIELD',
     'FENCE_FIELD',
     'LOAD_FIELD',
+    'STATUS_FIELD',
     'FenceRequest',
     'Load',
+    'StatusMessage',
+    'decode_status',
+    'make_status_message',
 ]
 
 CALL_FIELD = b'x-snipelead-call'
 FENCE_FIELD = b'x-snipelead-fence'
 LOAD_FIELD = b'x-snipelead-load'
+STATUS_FIELD = b'x-snipelead-status'
 # A peer that holds a request and sends no heartbeat for this time is lost.
 HEARTBEAT_TIMEOUT_S = 0.6
 # Interval of the heartbeats that a peer sends while it holds a request.
@@ -59,6 +67,27 @@
     route_service_us: int = 0
 
 
+class StatusMessage(Struct, frozen=True, array_like=True):
+    """What a target has stated about itself; sent only if it has.
+
+    The node beside the target sends it with responses. The other nodes send
+    it with requests, so that a limit outlives the process that enforces it.
+
+    Parameters
+    ----------
+    target_incarnation : Incarnation
+        Incarnation of the target that stated it.
+    rate_limit : float or None
+        Requests per second that the target accepts from all nodes together.
+    is_leaving : bool
+        Whether the target is leaving.
+    """
+
+    target_incarnation: Incarnation
+    rate_limit: Annotated[float, Meta(ge=0)] | None = None
+    is_leaving: bool = False
+
+
 class FenceRequest(Struct, frozen=True, array_like=True):
     """Request to fence an attempt, so that it is never admitted.
 
@@ -87,6 +116,39 @@
     ran: Ran
 
 
+def make_status_message(known):
+    """Return the message about a known status, or None if there is none.
+
+    Parameters
+    ----------
+    known : KnownStatus or None
+        What this node knows of the target.
+    """
+    if known is None or (known.rate_limit is None and not known.is_leaving):
+        return None
+    return StatusMessage(known.incarnation, known.rate_limit, known.is_leaving)
+
+
+_status_decoder = msgspec.json.Decoder(StatusMessage)
+
+
+def decode_status(message):
+    """Return the status message in a request or response, or None.
+
+    Parameters
+    ----------
+    message : Message
+        Request or response of another node.
+    """
+    field = message.fields.get(STATUS_FIELD)
+    if field is None:
+        return None
+    try:
+        return _status_decoder.decode(field)
+    except msgspec.DecodeError:
+        return None
+
+
 def encode_field(name, value):
     """Return a header field that holds a message encoded as JSON."""
     return b'%b: %b' % (name, _encode(value))
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -11,11 +11,13 @@
 from snipelead.callers.request_log import is_sampled
 from snipelead.http.writing import encode_head
 from snipelead.nodes.peer_messages import CALL_FIELD
+from snipelead.nodes.peer_messages import decode_status
 from snipelead.nodes.peer_messages import encode_field
 from snipelead.nodes.peer_messages import FENCE_FIELD
 from snipelead.nodes.peer_messages import FenceReply
 from snipelead.nodes.peer_messages import FenceRequest
 from snipelead.nodes.peer_messages import LOAD_FIELD
+from snipelead.nodes.peer_messages import STATUS_FIELD
 from snipelead.types import Ran
 
 __all__ = ['PeerService']
@@ -68,12 +70,18 @@
         if self.limiters.stopping:
             raise NodeStoppingError('the node is stopping')
         limiter = self.limiters.find(call_info.target_id)
+        status = decode_status(request)
+        if status is not None:
+            limiter.adopt_rate_limit(status)
         response = await limiter.send(
             call, request, call_info.attempt_id, call_info.incarnation
         )
         try:
-            load = encode_field(LOAD_FIELD, response.load)
-            await relay_response(connection, request, call, response, (load,))
+            lines = [encode_field(LOAD_FIELD, response.load)]
+            status = limiter.make_status_message()
+            if status is not None:
+                lines.append(encode_field(STATUS_FIELD, status))
+            await relay_response(connection, request, call, response, lines)
         finally:
             response.close()
 
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -27,6 +27,7 @@
 from snipelead.nodes.latency_queue import ServiceTimes
 from snipelead.nodes.local_response import LocalResponse
 from snipelead.nodes.peer_messages import Load
+from snipelead.nodes.peer_messages import make_status_message
 from snipelead.nodes.rate_limiter import RateLimiter
 from snipelead.nodes.relative_service_time import RelativeServiceTime
 from snipelead.targets.status import TargetStatuses
@@ -219,6 +220,28 @@
             self.target_id, target.entry.target_incarnation
         )
 
+    def adopt_rate_limit(self, message):
+        """Apply a limit that the target has stated to a former process.
+
+        Parameters
+        ----------
+        message : StatusMessage
+            What another node knows of the target.
+        """
+        target = self.local_targets.targets.get(self.target_id)
+        if (
+            target is not None
+            and message.rate_limit is not None
+            and message.target_incarnation == target.entry.target_incarnation
+        ):
+            self.statuses.adopt_rate_limit(
+                self.target_id, message.target_incarnation, message.rate_limit
+            )
+
+    def make_status_message(self):
+        """Return what the target has stated, or None if nothing."""
+        return make_status_message(self.find_status())
+
     def update_rate_limit(self, now):
         """Apply the rate limit that the target states at present."""
         status = self.find_status()
@@ -521,6 +544,7 @@
                 f'{self.target_id} accepts {self.rate_limiter.rate:g} requests'
                 ' per second',
                 retry_after_ms=retry_after_ms,
+                rate_limit=self.rate_limiter.rate,
             )
         return OverloadedError(
             f'{self.target_id} is at its limit of {self.slots} requests',
--- a/snipelead/platform/tests/test_limits_and_leaving.py
+++ b/snipelead/platform/tests/test_limits_and_leaving.py
@@ -369,6 +369,24 @@
         self.run_scenario(scenario)
         self.check_limit(1.5, 2.0, excused=(self.node.target_id,))
 
+    def test_refusal_of_another_node_tells_the_limit(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.rate_limits = (b'0',)
+            await trio.sleep(2.0)
+            for node in self.nodes[1:]:
+                # Such a node has had no response of the target since.
+                node.path.statuses.by_target.clear()
+            await trio.sleep(1.5)
+            entry = self.node.entry
+            for node in self.nodes[1:]:
+                limit = node.path.statuses.find_rate_limit(
+                    entry.target_id, entry.target_incarnation
+                )
+                self.assertEqual(0.0, limit)
+
+        self.run_scenario(scenario)
+
 
 class LeavingTest(StatusTestCase):
     def test_node_told_by_a_response_that_a_target_leaves_sends_it_nothing(
