Send nothing to a target that states in a response that it leaves

A target may say in its responses that it leaves, with or before its heartbeats.

Each node now keeps what it forwarded: it chooses no target that has stated to leave for the rest of that incarnation, whatever the directory says later, whether or not it can reach a control or the target's node, and also after the directory has forgotten the target meanwhile. The node beside the target refuses requests for it from that response on, tells the others by the directory, and no heartbeat takes it back, neither a delayed one nor those that verify a target after a restart. Requests that wait for a slot of a leaving target are refused at once; until now they waited for a slot first.

New tests: restarts of the target's node, a directory that forgets, the next incarnation, a response without the statement, all targets leaving at once, heartbeats.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -160,6 +160,7 @@
         settings = self.settings
         limits = settings.limits
         self.statuses.on_rate_limit = self.metrics.set_rate_limit
+        self.statuses.on_leaving = self.local_targets.mark_leaving
         self.sender = TargetSender(
             self.protocols.target, statuses=self.statuses
         )
@@ -183,6 +184,7 @@
             limits.own_zone_load,
             self.reachability,
             limits.crossing_ms_per_kb,
+            self.statuses,
         )
         self.attempts = AttemptRunner(
             settings.node_id,
--- a/snipelead/callers/tests/test_limiter.py
+++ b/snipelead/callers/tests/test_limiter.py
@@ -161,6 +161,28 @@
 
         self.run_nodes(test, self.node)
 
+    def test_queued_requests_are_refused_when_the_target_leaves(self):
+        async def test(nursery):
+            self.delay_responses()
+            callers = [await self.open() for _ in range(6)]
+            for caller in callers:
+                await caller.send('/orders/1', 'POST')
+            limiter = self.node.limiter
+            await wait_until(lambda: limiter.waiting == 2)
+            self.node.announce(TargetState.LEAVING)
+            # No slot becomes free meanwhile.
+            for caller in callers[4:]:
+                reply = await caller.receive()
+                self.assertEqual(
+                    ('SL3007', 'no'), parse_error_response(reply)[:2]
+                )
+            self.node.target.hold.set()
+            for caller in callers[:4]:
+                response, _ = await caller.receive()
+                self.assertEqual(200, response.status)
+
+        self.run_nodes(test, self.node)
+
     def test_request_of_disconnected_caller_is_dequeued(self):
         async def test(nursery):
             release = self.delay_responses()
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -85,6 +85,7 @@
             self.local_targets,
             frontend.is_known_service,
             history_complete=False,
+            statuses=self.statuses,
         )
 
     @property
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -228,6 +228,11 @@
                 feasible_count += 1
         return infeasible
 
+    def pop_all(self):
+        """Remove and return all requests."""
+        waiters, self.waiters = self.waiters, []
+        return waiters
+
     def count_ahead(self, waiter, now):
         """Return the number of requests before a new one."""
         key = waiter.sort_key(now)
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -291,10 +291,24 @@
                 current=self.local_targets.incarnation,
             )
         target = self.local_targets.targets.get(self.target_id)
-        if target is None or target.entry.state is TargetState.LEAVING:
-            raise TargetLeavingError(f'{self.target_id} takes no new work')
+        if self._is_leaving():
+            raise self._make_leaving_error()
         return target
 
+    def _is_leaving(self):
+        """Return whether the target is leaving or gone."""
+        target = self.local_targets.targets.get(self.target_id)
+        return (
+            target is None
+            or target.entry.state is TargetState.LEAVING
+            or self.statuses.is_leaving(
+                self.target_id, target.entry.target_incarnation
+            )
+        )
+
+    def _make_leaving_error(self):
+        return TargetLeavingError(f'{self.target_id} takes no new work')
+
     async def send_admitted(self, call, request, attempt_id, incarnation):
         """Send an admitted request and wait for the response head."""
         try:
@@ -438,6 +452,8 @@
         call.queue_wait_s += trio.current_time() - wait_started_at
         if not waiter.granted:
             self.remove_waiter(waiter)
+            if self._is_leaving():
+                raise self._make_leaving_error()
             raise self.make_overloaded_error(call)
         call.slot_acquired_at = waiter.granted_at
 
@@ -477,6 +493,9 @@
 
     def tick(self, now):
         """Start waiting requests that may be sent; evict infeasible ones."""
+        if self.waiting and self._is_leaving():
+            self._evict_all()
+            return
         self.update_rate_limit(now)
         is_limited = self.rate_limiter.rate is not None
         if is_limited:
@@ -491,6 +510,14 @@
             waiter.evicted = True
             waiter.done.set()
 
+    def _evict_all(self):
+        waiters = self.latency_queue.pop_all()
+        while (waiter := self.fair_queue.pop(batch_allowed=True)) is not None:
+            waiters.append(waiter)
+        for waiter in waiters:
+            waiter.evicted = True
+            waiter.done.set()
+
     def enqueue(self, call):
         """Put a call without a latency objective into the fair queue.
 
--- a/snipelead/platform/tests/test_limits_and_leaving.py
+++ b/snipelead/platform/tests/test_limits_and_leaving.py
@@ -14,6 +14,7 @@
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.http.exceptions import ConnectFailedError
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
+from snipelead.messages import DirectoryUpdate
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.platform.tests.test_protocols import PlatformNode
 from snipelead.releases.document import Release
@@ -402,6 +403,88 @@
         self.run_scenario(scenario)
         self.check_drained()
 
+    def test_leaving_target_stays_so_when_its_node_restarts(self):
+        # The new process announces the target as serving until it responds.
+        async def scenario(nursery):
+            await trio.sleep(2.0)
+            self.node.target.states_leaving = True
+            await trio.sleep(1.0)
+            for _ in range(5):
+                await self.restart(nursery, self.node)
+                await trio.sleep(1.0)
+
+        self.run_scenario(scenario)
+        self.check_drained(excused=(self.node.target_id,))
+
+    def test_leaving_target_stays_so_when_the_directory_forgets_it(self):
+        async def scenario(nursery):
+            await trio.sleep(2.0)
+            self.node.target.states_leaving = True
+            await trio.sleep(1.0)
+            # Its own process does not act on what the target states.
+            self.node.path.statuses.by_target.clear()
+            self.node.announce(TargetState.SERVING)
+            for node in self.nodes[1:]:
+                node.directory.apply(DirectoryUpdate('e', 1, is_full=True))
+                node.path.balancer.drop_removed_targets()
+            self.node.target.states_leaving = False
+            self.spread_entries()
+            await trio.sleep(6.0)
+
+        self.run_scenario(scenario)
+        self.check_drained(excused=(self.node.target_id,))
+
+    def test_next_incarnation_of_a_leaving_target_gets_requests(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.states_leaving = True
+            await trio.sleep(4.0)
+            self.node.target.states_leaving = False
+            self.node.born += 1
+            self.node.announce(TargetState.SERVING)
+            self.spread_entries()
+            await trio.sleep(3.0)
+
+        self.run_scenario(scenario)
+        self.assertEqual([], self.arrivals_at(self.node, 3.5, 5.0))
+        arrivals = self.arrivals_at(self.node, 5.0)
+        self.assertEqual(
+            {node.target_id for node in self.nodes},
+            {arrival.origin for arrival in arrivals},
+        )
+
+    def test_response_without_the_statement_does_not_take_it_back(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            self.node.target.states_leaving = True
+            await trio.sleep(0.3)
+            self.node.target.states_leaving = False
+            await trio.sleep(5.0)
+
+        self.run_scenario(scenario)
+        self.check_drained()
+
+    def test_requests_are_refused_at_once_when_all_targets_leave(self):
+        async def scenario(nursery):
+            await trio.sleep(1.0)
+            for node in self.nodes:
+                node.target.states_leaving = True
+            await trio.sleep(3.0)
+            caller = await Caller.open(self.node.path.caller_address)
+            with caller.connection:
+                started_at = trio.current_time()
+                response, _ = await caller.call(
+                    '/reads/1', Attempt_Id='x', Deadline_Ms=1_500
+                )
+            self.assertEqual(503, response.status)
+            self.assertIn(b'retry-after', response.fields)
+            self.assertLess(trio.current_time() - started_at, 0.1)
+
+        self.run_scenario(scenario)
+        # Those under way are delivered.
+        self.assertEqual({200, 503}, set(self.count_statuses(0.0)))
+        self.assertGreater(self.count_statuses(1.0)[200], 5)
+
     def check_drained(self, excused=()):
         """Check that no node sends requests after the drain time."""
         for arrival in self.arrivals_at(self.node):
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -21,6 +21,7 @@
 from snipelead.routing.policies import POLICIES
 from snipelead.routing.policies import Policy
 from snipelead.routing.policies import RequestProfile
+from snipelead.targets.status import TargetStatuses
 from snipelead.utils.bounded_dict import BoundedDict
 
 __all__ = ['Balancer']
@@ -71,6 +72,8 @@
         Cost of sending a response across zones, as milliseconds of added
         latency per kilobyte. If None, the own zone is preferred up to
         ``own_zone_load``.
+    statuses : TargetStatuses or None
+        Statuses that targets have stated.
 
     Attributes
     ----------
@@ -94,7 +97,9 @@
         own_zone_load=DEFAULT_OWN_ZONE_LOAD,
         reachability=None,
         crossing_ms_per_kb=None,
+        statuses=None,
     ):
+        self.statuses = statuses or TargetStatuses()
         self.crossing_ms_per_kb = crossing_ms_per_kb
         self.mean_response_bytes = BoundedDict(MAX_TRACKED_ROUTES)
         self.mean_service_s = BoundedDict(MAX_TRACKED_ROUTES)
@@ -299,6 +304,9 @@
             if o.entry.target_id not in tried
             and o.is_usable(now)
             and not self._is_unreachable(o.entry)
+            and not self.statuses.is_leaving(
+                o.entry.target_id, o.entry.target_incarnation
+            )
         ]
 
     def _is_unreachable(self, entry):
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -15,6 +15,7 @@
 from snipelead.targets.events import TARGET_GONE
 from snipelead.targets.events import TARGET_LEAVING
 from snipelead.targets.events import TARGET_UNPROVED
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import Address
 from snipelead.types import Incarnation
 from snipelead.types import ServiceName
@@ -110,8 +111,15 @@
         serving without a successful health check; 0 once it is verified.
     """
 
-    def __init__(self, local_targets, is_known_service, history_complete=True):
+    def __init__(
+        self,
+        local_targets,
+        is_known_service,
+        history_complete=True,
+        statuses=None,
+    ):
         self.local_targets = local_targets
+        self.statuses = statuses or TargetStatuses()
         self.is_known_service = is_known_service
         self.history_complete = history_complete
         self.heartbeats_until_verified = 0
@@ -230,7 +238,12 @@
         self.withdrawn = False
 
     def _apply(self, heartbeat):
-        is_leaving = heartbeat.state is TargetState.LEAVING
+        is_leaving = (
+            heartbeat.state is TargetState.LEAVING
+            or self.statuses.is_leaving(
+                heartbeat.target_id, Incarnation(heartbeat.started_ms)
+            )
+        )
         if is_leaving and not self.leaving:
             self.leaving = True
             log_event(TARGET_LEAVING, target=heartbeat.target_id)
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -177,6 +177,24 @@
             target.entry.target_incarnation,
         )
 
+    def mark_leaving(self, target_id, target_incarnation):
+        """Set the state of a target that states that it is leaving.
+
+        Parameters
+        ----------
+        target_id : TargetId
+            Target; ignored if it is not serving.
+        target_incarnation : Incarnation
+            Incarnation of the target; ignored if another one is registered.
+        """
+        target = self.targets.get(target_id)
+        if (
+            target is not None
+            and target.entry.state is TargetState.SERVING
+            and target.entry.target_incarnation == target_incarnation
+        ):
+            self.change_state(target_id, TargetState.LEAVING)
+
     def _notify(self):
         self._changed.set()
         self._changed = trio.Event()
--- a/snipelead/targets/status.py
+++ b/snipelead/targets/status.py
@@ -164,11 +164,15 @@
     on_rate_limit : callable or None
         Called with the id of a local target and its limit, or None, whenever
         the limit changes.
+    on_leaving : callable or None
+        Called with the id and the incarnation of a local target that states
+        for the first time that it is leaving.
     """
 
     def __init__(self):
         self.by_target = BoundedDict(MAX_TRACKED_TARGETS)
         self.on_rate_limit = None
+        self.on_leaving = None
 
     def record(
         self,
@@ -207,8 +211,7 @@
             return
         known.is_observed |= is_direct
         if status.is_leaving and not known.is_leaving:
-            known.is_leaving = True
-            log_event(LEAVING_STATED, target=target_id, source=source.value)
+            self._mark_leaving(target_id, known, source)
         if status.invalid_rate_limit:
             _log_invalid_once(target_id, known, status.invalid_rate_limit)
             return
@@ -264,6 +267,13 @@
             and known.incarnation >= incarnation
         )
 
+    def _mark_leaving(self, target_id, known, source):
+        known.is_leaving = True
+        log_event(LEAVING_STATED, target=target_id, source=source.value)
+        is_local = source is not StatusSource.TARGET_NODE
+        if is_local and self.on_leaving is not None:
+            self.on_leaving(target_id, known.incarnation)
+
     def _update_rate_limit(
         self, target_id, known, rate_limit, sent_at, source
     ):
--- a/snipelead/targets/tests/test_heartbeats.py
+++ b/snipelead/targets/tests/test_heartbeats.py
@@ -6,6 +6,7 @@
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.heartbeats import TargetHeartbeat
 from snipelead.targets.local import LocalTargets
+from snipelead.targets.status import TargetStatus
 from snipelead.types import TargetState
 
 SERVING = TargetState.SERVING
@@ -52,6 +53,36 @@
 
         self.run_tracker(test)
 
+    def test_target_that_stated_to_leave_stays_so_whatever_heartbeats_say(
+        self,
+    ):
+        def test(tracker, local_targets):
+            tracker.process(FIRST)
+            statuses = tracker.statuses
+            statuses.on_leaving = local_targets.mark_leaving
+            leaving = TargetStatus(is_leaving=True)
+            statuses.record('i-1', FIRST.started_ms, leaving, 0.0)
+            self.assertIs(LEAVING, self.state_of(local_targets))
+            sequence = local_targets.sequence
+            tracker.process(make_heartbeat(sequence=2))
+            tracker.process(make_heartbeat(sequence=3))
+            self.assertIs(LEAVING, self.state_of(local_targets))
+            self.assertEqual(sequence, local_targets.sequence)
+            tracker.process(make_heartbeat(sequence=1, started_ms=2_000))
+            self.assertIs(SERVING, self.state_of(local_targets))
+
+        self.run_tracker(test)
+
+    def test_target_that_stated_to_leave_is_not_verified_later(self):
+        def test(tracker, local_targets):
+            leaving = TargetStatus(is_leaving=True)
+            tracker.statuses.record('i-1', FIRST.started_ms, leaving, 0.0)
+            for sequence in range(1, 6):
+                tracker.process(make_heartbeat(sequence=sequence))
+                self.assertIsNot(SERVING, self.state_of(local_targets))
+
+        self.run_tracker(test, history_complete=False)
+
     def test_delayed_heartbeat_does_not_cancel_leaving(self):
         def test(tracker, local_targets):
             tracker.process(FIRST)
