Refuse requests that were overtaken in the queue of a limited target

Callers got 503 after one second instead of at once, when all targets stated a limit. A request joins the queue of a target with a limit if a token is due in time. One that began earlier elsewhere could then pass it and take that token; from then on the first one was late, and since requests that can still be in time go first, all newer ones passed it until shortly before its deadline.

Under a limit the start of each request in the queue is known, so each tick now refuses those that would start too late for their latency objective. The new test failed before. Requests that only wait for a slot are kept as before: when one becomes free is not known.

--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -203,7 +203,7 @@
         return sum(w.service_s for w in self.waiters)
 
     def pop_infeasible(self, now, estimate_wait_s=None):
-        """Remove and return the requests that cannot meet their deadline.
+        """Remove and return the requests that cannot be answered in time.
 
         Parameters
         ----------
@@ -211,22 +211,30 @@
             Time in seconds of trio's clock.
         estimate_wait_s : callable or None
             Returns the time until a request starts, in seconds, given the
-            number of requests before it. None if it may start at any time.
+            number of requests before it. Requests that would then miss their
+            latency objective are removed, since newer ones would go before
+            them until their deadline. If None, any request may start soon, and
+            only those that cannot meet their deadline are removed.
         """
-        infeasible = []
-        if not self.waiters:
-            return infeasible
-        feasible_count = 0
+        if estimate_wait_s is None:
+            infeasible = [
+                w for w in self.waiters if now + w.service_s > w.deadline
+            ]
+        else:
+            infeasible = self._find_late(now, estimate_wait_s)
+        for waiter in infeasible:
+            self.waiters.remove(waiter)
+        return infeasible
+
+    def _find_late(self, now, estimate_wait_s):
+        late = []
+        ahead = 0
         for waiter in sorted(self.waiters, key=lambda w: w.sort_key(now)):
-            wait_s = (
-                estimate_wait_s(feasible_count) if estimate_wait_s else 0.0
-            )
-            if now + wait_s + waiter.service_s > waiter.deadline:
-                infeasible.append(waiter)
-                self.waiters.remove(waiter)
+            if now + estimate_wait_s(ahead) > waiter.latest_start:
+                late.append(waiter)
             else:
-                feasible_count += 1
-        return infeasible
+                ahead += 1
+        return late
 
     def pop_all(self):
         """Remove and return all requests."""
--- a/snipelead/nodes/tests/test_limiter_accounting.py
+++ b/snipelead/nodes/tests/test_limiter_accounting.py
@@ -1,3 +1,4 @@
+from contextlib import suppress
 from types import SimpleNamespace
 
 from testtools import TestCase
@@ -6,10 +7,13 @@
 from trio.testing import wait_all_tasks_blocked
 
 from snipelead.callers.call import Call
+from snipelead.callers.exceptions import RateLimitedError
 from snipelead.nodes.attempts import AttemptTable
 from snipelead.nodes.target_limiter import TargetLimiter
 from snipelead.settings.schema import NodeLimits
 from snipelead.targets.local import LocalTargets
+from snipelead.targets.status import TargetStatus
+from snipelead.targets.status import TargetStatuses
 from snipelead.types import RequestClass
 from snipelead.types import TargetState
 
@@ -31,6 +35,61 @@
         pass
 
 
+class LimitedQueueTest(TestCase):
+    """Guards against requests that wait until their deadline in vain.
+
+    A request that was overtaken in the queue of a target with a rate limit
+    was late by then, so that all newer ones went before it, too.
+    """
+
+    def test_overtaken_request_is_refused_at_once(self):
+        async def main():
+            clock.jump(STARTED_AT_S)
+            local_targets = LocalTargets('n', 'a', '127.0.0.1:1')
+            local_targets.announce(
+                't', 'stock', '127.0.0.1:2', 9, 9, TargetState.SERVING
+            )
+            statuses = TargetStatuses()
+            statuses.record('t', 0, TargetStatus(2.0), STARTED_AT_S)
+            limiter = TargetLimiter(
+                't',
+                local_targets,
+                FakeSender(),
+                AttemptTable(retention_ticks=1),
+                NodeLimits(),
+                statuses=statuses,
+            )
+            # Both of the next two requests find that a token is due soon.
+            limiter.update_rate_limit(STARTED_AT_S)
+            clock.jump(0.4)
+            started_at = trio.current_time()
+            ended_after_s = {}
+
+            async def admit(name, latency_ms):
+                call = Call(RequestClass.INTERACTIVE, '', False, DEADLINE_MS)
+                call.set_latency_deadline(latency_ms)
+                with suppress(RateLimitedError):
+                    await limiter.admit(call)
+                ended_after_s[name] = trio.current_time() - started_at
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(admit, 'overtaken', 601)
+                await wait_all_tasks_blocked()
+                nursery.start_soon(admit, 'overtaking', 600)
+                await wait_all_tasks_blocked()
+                for _ in range(4):
+                    clock.jump(0.05)
+                    limiter.tick(trio.current_time())
+                    await wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            return ended_after_s
+
+        clock = MockClock()
+        ended_after_s = trio.run(main, clock=clock)
+        self.assertAlmostEqual(0.05, ended_after_s['overtaken'])
+        self.assertAlmostEqual(0.1, ended_after_s['overtaking'])
+
+
 class LimiterAccountingTest(TestCase):
     """Guards against wrong counts for requests that waited for a slot.
 
