Check stated limits and leaving targets in the soak

Targets of the soak state rate limits (0 to 20 a second, one after another) and that they leave, with or without heartbeats that say so, also while their nodes are restarted again and again. The number of targets is an option now, so that runs can be as large as the machine bears.

--- a/snipelead/emulator/platform_client.py
+++ b/snipelead/emulator/platform_client.py
@@ -73,6 +73,8 @@
         Delay before the next attempt, in seconds.
     keep_alive : bool
         Whether the connection may be used again.
+    states_limit, states_leaving : bool
+        Whether the target states a rate limit, and that it is leaving.
     """
 
     status: int = 0
@@ -80,6 +82,8 @@
     sealed: bool = False
     retry_after_s: float | None = None
     keep_alive: bool = True
+    states_limit: bool = False
+    states_leaving: bool = False
 
 
 class _ResponseCollector:
@@ -99,6 +103,10 @@
                 self.response.sealed = True
             case b'retry-after':
                 self.response.retry_after_s = float(value)
+            case b'server-limit':
+                self.response.states_limit = True
+            case b'server-leaving':
+                self.response.states_leaving = True
 
     def on_body(self, body):
         self.response.body += body
--- a/snipelead/soak/__main__.py
+++ b/snipelead/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from snipelead.soak.run import DEFAULT_TARGET_COUNT
 from snipelead.soak.run import find_violation
 from snipelead.soak.run import SoakRun
 from snipelead.soak.run import summarise
@@ -17,7 +18,7 @@
 DEFAULT_DURATION_S = 30.0
 
 
-def run_seed(seed, seconds, directory):
+def run_seed(seed, seconds, directory, target_count):
     """Run one seed.
 
     Returns
@@ -31,7 +32,7 @@
     # The processes would load the data of an earlier run.
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
-    run = SoakRun(seed, seconds, directory)
+    run = SoakRun(seed, seconds, directory, target_count)
     try:
         trio.run(run.run)
     except BaseException as error:  # noqa: BLE001
@@ -49,13 +50,18 @@
     parser.add_argument('--seconds', type=float, default=DEFAULT_DURATION_S)
     parser.add_argument('--jobs', type=int, default=1)
     parser.add_argument('--folder', default=None)
+    parser.add_argument('--targets', type=int, default=DEFAULT_TARGET_COUNT)
     options = parser.parse_args()
     directory = Path(options.folder or tempfile.mkdtemp(prefix='soak-'))
     failed = []
     with ProcessPoolExecutor(options.jobs) as pool:
         futures = {
             pool.submit(
-                run_seed, seed, options.seconds, directory / f'seed-{seed}'
+                run_seed,
+                seed,
+                options.seconds,
+                directory / f'seed-{seed}',
+                options.targets,
             ): seed
             for seed in range(options.seed, options.seed + options.count)
         }
--- a/snipelead/soak/checker.py
+++ b/snipelead/soak/checker.py
@@ -11,6 +11,7 @@
 from snipelead.soak.disturbances import ANY_CONTROL
 from snipelead.soak.disturbances import Disturbances
 from snipelead.soak.exceptions import GuaranteeViolationError
+from snipelead.soak.target_status import TargetStatusChecker
 
 __all__ = ['HistoryChecker']
 
@@ -40,15 +41,17 @@
     ROUTE and DENIED for the choice of the service, TWICE and REFUSED for
     requests that may be executed only once, MIXED and UNASKED for requests
     and responses that do not belong together, BUDGET for retries and
-    deadlines, GONE for abandoned requests, LOST for closed connections, and
-    DRAIN for leaving targets. The run itself reports FAULT for processes that
-    exit unexpectedly and RECOVER for nodes that do not serve after the last
-    fault.
+    deadlines, GONE for abandoned requests, LOST for closed connections, DRAIN
+    for leaving targets, and LIMIT for targets that limit their rate. The run
+    itself reports FAULT for processes that exit unexpectedly and RECOVER for
+    nodes that do not serve after the last fault.
 
     Parameters
     ----------
     clock : callable
         Returns the time in seconds.
+    get_epoch : callable
+        See :class:`~snipelead.soak.target_status.TargetStatusChecker`.
 
     Attributes
     ----------
@@ -69,10 +72,13 @@
         Faults and planned stops of the run.
     violations : list of GuaranteeViolationError
         Violations in order of detection.
+    target_statuses : TargetStatusChecker
+        Checks that nodes act on what targets state.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, get_epoch=lambda node: (0, 0)):
         self.clock = clock
+        self.target_statuses = TargetStatusChecker(self, get_epoch)
         self.requests = {}
         self.releases = []
         self.newest_seen = {}
@@ -259,6 +265,12 @@
         for service in services:
             self.send_times[service].append(record.sent_at)
 
+    def record_arrival(self, target, attempt_id):
+        """Record that a request reaches a target, executed or not."""
+        record = self.requests.get(attempt_id)
+        if record is not None:
+            self.target_statuses.record_arrival(target, record)
+
     def record_execution(self, target_request, execution):
         """Record that a target begins to execute a request.
 
@@ -345,6 +357,7 @@
         record.ended_at = self.clock()
         record.status = response.status
         self.counts[f'status {response.status}'] += 1
+        self.target_statuses.record_response(record, response)
         if response.status == 200:
             expected = f'answer to {record.attempt_id}'.encode()
             if (
--- a/snipelead/soak/deployment.py
+++ b/snipelead/soak/deployment.py
@@ -114,6 +114,8 @@
         Number of starts of the process.
     started_at : float
         Time of the last start, in seconds of the monotonic clock.
+    freezes : int
+        Number of times that the process was suspended.
     writes_blocked : bool
         Whether file writes were blocked since the last start.
     """
@@ -125,6 +127,7 @@
         self.relays = relays
         self.state = MachineState.KILLED
         self.incarnation = 0
+        self.freezes = 0
         self.started_at = 0.0
         self.writes_blocked = False
 
@@ -151,6 +154,7 @@
     def freeze(self):
         """Suspend the process until :meth:`thaw`."""
         self.process.freeze()
+        self.freezes += 1
         self.state = MachineState.FROZEN
 
     def thaw(self):
@@ -258,6 +262,11 @@
         """All machines, the controls first."""
         return [*self.controls, *self.nodes]
 
+    def get_epoch(self, name):
+        """Return the number of starts and of freezes of a machine."""
+        (machine,) = (m for m in self.machines if m.name == name)
+        return (machine.incarnation, machine.freezes)
+
     async def start(self, nursery):
         """Start all relays and processes."""
         for machine in self.machines:
--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -30,6 +30,11 @@
 # in seconds.
 CATCH_UP_S = 4.0
 SERIES_COUNT = 3
+# Rate limits that targets state, in requests per second, and how long each of
+# them lasts, in seconds. The checks begin 3 s after a target has begun.
+STATED_LIMITS = (0.0, 0.5, 1.5, 5.0, 20.0)
+LIMIT_DURATION_RANGE_S = (5.0, 9.0)
+MAX_LIMITS_IN_SERIES = 3
 
 
 class FaultInjector:
@@ -89,7 +94,11 @@
             self.crash_target,
             self.slow_target,
             self.leave_target,
+            self.leave_target_without_heartbeat,
             self.restart_node_of_leaving_target,
+            self.limit_target,
+            self.limit_target,
+            self.restart_node_of_limited_target,
             self.send_faulty_responses,
             self.stall_target_connections,
         )
@@ -113,6 +122,8 @@
         """End all faults and start the processes that do not run."""
         for host in self.target_hosts:
             host.slowdown, host.faulty_response_probability = 1.0, 0.0
+            if host.target is not None and host.target.rate_limits:
+                host.state_limit(host.target, None)
         for machine in self.deployment.machines:
             for relay in machine.relays:
                 relay.heal()
@@ -400,6 +411,52 @@
             self.busy_machines.add(host.machine.name)
             await self._leave(host)
 
+    async def leave_target_without_heartbeat(self):
+        """Make a target leave that says so in its responses only."""
+        host = self.rng.choice(self.target_hosts)
+        if (
+            host.target is not None
+            and host.machine.name not in self.busy_machines
+        ):
+            self.busy_machines.add(host.machine.name)
+            await self._leave(host, announced=False)
+
+    async def limit_target(self):
+        """Make a target state one rate limit after another.
+
+        Other faults may overlap, also those of its node.
+        """
+        await self._limit(self.rng.choice(self.target_hosts))
+
+    async def restart_node_of_limited_target(self):
+        """Restart the node beside a target again and again under a limit."""
+        host = self.rng.choice(self.target_hosts)
+        if host.target is None or host.machine.name in self.busy_machines:
+            return
+        self.busy_machines.add(host.machine.name)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._limit, host)
+            for _ in range(self.rng.randint(1, 3)):
+                await trio.sleep(self.rng.uniform(1.0, 3.0))
+                await self._restart(host.machine)
+        self.busy_machines.discard(host.machine.name)
+
+    async def _limit(self, host):
+        target = host.target
+        if target is None or target.rate_limits:
+            return
+        for _ in range(self.rng.randint(1, MAX_LIMITS_IN_SERIES)):
+            host.state_limit(target, self.rng.choice(STATED_LIMITS))
+            await trio.sleep(self.rng.uniform(*LIMIT_DURATION_RANGE_S))
+        host.state_limit(target, None)
+
+    async def _restart(self, machine):
+        disturbances = self.checker.disturbances
+        names = self._affected_names(machine)
+        spans = disturbances.begin_fault(names, self.checker.clock())
+        await self.deployment.restart(machine)
+        disturbances.end_fault(spans, self.checker.clock())
+
     async def restart_node_of_leaving_target(self):
         """Restart the node beside a target while the target leaves."""
         host = self.rng.choice(self.target_hosts)
@@ -409,15 +466,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._leave, host)
             await trio.sleep(self.rng.uniform(0.0, 1.0))
-            disturbances = self.checker.disturbances
-            names = self._affected_names(host.machine)
-            spans = disturbances.begin_fault(names, self.checker.clock())
-            await self.deployment.restart(host.machine)
-            disturbances.end_fault(spans, self.checker.clock())
+            await self._restart(host.machine)
 
-    async def _leave(self, host):
+    async def _leave(self, host, announced=True):
         name = host.machine.name
-        await host.leave(self.rng.uniform(*LEAVE_DURATION_RANGE_S))
+        await host.leave(self.rng.uniform(*LEAVE_DURATION_RANGE_S), announced)
         # The end of the target cuts off the requests that it still runs.
         disturbances = self.checker.disturbances
         now = self.checker.clock()
--- a/snipelead/soak/run.py
+++ b/snipelead/soak/run.py
@@ -18,7 +18,9 @@
 __all__ = ['SoakRun']
 
 CONTROL_COUNT = 3
-TARGET_SERVICES = ('reads', 'orders') * 3
+# Services of the targets, in turn.
+SERVICES = ('reads', 'orders')
+DEFAULT_TARGET_COUNT = 6
 # Time limit of the first start, in seconds.
 START_TIMEOUT_S = 20.0
 # Time after the last fault until all nodes must serve again, in seconds.
@@ -45,6 +47,8 @@
         Duration of the fault injection, in seconds.
     directory : str or Path
         Directory for settings, logs and data; must exist.
+    target_count : int
+        Number of targets, each with a node beside it.
 
     Attributes
     ----------
@@ -54,13 +58,18 @@
         Injects the faults.
     """
 
-    def __init__(self, seed, seconds, directory):
+    def __init__(
+        self, seed, seconds, directory, target_count=DEFAULT_TARGET_COUNT
+    ):
         self.seed = seed
         self.seconds = seconds
         self.directory = Path(directory)
         start = time.monotonic()
-        self.checker = HistoryChecker(lambda: time.monotonic() - start)
-        self.deployment = Deployment(directory, CONTROL_COUNT, TARGET_SERVICES)
+        services = [SERVICES[n % len(SERVICES)] for n in range(target_count)]
+        self.deployment = Deployment(directory, CONTROL_COUNT, services)
+        self.checker = HistoryChecker(
+            lambda: time.monotonic() - start, self.deployment.get_epoch
+        )
         nodes = self.deployment.nodes
         self.target_hosts = [
             TargetHost(m, self.checker, make_rng(seed, f'target {m.name}'))
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -1,5 +1,6 @@
 """Targets beside the nodes of a run."""
 
+from functools import partial
 from itertools import count
 
 import trio
@@ -80,21 +81,37 @@
                 await self._run_target()
             await trio.sleep(self.rng.uniform(0.2, 1.0))
 
+    def state_limit(self, target, limit):
+        """Make a target state a rate limit; None ends it.
+
+        Parameters
+        ----------
+        target : PlatformTarget
+            Present or former target of this host.
+        limit : float or None
+            Limit in requests per second.
+        """
+        self.checker.target_statuses.record_limit(target.target_id, limit)
+        target.rate_limits = () if limit is None else (b'%.3f' % limit,)
+
     def crash(self):
         """End the target at once; a new one starts after a short delay."""
         self.cancel_scope.cancel()
 
-    async def leave(self, serve_s):
-        """Announce that the target leaves, serve on for a while and end it.
+    async def leave(self, serve_s, announced=True):
+        """Let the target leave: serve on for a while, then end it.
 
         Parameters
         ----------
         serve_s : float
-            Time between the announcement and the end, in seconds.
+            Time until the end, in seconds.
+        announced : bool
+            Whether heartbeats say that it leaves; responses always do.
         """
         heartbeat_sender, name = self.heartbeat_sender, self.target.target_id
-        heartbeat_sender.is_leaving = self.target.is_leaving = True
-        if await heartbeat_sender.send_heartbeat():
+        self.target.states_leaving = self.target.is_leaving = True
+        heartbeat_sender.is_leaving = announced
+        if await heartbeat_sender.send_heartbeat() and announced:
             self.checker.record_leave_acknowledged(name)
         # Heartbeats sent before the announcement may arrive after it.
         with trio.move_on_after(serve_s):
@@ -111,6 +128,9 @@
         target.slots = SLOTS
         target.draw_service_time_s = self._draw_service_time_s
         target.on_run = self._record_execution
+        target.on_receive = partial(
+            self.checker.record_arrival, target.target_id
+        )
         settings = self.machine.process.settings
         self.slowdown = 1.0
         self.faulty_response_probability = 0.0
