--- a/snipelead/platform/tests/test_log_diagnosis.py
+++ b/snipelead/platform/tests/test_log_diagnosis.py
@@ -114,6 +114,26 @@
         self.run_locally(test)
         self.check_explanation('code=SL3007', 'takes no new work', 'ran=no')
 
+    def test_refusal_for_a_stated_limit_is_explained(self):
+        async def test(nursery):
+            self.near.target.rate_limits = (b'0',)
+            await self.call('/orders/1', 'POST')
+            response, _ = await self.call(
+                '/orders/1', 'POST', Attempt_Id=REQUEST_ID
+            )
+            self.assertEqual(503, response.status)
+
+        self.run_locally(test)
+        self.check_explanation(
+            'call_not_admitted',
+            'target=t-n1',
+            'limit=0.0',
+            'limit_age_s=0.',
+            'rate=0.0',
+            'code=SL3026',
+            'ran=no attempts=1 sends=0',
+        )
+
     def test_release_that_routed_the_request_is_shown(self):
         async def test(nursery):
             response, _ = await self.call('/no', Attempt_Id=REQUEST_ID)
