Read stated limits for the metrics when they are rendered

A limit of a target that has ended stayed in the metrics for good, one label value for each such target. The gauge is now filled from the targets that the node has at the time; a test shows that it disappears with its target.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -159,7 +159,6 @@
     def _build_components(self):
         settings = self.settings
         limits = settings.limits
-        self.statuses.on_rate_limit = self.metrics.set_rate_limit
         self.statuses.on_leaving = self.local_targets.mark_leaving
         self.sender = TargetSender(
             self.protocols.target, statuses=self.statuses
@@ -174,6 +173,7 @@
             self.holder,
             self.statuses,
         )
+        self.metrics.get_rate_limits = self.limiters.rate_limits
         self.balancer = Balancer(
             settings.zone,
             self.directory,
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -112,6 +112,8 @@
     rate_limits : Gauge
         Rate limits that targets have stated, in requests per second, by
         target.
+    get_rate_limits : callable
+        Returns the values of ``rate_limits`` by target id.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -156,6 +158,7 @@
             'Requests per second that a target accepts from all nodes.',
             registry=self.registry,
         )
+        self.get_rate_limits = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -190,14 +193,6 @@
         status = call.status or _cancelled_call_status(call)
         self.count_call(status, call.outcome)
 
-    def set_rate_limit(self, target_id, rate_limit):
-        """Set the rate limit that a target has stated; None ends it."""
-        labels = {'target': target_id}
-        if rate_limit is None:
-            self.rate_limits.values.pop(labels, None)
-        else:
-            self.rate_limits.set(labels, rate_limit)
-
     def count_call(self, status, ran):
         """Count a call by status and by whether a target ran it."""
         self.call_counts[status, ran] += 1
@@ -207,6 +202,9 @@
         for (status, ran), count in self.call_counts.items():
             labels = {'status': f'{status:d}', 'ran': ran.value}
             self.calls.set(labels, count)
+        self.rate_limits.values.clear()
+        for target_id, rate_limit in self.get_rate_limits().items():
+            self.rate_limits.set({'target': target_id}, rate_limit)
         return super().render(accept)
 
     def _add_labelled_buckets(self, key):
--- a/snipelead/nodes/target_limiters.py
+++ b/snipelead/nodes/target_limiters.py
@@ -69,6 +69,17 @@
             for limiter in self.by_target.values()
         )
 
+    def rate_limits(self):
+        """Return the limits that targets of this node state, by id."""
+        limits = {}
+        for target_id, target in self.local_targets.targets.items():
+            limit = self.statuses.find_rate_limit(
+                target_id, target.entry.target_incarnation
+            )
+            if limit is not None:
+                limits[target_id] = limit
+        return limits
+
     def find(self, target_id):
         """Return the limiter of a target; create it at first use.
 
--- a/snipelead/platform/tests/test_target_status.py
+++ b/snipelead/platform/tests/test_target_status.py
@@ -4,6 +4,7 @@
 from snipelead.http.reading import Message
 from snipelead.platform.protocols import read_target_status
 from snipelead.platform.tests.test_protocols import PlatformTestCase
+from snipelead.types import TargetState
 
 
 def parse_limits(*values):
@@ -54,6 +55,9 @@
             self.assertTrue(statuses.is_leaving(*entry))
             metrics, _ = node.metrics.render()
             self.assertIn(b'snipelead_target_rate_limit{', metrics)
+            node.local_targets.change_state(target.target_id, TargetState.GONE)
+            metrics, _ = node.metrics.render()
+            self.assertNotIn(b'snipelead_target_rate_limit{', metrics)
 
         self.run_with_both_paths(test)
 
--- a/snipelead/targets/status.py
+++ b/snipelead/targets/status.py
@@ -161,9 +161,6 @@
     by_target : dict of TargetId to KnownStatus
         Known statuses. Targets of other nodes have one only if they have
         stated something.
-    on_rate_limit : callable or None
-        Called with the id of a local target and its limit, or None, whenever
-        the limit changes.
     on_leaving : callable or None
         Called with the id and the incarnation of a local target that states
         for the first time that it is leaving.
@@ -171,7 +168,6 @@
 
     def __init__(self):
         self.by_target = BoundedDict(MAX_TRACKED_TARGETS)
-        self.on_rate_limit = None
         self.on_leaving = None
 
     def record(
@@ -290,12 +286,6 @@
                 previous=previous,
                 source=source.value,
             )
-        if (
-            known.rate_limit != previous
-            and source is not StatusSource.TARGET_NODE
-            and self.on_rate_limit is not None
-        ):
-            self.on_rate_limit(target_id, known.rate_limit)
 
 
 def _log_invalid_once(target_id, known, value):
