Split the statistics and the status of a target from its limiter

The moving averages over responses are ServiceStatistics now; what the target states, with the rate limiter that keeps to it, is LocalTargetStatus. No change of behaviour.

--- a/snipelead/nodes/local_response.py
+++ b/snipelead/nodes/local_response.py
@@ -36,6 +36,6 @@
         self.closed = True
         limiter = self.limiter
         service_s = trio.current_time() - self.call.slot_acquired_at
-        limiter.record_response(self.response, service_s, self.call.route)
+        limiter.statistics.record(self.response, service_s, self.call.route)
         limiter.sender.release(self.address, self.reader, self.response)
         limiter.release_slot(self.call)
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -72,13 +72,13 @@
         limiter = self.limiters.find(call_info.target_id)
         status = decode_status(request)
         if status is not None:
-            limiter.adopt_rate_limit(status)
+            limiter.status.adopt(status)
         response = await limiter.send(
             call, request, call_info.attempt_id, call_info.incarnation
         )
         try:
             lines = [encode_field(LOAD_FIELD, response.load)]
-            status = limiter.make_status_message()
+            status = limiter.status.make_message()
             if status is not None:
                 lines.append(encode_field(STATUS_FIELD, status))
             await relay_response(connection, request, call, response, lines)
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -24,24 +24,17 @@
 from snipelead.nodes.latency_queue import LatencyQueue
 from snipelead.nodes.latency_queue import LatencyWaiter
 from snipelead.nodes.latency_queue import SERVICE_TIME_MARGIN
-from snipelead.nodes.latency_queue import ServiceTimes
 from snipelead.nodes.local_response import LocalResponse
+from snipelead.nodes.local_status import LocalTargetStatus
 from snipelead.nodes.peer_messages import Load
-from snipelead.nodes.peer_messages import make_status_message
-from snipelead.nodes.rate_limiter import RateLimiter
-from snipelead.nodes.relative_service_time import RelativeServiceTime
+from snipelead.nodes.service_statistics import ServiceStatistics
 from snipelead.targets.status import TargetStatuses
 from snipelead.types import RequestClass
-from snipelead.types import TargetState
 
 __all__ = ['TargetLimiter']
 
 # Share of the slots that is reserved for requests other than batch.
 NON_BATCH_SLOT_SHARE = 0.25
-# Weight of the newest value in the exponentially weighted moving averages of
-# the service time and the error rate.
-EWMA_WEIGHT = 0.1
-INITIAL_SERVICE_S = 0.005
 _ERROR_RATE_DIGITS = 3
 MIN_RETRY_AFTER_MS = 10
 
@@ -77,20 +70,12 @@
         Waiting requests without a latency objective.
     latency_queue : LatencyQueue
         Waiting requests with a latency objective.
-    service_times : ServiceTimes
-        Mean service time of each route.
-    mean_service_s : float
-        Moving average of the service time over all routes, in seconds.
     slot_start_sum_s : float
         Sum of the times at which the requests in flight took their slots.
-    has_observed_service : bool
-        Whether ``mean_service_s`` is based on at least one response.
-    error_rate : float
-        Moving average of the share of server errors among the responses.
-    relative_service_time : RelativeServiceTime
-        How slow the target is, as told to all nodes.
-    rate_limiter : RateLimiter
-        Keeps to the rate limit that the target states.
+    status : LocalTargetStatus
+        What the target states about itself, with its rate limiter.
+    statistics : ServiceStatistics
+        Moving averages over the responses.
     """
 
     def __init__(
@@ -108,20 +93,16 @@
         self.sender = sender
         self.attempts = attempts
         self.limits = limits
-        self.holder = holder
-        self.statuses = statuses or TargetStatuses()
-        self.rate_limiter = RateLimiter()
+        self.status = LocalTargetStatus(
+            target_id, local_targets, statuses or TargetStatuses()
+        )
+        self.statistics = ServiceStatistics(holder)
         self.in_flight = 0
         self.batch_in_flight = 0
         self.random = Random()
         self.fair_queue = FairQueue()
         self.latency_queue = LatencyQueue()
-        self.service_times = ServiceTimes()
-        self.mean_service_s = INITIAL_SERVICE_S
-        self.error_rate = 0.0
-        self.has_observed_service = False
         self.slot_start_sum_s = 0.0
-        self.relative_service_time = RelativeServiceTime()
 
     @property
     def slots(self):
@@ -194,61 +175,12 @@
             'waiting': self.waiting,
             'waited_ms': int(call.queue_wait_s * 1_000),
             'expected_ms': int(
-                self.service_times.estimate_s(call.route) * 1_000
+                self.statistics.service_times.estimate_s(call.route) * 1_000
             ),
             'deadline_ms': call.remaining_ms(),
-            **self._describe_rate_limit(),
-        }
-
-    def _describe_rate_limit(self):
-        status = self.find_status()
-        if status is None or status.rate_limit is None:
-            return {}
-        now = trio.current_time()
-        return {
-            'limit': status.rate_limit,
-            'limit_age_s': round(now - status.stated_at, 3),
-            'rate': self.rate_limiter.measure_rate(now),
+            **self.status.describe(),
         }
 
-    def find_status(self):
-        """Return what the target has stated about itself, or None."""
-        target = self.local_targets.targets.get(self.target_id)
-        if target is None:
-            return None
-        return self.statuses.find(
-            self.target_id, target.entry.target_incarnation
-        )
-
-    def adopt_rate_limit(self, message):
-        """Apply a limit that the target has stated to a former process.
-
-        Parameters
-        ----------
-        message : StatusMessage
-            What another node knows of the target.
-        """
-        target = self.local_targets.targets.get(self.target_id)
-        if (
-            target is not None
-            and message.rate_limit is not None
-            and message.target_incarnation == target.entry.target_incarnation
-        ):
-            self.statuses.adopt_rate_limit(
-                self.target_id, message.target_incarnation, message.rate_limit
-            )
-
-    def make_status_message(self):
-        """Return what the target has stated, or None if nothing."""
-        return make_status_message(self.find_status())
-
-    def update_rate_limit(self, now):
-        """Apply the rate limit that the target states at present."""
-        status = self.find_status()
-        self.rate_limiter.set_rate(
-            None if status is None else status.rate_limit, now
-        )
-
     def begin_attempt(self, call, attempt_id):
         """Record an attempt that must not be repeated.
 
@@ -291,21 +223,10 @@
                 current=self.local_targets.incarnation,
             )
         target = self.local_targets.targets.get(self.target_id)
-        if self._is_leaving():
+        if self.status.is_leaving():
             raise self._make_leaving_error()
         return target
 
-    def _is_leaving(self):
-        """Return whether the target is leaving or gone."""
-        target = self.local_targets.targets.get(self.target_id)
-        return (
-            target is None
-            or target.entry.state is TargetState.LEAVING
-            or self.statuses.is_leaving(
-                self.target_id, target.entry.target_incarnation
-            )
-        )
-
     def _make_leaving_error(self):
         return TargetLeavingError(f'{self.target_id} takes no new work')
 
@@ -395,24 +316,24 @@
     def start_queued(self):
         """Give free slots to waiting requests."""
         now = trio.current_time()
-        self.update_rate_limit(now)
+        self.status.apply_rate_limit(now)
         while (
             self.latency_queue
             and self.in_flight < self.slots
-            and self.rate_limiter.try_take(now)
+            and self.status.rate_limiter.try_take(now)
         ):
             waiter = self.latency_queue.pop(now)
             waiter.grant(self.acquire_slot(waiter.request_class))
         while (
             self.fair_queue
             and self.in_flight < self.slots
-            and self.rate_limiter.has_token(now)
+            and self.status.rate_limiter.has_token(now)
         ):
             batch_allowed = self.has_slot(RequestClass.BATCH)
             waiter = self.fair_queue.pop(batch_allowed)
             if waiter is None:
                 return
-            self.rate_limiter.take(now)
+            self.status.rate_limiter.take(now)
             waiter.grant(self.acquire_slot(waiter.request_class))
 
     # Queues
@@ -427,12 +348,12 @@
             expected wait is too long or the queue is full.
         """
         now = trio.current_time()
-        self.update_rate_limit(now)
+        self.status.apply_rate_limit(now)
         waiting = self.fair_queue or self.latency_queue
         if (
             not waiting
             and self.has_slot(call.request_class)
-            and self.rate_limiter.try_take(now)
+            and self.status.rate_limiter.try_take(now)
         ):
             call.slot_acquired_at = self.acquire_slot(call.request_class)
             return
@@ -452,7 +373,7 @@
         call.queue_wait_s += trio.current_time() - wait_started_at
         if not waiter.granted:
             self.remove_waiter(waiter)
-            if self._is_leaving():
+            if self.status.is_leaving():
                 raise self._make_leaving_error()
             raise self.make_overloaded_error(call)
         call.slot_acquired_at = waiter.granted_at
@@ -476,11 +397,13 @@
         slots = max(1, self.slots)
         queue_wait_s = max(
             self.latency_queue.service_ahead_s(waiter, now) / slots,
-            self.rate_limiter.wait_s(
+            self.status.rate_limiter.wait_s(
                 self.latency_queue.count_ahead(waiter, now), now
             ),
         )
-        if not waiter.may_wait(queue_wait_s, self.mean_service_s / slots, now):
+        if not waiter.may_wait(
+            queue_wait_s, self.statistics.mean_service_s / slots, now
+        ):
             raise self.make_overloaded_error(call)
         self.latency_queue.push(waiter)
         self.start_queued()
@@ -489,20 +412,20 @@
     def estimate_call_service_s(self, call):
         """Return the expected service time of a call, in seconds."""
         latency_s = call.latency_deadline - trio.current_time()
-        return self.service_times.estimate_s(call.route, latency_s)
+        return self.statistics.service_times.estimate_s(call.route, latency_s)
 
     def tick(self, now):
         """Start waiting requests that may be sent; evict infeasible ones."""
-        if self.waiting and self._is_leaving():
+        if self.waiting and self.status.is_leaving():
             self._evict_all()
             return
-        self.update_rate_limit(now)
-        is_limited = self.rate_limiter.rate is not None
+        self.status.apply_rate_limit(now)
+        is_limited = self.status.rate_limiter.rate is not None
         if is_limited:
             self.start_queued()
         infeasible = self.latency_queue.pop_infeasible(
             now,
-            (lambda ahead: self.rate_limiter.wait_s(ahead, now))
+            (lambda ahead: self.status.rate_limiter.wait_s(ahead, now))
             if is_limited
             else None,
         )
@@ -549,15 +472,18 @@
         wait_s = self.estimate_wait_s(call)
         time_left_s = call.remaining_ms() / 1_000
         max_wait_s = self.limits.queue_wait_ms / 1_000
-        if wait_s > max_wait_s or wait_s + self.mean_service_s > time_left_s:
+        if (
+            wait_s > max_wait_s
+            or wait_s + self.statistics.mean_service_s > time_left_s
+        ):
             raise self.make_overloaded_error(call)
 
     def estimate_wait_s(self, call):
         """Return the expected wait of a new request, in seconds."""
         ahead = self.fair_queue.count_ahead(call.request_class, call.tenant)
         return max(
-            (ahead + 1) * self.mean_service_s / max(1, self.slots),
-            self.rate_limiter.wait_s(ahead, trio.current_time()),
+            (ahead + 1) * self.statistics.mean_service_s / max(1, self.slots),
+            self.status.rate_limiter.wait_s(ahead, trio.current_time()),
         )
 
     def make_overloaded_error(self, call):
@@ -566,12 +492,13 @@
         if call.latency_deadline is not None:
             wait_s = self.choose_call_retry_s(call)
         retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1_000))
-        if not self.rate_limiter.has_token(trio.current_time()):
+        rate_limiter = self.status.rate_limiter
+        if not rate_limiter.has_token(trio.current_time()):
             return RateLimitedError(
-                f'{self.target_id} accepts {self.rate_limiter.rate:g} requests'
-                ' per second',
+                f'{self.target_id} accepts {rate_limiter.rate:g} requests per'
+                ' second',
                 retry_after_ms=retry_after_ms,
-                rate_limit=self.rate_limiter.rate,
+                rate_limit=rate_limiter.rate,
             )
         return OverloadedError(
             f'{self.target_id} is at its limit of {self.slots} requests',
@@ -581,10 +508,12 @@
     def choose_call_retry_s(self, call):
         """Return the retry delay of a call with a latency objective."""
         now = trio.current_time()
-        service_s = self.latency_queue.total_service_s + self.mean_service_s
+        service_s = (
+            self.latency_queue.total_service_s + self.statistics.mean_service_s
+        )
         drain_s = max(
             service_s / max(1, self.slots),
-            self.rate_limiter.wait_s(len(self.latency_queue), now),
+            self.status.rate_limiter.wait_s(len(self.latency_queue), now),
         )
         slack_s = call.latency_deadline - now
         slack_s -= SERVICE_TIME_MARGIN * self.estimate_call_service_s(call)
@@ -613,11 +542,13 @@
             self.slots,
             int(call.queue_wait_s * 1e6),
             int(call.target_time_s * 1e6),
-            round(self.error_rate, _ERROR_RATE_DIGITS),
+            round(self.statistics.error_rate, _ERROR_RATE_DIGITS),
             int(self.estimate_service_s() * 1e6)
-            if self.has_observed_service
+            if self.statistics.has_observed_service
             else 0,
-            int(self.service_times.reliable_mean_s(call.route) * 1e6),
+            int(
+                self.statistics.service_times.reliable_mean_s(call.route) * 1e6
+            ),
         )
 
     def estimate_service_s(self):
@@ -627,34 +558,14 @@
         slow target before the slow requests end.
         """
         if not self.in_flight:
-            return self.mean_service_s
+            return self.statistics.mean_service_s
         mean_start_at = self.slot_start_sum_s / self.in_flight
-        return max(self.mean_service_s, trio.current_time() - mean_start_at)
-
-    def record_response(self, response, service_s, route):
-        """Update the moving averages with a response."""
-        is_error = response.is_server_error
-        self.error_rate += EWMA_WEIGHT * (is_error - self.error_rate)
-        if is_error:
-            # The service time of an error is not representative.
-            return
-        if not self.has_observed_service:
-            self.has_observed_service = True
-            self.mean_service_s = service_s
-        self.mean_service_s += EWMA_WEIGHT * (service_s - self.mean_service_s)
-        self.service_times.record(route, service_s)
-        self._record_relative_service_time(route, service_s)
-
-    def _record_relative_service_time(self, route_name, service_s):
-        if self.holder is None:
-            return
-        route = self.holder.current.routes.get(route_name)
-        if route is not None:
-            reference_ms = route.target_latency_ms or route.deadline_ms
-            self.relative_service_time.record(service_s, reference_ms / 1_000)
+        return max(
+            self.statistics.mean_service_s, trio.current_time() - mean_start_at
+        )
 
     def publish_relative_service_time(self, now):
         """Tell the other nodes if the target has become slower or faster."""
-        value = self.relative_service_time.take_update(now)
+        value = self.statistics.relative_service_time.take_update(now)
         if value is not None:
             self.local_targets.set_relative_service_time(self.target_id, value)
