--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -17,6 +17,7 @@
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 from specs.replace_race import ReplaceRace
+from specs.stated_limit import StatedLimit
 
 MODELS = (
     LogAgreement(max_term=2, max_entries=2),
@@ -32,6 +33,7 @@
     NodeRestart(),
     ReplaceRace(),
     ControlChoice(),
+    StatedLimit(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
@@ -44,6 +46,7 @@
     AtMostOnce(deliveries=3, max_attempts=1),
     ReleaseRace(max_log=6, max_elections=3),
     Drain(requests=6),
+    StatedLimit(max_periods=2),
 )
 
 
