Keep a limit that others tell while a health check states none

A restarted node checks the health of its target before it serves. That counted as a response of the target, so that the limit that other nodes told afterwards was ignored, also if the check had had no response or the target states limits in answers to requests only: until its first answer the target then got requests of all nodes without limit. The same held for a late second answer to an earlier request.

What a health check or such an answer states still counts, what it does not state says nothing now. The new test failed before. In the soak, half of the targets state nothing in health checks, so that restarts under a limit meet this case.

--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -114,6 +114,8 @@
         Whether the health check reports the target as out of service.
     states_leaving : bool
         Whether all responses state that the target is leaving.
+    health_states_status : bool
+        Whether responses to health checks state these as well.
     rate_limits : tuple of bytes
         Values of the rate limit fields of all responses.
     on_receive : callable or None
@@ -130,6 +132,7 @@
         self.in_flight = 0
         self.is_leaving = False
         self.states_leaving = False
+        self.health_states_status = True
         self.rate_limits = ()
         self.on_receive = None
         self.on_run = None
@@ -166,7 +169,12 @@
         if request.url == HEALTH_PATH:
             status = 503 if self.is_leaving else 200
             id_field = b'Instance-Id: ' + self.target_id.encode()
-            await connection.send(self._encode_message(status, b'', id_field))
+            encode = (
+                self._encode_message
+                if self.health_states_status
+                else _encode_message
+            )
+            await connection.send(encode(status, b'', id_field))
             return
         fields = request.fields
         attempt_id = fields.get(b'attempt-id', b'')
@@ -278,11 +286,16 @@
         )
 
     def _encode_message(self, status, body, *field_lines):
-        length = b'Content-Length: %d' % len(body)
-        field_lines = (length, *field_lines, *self._status_fields())
-        return encode_head(status_line(status), field_lines) + body
+        return _encode_message(
+            status, body, *field_lines, *self._status_fields()
+        )
 
     def _status_fields(self):
         limits = (b'Server-Limit: ' + value for value in self.rate_limits)
         leaving = (b'Server-Leaving: 1',) if self.states_leaving else ()
         return (*limits, *leaving)
+
+
+def _encode_message(status, body, *field_lines):
+    length = b'Content-Length: %d' % len(body)
+    return encode_head(status_line(status), (length, *field_lines)) + body
--- a/snipelead/platform/frontend.py
+++ b/snipelead/platform/frontend.py
@@ -26,6 +26,7 @@
 from snipelead.releases.exceptions import InvalidNoteError
 from snipelead.releases.exceptions import ReleaseNumberTooLowError
 from snipelead.targets.heartbeats import HeartbeatOutcome
+from snipelead.targets.status import StatusSource
 from snipelead.types import OutcomeKind
 from snipelead.types import TargetId
 
@@ -185,6 +186,7 @@
             heartbeat.started_ms,
             report.status,
             report.sent_at,
+            StatusSource.OTHER_RESPONSE,
         )
         if report.serving:
             self.daemon.heartbeat_tracker.confirm_serving(heartbeat)
--- a/snipelead/platform/tests/test_target_verification.py
+++ b/snipelead/platform/tests/test_target_verification.py
@@ -44,9 +44,14 @@
                 nursery.start_soon(frontend.verify_target, heartbeat)
                 await trio.testing.wait_all_tasks_blocked()
                 self.assertEqual({}, local_targets.targets)
+                target.health_states_status = False
                 frontend.daemon.holder.replace(RELEASE)
                 # The health check does not wait for another heartbeat.
                 await wait_until(lambda: 'i-1' in local_targets.targets)
+                # A limit that other nodes tell still applies.
+                statuses = frontend.daemon.statuses
+                statuses.adopt_rate_limit('i-1', 1, 2.0)
+                self.assertEqual(2.0, statuses.find_rate_limit('i-1', 1))
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -126,6 +126,7 @@
         incarnation = next(self.incarnations)
         target = PlatformTarget(f'{self.machine.name}-t{incarnation}')
         target.slots = SLOTS
+        target.health_states_status = self.rng.random() < 0.5  # noqa: PLR2004
         target.draw_service_time_s = self._draw_service_time_s
         target.on_run = self._record_execution
         target.on_receive = partial(
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -21,6 +21,7 @@
 from snipelead.targets.events import ANSWER_STRAY
 from snipelead.targets.protocol import DEFAULT_TARGET_PROTOCOL
 from snipelead.targets.protocol import ResponseKind
+from snipelead.targets.status import StatusSource
 from snipelead.targets.status import TargetStatuses
 from snipelead.types import Ran
 
@@ -154,12 +155,7 @@
             response = await self._receive_final(reader, request)
             kind = self.protocol.classify_response(response, call)
             if kind is not ResponseKind.MISDIRECTED:
-                self.statuses.record(
-                    entry.target_id,
-                    entry.target_incarnation,
-                    self.protocol.read_status(response),
-                    -inf if kind is ResponseKind.STRAY else sent_at,
-                )
+                self._record_status(response, kind, entry, sent_at)
             match kind:
                 case ResponseKind.ANSWER:
                     call.ran = Ran.YES
@@ -193,6 +189,18 @@
             'the target sent only responses to other requests', ran=call.ran
         )
 
+    def _record_status(self, response, kind, entry, sent_at):
+        source = StatusSource.TARGET
+        if kind is ResponseKind.STRAY:
+            source, sent_at = StatusSource.OTHER_RESPONSE, -inf
+        self.statuses.record(
+            entry.target_id,
+            entry.target_incarnation,
+            self.protocol.read_status(response),
+            sent_at,
+            source,
+        )
+
     async def _skip_body(self, response):
         skipped_bytes = 0
         while data := await response.read():
--- a/snipelead/targets/status.py
+++ b/snipelead/targets/status.py
@@ -31,8 +31,11 @@
 class StatusSource(Enum):
     """How a node learned the status of a target."""
 
-    # From a response that it received from the target itself.
+    # From a response of the target itself to a request.
     TARGET = 'target'
+    # From its response to a health check or to an earlier request. It need not
+    # state a limit that is in force.
+    OTHER_RESPONSE = 'other-response'
     # From the node beside the target, with a response that it forwarded.
     TARGET_NODE = 'target-node'
     # From a node that forwards a request to a local target.
@@ -58,6 +61,13 @@
     is_leaving: bool = False
     invalid_rate_limit: str = ''
 
+    @property
+    def is_empty(self):
+        """Whether the response states nothing."""
+        return self.rate_limit is None and not (
+            self.is_leaving or self.invalid_rate_limit
+        )
+
 
 class KnownStatus:
     """What a node knows of the status of one incarnation of a target.
@@ -73,13 +83,10 @@
         Limit in force, in requests per second.
     stated_at : float
         When the limit was last stated, in seconds of trio's clock.
-    limited_since : float
-        When the first limit of a series without gaps was stated, in seconds of
-        trio's clock.
     is_leaving : bool
         Whether the target has stated that it is leaving; never taken back.
     is_observed : bool
-        Whether this node has received a response from the target itself.
+        Whether this node has received a response of the target to a request.
     logged_rate_limit : float
         Limit that was logged last.
     has_logged_invalid : bool
@@ -91,7 +98,6 @@
         'incarnation',
         'is_leaving',
         'is_observed',
-        'limited_since',
         'logged_rate_limit',
         'rate_limit',
         'stated_at',
@@ -101,7 +107,6 @@
         self.incarnation = incarnation
         self.rate_limit = None
         self.stated_at = -inf
-        self.limited_since = -inf
         self.is_leaving = False
         self.is_observed = False
         self.logged_rate_limit = 0.0
@@ -142,7 +147,6 @@
             return RATE_LIMIT_ENDED
         self.stated_at = now
         if known is None:
-            self.limited_since = now
             return RATE_LIMIT_STATED
         if self._is_logged_change(rate_limit):
             return RATE_LIMIT_CHANGED
@@ -197,13 +201,12 @@
         source : StatusSource
             Who told it.
         """
+        if status.is_empty and source is StatusSource.OTHER_RESPONSE:
+            return
         is_direct = source is StatusSource.TARGET
         known = self.by_target.get(target_id)
         if known is None or known.incarnation < incarnation:
-            states_something = status.is_leaving or (
-                status.rate_limit is not None
-            )
-            if not is_direct and not states_something:
+            if status.is_empty and not is_direct:
                 return
             known = self.by_target[target_id] = KnownStatus(incarnation)
         elif known.incarnation > incarnation:
--- a/snipelead/targets/tests/test_status.py
+++ b/snipelead/targets/tests/test_status.py
@@ -95,6 +95,21 @@
 
         self.run_in_trio(test)
 
+    def test_health_check_without_a_limit_neither_ends_nor_hides_one(self):
+        # A restarted node ignored the limit that others told it once it had
+        # checked the health of its target.
+        def test():
+            source = StatusSource.OTHER_RESPONSE
+            self.record(NOT_LIMITED, source=source)
+            self.statuses.adopt_rate_limit('t', 1, 20.0)
+            self.assertEqual(20.0, self.limit())
+            self.record(NOT_LIMITED, source=source)
+            self.assertEqual(20.0, self.limit())
+            self.record(TargetStatus(5.0), source=source)
+            self.assertEqual(5.0, self.limit())
+
+        self.run_in_trio(test)
+
 
 class LeavingTest(StatusTestCase):
     def test_only_a_local_target_is_reported_as_leaving(self):
