--- a/snipelead/platform/tests/test_limits_and_leaving.py
+++ b/snipelead/platform/tests/test_limits_and_leaving.py
@@ -31,7 +31,7 @@
 ALLOWED_EXTRA = 5
 STABLE_WINDOW_S = 3.0
 # The requests of a node count from this time after it has forwarded a limit.
-TOLD_AFTER_S = 0.5
+COUNTED_AFTER_S = 0.5
 DRAIN_S = 2.0
 
 NODE_COUNT = 3
@@ -134,7 +134,7 @@
     ----------
     arrivals : list of Arrival
         Requests that reached a target.
-    told_at : dict of str to float
+    forwarded_at : dict of str to float
         When each node first forwarded a response that states a limit or that
         its target is leaving.
     statuses : list of tuple of (float, int)
@@ -145,7 +145,7 @@
         super().setUp()
         self.requests_per_s = 40.0
         self.arrivals = []
-        self.told_at = {}
+        self.forwarded_at = {}
         self.sent = {}
         self.statuses = []
         self.nodes = [RestartableNode(f'n{n}') for n in range(NODE_COUNT)]
@@ -215,7 +215,7 @@
         self.statuses.append((now, response.status))
         lines = b'\n'.join(response.field_lines).lower()
         if b'server-limit' in lines or b'server-leaving' in lines:
-            self.told_at.setdefault(node.target_id, now)
+            self.forwarded_at.setdefault(node.target_id, now)
 
     def arrivals_at(self, node, since=0.0, until=inf):
         return [
@@ -233,7 +233,7 @@
                 self.node, stated_at + STABLE_WINDOW_S, until
             )
             if arrival.origin not in excused
-            and self.told_at.get(arrival.origin, inf) + TOLD_AFTER_S
+            and self.forwarded_at.get(arrival.origin, inf) + COUNTED_AFTER_S
             <= arrival.at
         ]
         allowed = ALLOWED_RATIO * limit * WINDOW_S + ALLOWED_EXTRA
@@ -358,7 +358,7 @@
 
     def test_limit_holds_after_a_restart_of_the_node_of_the_target(self):
         # The limit was forgotten by the only process that enforces it, while
-        # other nodes had told their callers.
+        # other nodes had forwarded it.
         self.requests_per_s = 20.0
         for node in self.nodes:
             node.target.draw_service_time_s = lambda: 0.5
@@ -394,7 +394,7 @@
 
 
 class LeavingTest(StatusTestCase):
-    def test_node_told_by_a_response_that_a_target_leaves_sends_it_nothing(
+    def test_target_that_states_to_leave_gets_nothing_from_those_who_forwarded(
         self,
     ):
         # A target that says so in its responses only got requests until it
@@ -492,6 +492,6 @@
     def check_drained(self, excused=()):
         """Check that no node sends requests after the drain time."""
         for arrival in self.arrivals_at(self.node):
-            told_at = self.told_at.get(arrival.origin)
-            if told_at is not None and arrival.origin not in excused:
-                self.assertLessEqual(arrival.sent_at, told_at + DRAIN_S)
+            forwarded_at = self.forwarded_at.get(arrival.origin)
+            if forwarded_at is not None and arrival.origin not in excused:
+                self.assertLessEqual(arrival.sent_at, forwarded_at + DRAIN_S)
--- a/snipelead/soak/target_status.py
+++ b/snipelead/soak/target_status.py
@@ -13,11 +13,11 @@
 ALLOWED_RATIO = 1.5
 ALLOWED_EXTRA = 5
 STABLE_WINDOW_S = 3.0
-TOLD_AFTER_S = 0.5
+COUNTED_AFTER_S = 0.5
 DRAIN_S = 2.0
 
 
-class _Told(Struct, frozen=True):
+class _Forwarding(Struct, frozen=True):
     """When a process of a node first forwarded a statement of a target.
 
     Parameters
@@ -49,8 +49,8 @@
     ----------
     limits : dict of str to list of tuple of (float, float or None)
         Limits that each target has stated, and since when.
-    told_limit, told_leaving : dict of tuple of (str, str) to _Told
-        Statements that each node has forwarded, by node and target.
+    forwarded_limit, forwarded_leaving : dict of tuple to _Forwarding
+        Statements that each node has forwarded, by names of node and target.
     counted_arrivals : dict of str to deque of float
         Times of the requests in the current window that count against the
         limit of each target.
@@ -60,8 +60,8 @@
         self.checker = checker
         self.get_epoch = get_epoch
         self.limits = defaultdict(list)
-        self.told_limit = {}
-        self.told_leaving = {}
+        self.forwarded_limit = {}
+        self.forwarded_leaving = {}
         self.counted_arrivals = defaultdict(deque)
 
     def record_limit(self, target, limit):
@@ -74,21 +74,23 @@
             return
         key = (record.node, record.executions[-1].target)
         if response.states_leaving:
-            self._record_told(self.told_leaving, key)
+            self._record_forwarding(self.forwarded_leaving, key)
         if response.states_limit:
-            self._record_told(self.told_limit, key)
+            self._record_forwarding(self.forwarded_limit, key)
 
-    def _record_told(self, told_by_key, key):
+    def _record_forwarding(self, forwardings, key):
         node, _ = key
-        told = told_by_key.get(key)
+        forwarding = forwardings.get(key)
         now, epoch = self.checker.clock(), self.get_epoch(node)
-        if told is None or not self._still_counts(node, told, now):
-            told_by_key[key] = _Told(now, epoch)
+        if forwarding is None or not self._still_counts(node, forwarding, now):
+            forwardings[key] = _Forwarding(now, epoch)
 
-    def _still_counts(self, node, told, now):
-        return told.epoch == self.get_epoch(
+    def _still_counts(self, node, forwarding, now):
+        return forwarding.epoch == self.get_epoch(
             node
-        ) and self.checker.disturbances.is_undisturbed((node,), told.at, now)
+        ) and self.checker.disturbances.is_undisturbed(
+            (node,), forwarding.at, now
+        )
 
     def record_arrival(self, target, record):
         """Record that a request reaches a target, and check both rules.
@@ -101,26 +103,26 @@
             The request.
         """
         self._check_leaving(target, record)
-        told = self.told_limit.get((record.node, target))
+        forwarding = self.forwarded_limit.get((record.node, target))
         now = self.checker.clock()
         if (
-            told is not None
-            and now >= told.at + TOLD_AFTER_S
-            and self._still_counts(record.node, told, now)
+            forwarding is not None
+            and now >= forwarding.at + COUNTED_AFTER_S
+            and self._still_counts(record.node, forwarding, now)
         ):
             self._check_limit(target, now)
 
     def _check_leaving(self, target, record):
-        told = self.told_leaving.get((record.node, target))
+        forwarding = self.forwarded_leaving.get((record.node, target))
         if (
-            told is not None
-            and record.sent_at > told.at + DRAIN_S
-            and told.epoch == self.get_epoch(record.node)
+            forwarding is not None
+            and record.sent_at > forwarding.at + DRAIN_S
+            and forwarding.epoch == self.get_epoch(record.node)
         ):
             self.checker.fail(
                 'DRAIN',
                 f'{record.attempt_id} reaches {target} from {record.node},'
-                f' which forwarded at {told.at:.2f} s that it leaves',
+                f' which forwarded at {forwarding.at:.2f} s that it leaves',
             )
 
     def _check_limit(self, target, now):
--- a/snipelead/targets/status.py
+++ b/snipelead/targets/status.py
@@ -199,7 +199,7 @@
         sent_at : float
             When the request was sent, in seconds of trio's clock.
         source : StatusSource
-            Who told it.
+            How this node learned it.
         """
         if status.is_empty and source is StatusSource.OTHER_RESPONSE:
             return
@@ -222,7 +222,7 @@
         )
 
     def adopt_rate_limit(self, target_id, incarnation, rate_limit):
-        """Apply a limit that another node has been told by a local target.
+        """Apply a limit that another node has learned of a local target.
 
         It is ignored once the target itself has responded to this process.
 
--- a/snipelead/targets/tests/test_status.py
+++ b/snipelead/targets/tests/test_status.py
@@ -84,7 +84,7 @@
 
         self.run_in_trio(test)
 
-    def test_told_limit_applies_until_the_target_responds(self):
+    def test_limit_from_another_node_applies_until_the_target_responds(self):
         def test():
             self.statuses.adopt_rate_limit('t', 1, 20.0)
             self.assertEqual(20.0, self.limit())
@@ -96,8 +96,8 @@
         self.run_in_trio(test)
 
     def test_health_check_without_a_limit_neither_ends_nor_hides_one(self):
-        # A restarted node ignored the limit that others told it once it had
-        # checked the health of its target.
+        # A restarted node that had checked the health of its target ignored
+        # the limit that other nodes sent.
         def test():
             source = StatusSource.OTHER_RESPONSE
             self.record(NOT_LIMITED, source=source)
