--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -320,7 +320,9 @@
 
     async def block_descriptors(self):
         """Leave a node no file descriptors for new connections."""
-        machine = self._choose_idle(self.deployment.nodes)
+        # A process that cannot load its modules exits, which is no violation.
+        loaded = [m for m in self.deployment.nodes if m.has_started()]
+        machine = self._choose_idle(loaded) if loaded else None
         await self._disturb([machine], _block_descriptors, _allow_descriptors)
 
     async def partition(self):
