Say plainly how much a rate limiter holds

Found on a last reading of the diff: the comment on the capacity of the bucket had to be read twice.

--- a/snipelead/nodes/rate_limiter.py
+++ b/snipelead/nodes/rate_limiter.py
@@ -4,8 +4,7 @@
 
 __all__ = ['RateLimiter']
 
-# Requests that may be sent at once after a pause, as the time in which the
-# limit allows them, and at least one.
+# Time in which an empty bucket fills up. It holds at least one request.
 BURST_S = 0.25
 # Lowest rate of requests, whatever the limit. Only a response tells that a
 # limit has ended, so a target with a limit of 0 gets a request at times.
