Log crashes of targets and the requests that they were running

The node beside a target now tracks what the target runs. If a connection breaks with a request in flight and the target refuses new connections, it logs the crash (4023) and each request that was running with a fingerprint that is equal for all copies (4024), unless a copy of it was completed since. Evidence is kept in a ledger whose records can be merged in any order; nothing acts on it yet. Callers get the same statuses as before.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -23,6 +23,8 @@
 from snipelead.nodes.peer_service import PeerService
 from snipelead.nodes.reachability import ReachabilityMonitor
 from snipelead.nodes.target_limiters import TargetLimiters
+from snipelead.quarantine.detector import CrashDetector
+from snipelead.quarantine.ledger import CrashLedger
 from snipelead.routing.balancer import Balancer
 from snipelead.routing.policies import Policy
 from snipelead.targets.protocol import DEFAULT_TARGET_PROTOCOL
@@ -86,6 +88,8 @@
         Header field conventions of callers and targets.
     statuses : TargetStatuses or None
         Statuses that targets have stated.
+    ledger : CrashLedger or None
+        Evidence on requests that crash targets.
 
     Attributes
     ----------
@@ -114,7 +118,9 @@
         seed=None,
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
+        ledger=None,
     ):
+        self.ledger = CrashLedger() if ledger is None else ledger
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -165,6 +171,7 @@
         )
         self.reachability = ReachabilityMonitor(self.directory, settings.zone)
         self.forwarder = Forwarder(self.reachability, self.statuses)
+        self.crash_detector = CrashDetector(settings.node_id, self.ledger)
         self.limiters = TargetLimiters(
             self.local_targets,
             self.sender,
@@ -172,6 +179,7 @@
             TICK_INTERVAL_S,
             self.holder,
             self.statuses,
+            self.crash_detector,
         )
         self.metrics.get_rate_limits = self.limiters.rate_limits
         self.balancer = Balancer(
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -28,10 +28,12 @@
     'NodeNotReadyError',
     'NodeStoppingError',
     'OverloadedError',
+    'QuarantinedError',
     'RateLimitedError',
     'RequestHeadTooLargeError',
     'ResponseLostError',
     'TargetBusyError',
+    'TargetCrashedError',
     'TargetLeavingError',
     'TargetUnreachableError',
     'TooManyConnectionsError',
@@ -115,6 +117,12 @@
     code = 'SL3026'
 
 
+class QuarantinedError(CallError):
+    """Copies of the request have crashed several targets; it was not sent."""
+
+    code = 'SL3027'
+
+
 class TargetLeavingError(CallError):
     """The target is leaving and accepts no new requests."""
 
@@ -159,6 +167,12 @@
     retry_on_other_target = True
 
 
+class TargetCrashedError(ResponseLostError):
+    """The target ended while it was running the request."""
+
+    code = 'SL3028'
+
+
 class TargetBusyError(CallError):
     """The target is at its limit and did not execute the request.
 
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -16,6 +16,8 @@
 
 __all__ = ['CallerReader', 'Request']
 
+# Part of a body of which a copy is kept while the rest is forwarded.
+KEPT_BODY_BYTES = 64 * 1024
 CONTINUE_RESPONSE = encode_head(b'HTTP/1.1 100 Continue', ())
 
 
@@ -35,6 +37,9 @@
         Call that handles the request.
     continue_sent : bool
         Whether a ``100 Continue`` response was sent.
+    body_start : bytearray or None
+        Start of the body as far as it was read; None unless
+        :meth:`keep_body_start` was called.
     reader_released : trio.Event or None
         Set once the body is no longer read from the connection; None until
         :meth:`wait_reader_released` is called.
@@ -42,6 +47,7 @@
 
     __slots__ = (
         'body_bytes_read',
+        'body_start',
         'call',
         'continue_sent',
         'max_body_bytes',
@@ -55,6 +61,7 @@
         self.body_bytes_read = 0
         self.call = None
         self.saved_body = None
+        self.body_start = None
         self.continue_sent = False
         self.reader_released = None
 
@@ -83,8 +90,34 @@
         """Return all received bytes of the body that were not read yet."""
         data = super().take_buffered_body()
         self.body_bytes_read += len(data)
+        self._extend_body_start(data)
         return data
 
+    def keep_body_start(self):
+        """Keep the start of the body, which must not have been read yet."""
+        if self.complete:
+            self.save_body()
+            self.rewind()
+        else:
+            self.body_start = bytearray()
+
+    def get_body_start(self, max_bytes):
+        """Return the start of the body as far as it was received.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Maximum size in bytes, at most ``KEPT_BODY_BYTES``.
+        """
+        if self.saved_body is not None:
+            return self.saved_body[:max_bytes]
+        unread = b''.join(self.body_chunks)
+        return (bytes(self.body_start or b'') + unread)[:max_bytes]
+
+    def _extend_body_start(self, data):
+        if self.body_start is not None:
+            self.body_start += data[: KEPT_BODY_BYTES - len(self.body_start)]
+
     def save_body(self):
         """Save a body that was received in full, for further attempts."""
         if self.complete:
@@ -153,6 +186,7 @@
         except ConnectionLostError as error:
             raise CallerDisconnectedError(error.message) from error
         self.body_bytes_read += len(data)
+        self._extend_body_start(data)
         if self.body_bytes_read > self.max_body_bytes:
             self.raise_body_too_large()
         return data
--- a/snipelead/cli/logs.py
+++ b/snipelead/cli/logs.py
@@ -7,6 +7,7 @@
 from snipelead.callers import events as caller_events
 from snipelead.cli.command import SnipeleadCommand
 from snipelead.cli.exceptions import RequestNotLoggedError
+from snipelead.quarantine import events as quarantine_events
 from snipelead.targets import events as target_events
 from snipelead.utils.log_parsing import explain_request
 from snipelead.utils.log_parsing import parse_log_lines
@@ -14,7 +15,7 @@
 __all__ = ['LogsExplainCommand']
 
 # Imported to register the events whose meanings are shown.
-EVENT_MODULES = (caller_events, target_events)
+EVENT_MODULES = (caller_events, quarantine_events, target_events)
 
 
 class LogsExplainCommand(SnipeleadCommand):
--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -5,6 +5,7 @@
 without blocking. That is too slow for the call path.
 """
 
+import errno
 import select
 import socket
 import struct
@@ -241,7 +242,10 @@
         await sock.connect((host, port))
     except OSError as error:
         sock.close()
-        raise ConnectFailedError(f'{address}: {error}') from error
+        is_refused = error.errno == errno.ECONNREFUSED
+        raise ConnectFailedError(
+            f'{address}: {error}', is_refused=is_refused
+        ) from error
     except trio.Cancelled:
         sock.close()
         raise
--- a/snipelead/http/exceptions.py
+++ b/snipelead/http/exceptions.py
@@ -20,9 +20,24 @@
 
 
 class ConnectFailedError(SnipeleadError):
-    """The connection could not be opened; nothing was sent."""
+    """The connection could not be opened; nothing was sent.
+
+    Parameters
+    ----------
+    message : str
+        Human-readable description.
+    is_refused : bool
+        Whether the host is up and no process listens at the address.
+    **details : object
+        Named facts, kept as strings.
+    """
 
     code = 'SL3102'
+    is_refused = False
+
+    def __init__(self, message, is_refused=False, **details):
+        super().__init__(message, **details)
+        self.is_refused = is_refused
 
 
 class MalformedMessageError(SnipeleadError):
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -20,6 +20,9 @@
 from snipelead.messages.outcomes import ReplaceRequest
 from snipelead.messages.outcomes import SubmitReply
 from snipelead.messages.outcomes import SubmitRequest
+from snipelead.messages.quarantine import CrashRecord
+from snipelead.messages.quarantine import CrashUpdate
+from snipelead.messages.quarantine import TargetCrash
 from snipelead.messages.registry import register_reply
 from snipelead.messages.registry import REPLY_TYPES
 from snipelead.messages.sync import ControlEndpoint
@@ -41,6 +44,8 @@
     'ClaimReply',
     'ClaimRequest',
     'ControlEndpoint',
+    'CrashRecord',
+    'CrashUpdate',
     'DirectoryUpdate',
     'ExchangeReply',
     'ExchangeRequest',
@@ -61,6 +66,7 @@
     'SubmitRequest',
     'SyncReply',
     'SyncRequest',
+    'TargetCrash',
     'TargetEntry',
     'digest_controls',
     'register_reply',
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -11,7 +11,9 @@
 from snipelead.callers.exceptions import MisdirectedRequestError
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import RateLimitedError
+from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetBusyError
+from snipelead.callers.exceptions import TargetCrashedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.callers.request_log import log_decision
@@ -28,6 +30,8 @@
 from snipelead.nodes.local_status import LocalTargetStatus
 from snipelead.nodes.peer_messages import Load
 from snipelead.nodes.service_statistics import ServiceStatistics
+from snipelead.quarantine.detector import CrashDetector
+from snipelead.quarantine.ledger import CrashLedger
 from snipelead.targets.status import TargetStatuses
 from snipelead.types import RequestClass
 
@@ -61,6 +65,8 @@
         Holds the release with the latency objectives of the routes.
     statuses : TargetStatuses or None
         Statuses that targets have stated.
+    crash_detector : CrashDetector or None
+        Notices when the target crashes.
 
     Attributes
     ----------
@@ -87,7 +93,11 @@
         limits,
         holder=None,
         statuses=None,
+        crash_detector=None,
     ):
+        self.crash_detector = crash_detector or CrashDetector(
+            local_targets.node_id, CrashLedger()
+        )
         self.target_id = target_id
         self.local_targets = local_targets
         self.sender = sender
@@ -241,7 +251,7 @@
             raise
         try:
             # It may also have left while the connection was being opened.
-            entry = self.get_accepting_target(incarnation).entry
+            target = self.get_accepting_target(incarnation)
             call.check_deadline()
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
@@ -250,9 +260,7 @@
         try:
             if call.at_most_once:
                 self.attempts.mark_sent(attempt_id)
-            response = await self.sender.send_request(
-                reader, call, request, entry
-            )
+            response = await self._send_tracked(reader, call, request, target)
         except TargetBusyError as error:
             self.sender.release(address, reader, error.response)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
@@ -267,6 +275,30 @@
         self.mark_attempt(call, attempt_id, AttemptState.ANSWERED)
         return LocalResponse(self, call, address, reader, response)
 
+    async def _send_tracked(self, reader, call, request, target):
+        """Send a request; find out whether the target crashes meanwhile."""
+        detector = self.crash_detector
+        with detector.track(self.target_id, call, request):
+            try:
+                response = await self.sender.send_request(
+                    reader, call, request, target.entry
+                )
+            except ResponseLostError as error:
+                lost_at = trio.current_time()
+                reader.connection.close()
+                if self.status.is_leaving():
+                    raise
+                crash = await detector.find_crash(target, lost_at)
+                if crash is None:
+                    raise
+                raise TargetCrashedError(
+                    f'{self.target_id} ended while it was running the request',
+                    ran=error.ran,
+                    crashes=detector.count_crashes(call, request),
+                ) from error
+            detector.record_completion(call, request)
+            return response
+
     # Slots
 
     def has_slot(self, request_class):
--- a/snipelead/nodes/target_limiters.py
+++ b/snipelead/nodes/target_limiters.py
@@ -32,6 +32,8 @@
         Holds the release with the latency objectives of the routes.
     statuses : TargetStatuses or None
         Statuses that targets have stated.
+    crash_detector : CrashDetector or None
+        Notices when a local target crashes.
 
     Attributes
     ----------
@@ -51,12 +53,14 @@
         tick_s,
         holder=None,
         statuses=None,
+        crash_detector=None,
     ):
         self.local_targets = local_targets
         self.sender = sender
         self.limits = limits
         self.holder = holder
         self.statuses = statuses or TargetStatuses()
+        self.crash_detector = crash_detector
         self.attempts = AttemptTable(int(ATTEMPT_RETENTION_S / tick_s))
         self.by_target = {}
         self.stopping = False
@@ -103,6 +107,7 @@
             self.limits,
             self.holder,
             self.statuses,
+            self.crash_detector,
         )
         self.by_target[target_id] = limiter
         return limiter
--- a/snipelead/nodes/tests/test_limiter_accounting.py
+++ b/snipelead/nodes/tests/test_limiter_accounting.py
@@ -8,6 +8,7 @@
 
 from snipelead.callers.call import Call
 from snipelead.callers.exceptions import RateLimitedError
+from snipelead.callers.request import Request
 from snipelead.nodes.attempts import AttemptTable
 from snipelead.nodes.target_limiter import TargetLimiter
 from snipelead.settings.schema import NodeLimits
@@ -122,8 +123,10 @@
         return Call(request_class, '', False, DEADLINE_MS)
 
     async def send(self, call):
+        request = Request(SimpleNamespace(max_body_bytes=0))
+        request.mark_complete()
         return await self.limiter.send(
-            call, None, 'attempt', self.local_targets.incarnation
+            call, request, 'attempt', self.local_targets.incarnation
         )
 
     async def send_and_close(self, call):
--- /dev/null
+++ b/snipelead/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash the targets that run them."""
--- a/snipelead/types.py
+++ b/snipelead/types.py
@@ -22,6 +22,8 @@
 IdempotencyKey = NewType('IdempotencyKey', str)
 Term = NewType('Term', int)
 LogIndex = NewType('LogIndex', int)
+# Digest that is equal for all copies of a request.
+Fingerprint = NewType('Fingerprint', bytes)
 # IP address and port, separated by a colon.
 Address = NewType('Address', str)
 
