--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -123,6 +123,13 @@
     on_run : callable or None
         Called with a :class:`StartedRequest` for each request that starts to
         run.
+    crashing_paths : collection of str
+        Paths of requests that end the target while it runs them.
+    crash_delay_s : float
+        Time from the start of such a request to the end of the target, in
+        seconds.
+    on_crash : callable or None
+        Called with the :class:`StartedRequest` under which the target ends.
     """
 
     def __init__(self, target_id):
@@ -136,6 +143,10 @@
         self.rate_limits = ()
         self.on_receive = None
         self.on_run = None
+        self.crashing_paths = ()
+        self.crash_delay_s = 0.05
+        self.on_crash = None
+        self.cancel_scope = trio.CancelScope()
         self.listener = listen('127.0.0.1:0')
         host, port = self.listener.getsockname()
         self.address = f'{host}:{port}'
@@ -146,7 +157,7 @@
         self.connections = 0
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        """Serve until cancelled."""
+        """Serve until cancelled or crashed."""
         server = ConnectionServer(
             self.listener,
             self._handle,
@@ -161,9 +172,10 @@
             await serve_connection(connection)
 
         server.serve = count_connection
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(server.run, nursery)
-            task_status.started()
+        with self.cancel_scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run, nursery)
+                task_status.started()
 
     async def _handle(self, connection, request):
         if request.url == HEALTH_PATH:
@@ -196,17 +208,18 @@
             return
         self.runs.append(attempt_id.decode())
         self.request_headers.append(dict(fields))
+        started = StartedRequest(
+            attempt_id.decode(),
+            request.url.decode(),
+            fields.get(b'caller-service', b'').decode(),
+            int(fields.get(b'deadline-ms', b'0')),
+        )
         if self.on_run is not None:
-            self.on_run(
-                StartedRequest(
-                    attempt_id.decode(),
-                    request.url.decode(),
-                    fields.get(b'caller-service', b'').decode(),
-                    int(fields.get(b'deadline-ms', b'0')),
-                )
-            )
+            self.on_run(started)
         self.in_flight += 1
         try:
+            if started.path in self.crashing_paths:
+                await self._crash(started)
             if self.draw_service_time_s is not None:
                 await trio.sleep(self.draw_service_time_s())
             if self.response_event is not None:
@@ -217,6 +230,13 @@
             connection, request, attempt_id, misbehaviour
         )
 
+    async def _crash(self, started):
+        await trio.sleep(self.crash_delay_s)
+        if self.on_crash is not None:
+            self.on_crash(started)
+        self.cancel_scope.cancel()
+        await trio.sleep_forever()
+
     async def _send_response(  # noqa: C901
         self, connection, request, attempt_id, misbehaviour
     ):
