Refuse requests that have crashed three targets, at every node

Cause: what a target ran when it ended was forgotten with its connections, so that nothing connected the copies. All avoidance was by target.

The evidence that the node beside a target finds is shared now. Every node and control keeps all records; nodes send what is new with their polls, and send everything to a control that was restarted; controls tell each other and all nodes. Records merge in any order, so nobody has to lead. After crashes of three targets without more completed copies than crashes, each node refuses the request at once, where it is received and again right before it would be sent to a target (SL3027, 503). A request that was running at two crashes is not retried; one crash alone rarely tells which request caused it, so innocents keep their retry. The node that forwarded the request gets the evidence with the error, since the node beside the target may restart before its next poll. A target that has crashed is withdrawn at once instead of when its lease ends.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -8,6 +8,7 @@
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.exceptions import NoTargetError
+from snipelead.callers.exceptions import TargetCrashedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.callers.relay import relay_response
@@ -15,6 +16,10 @@
 from snipelead.callers.request_log import log_failure
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
 from snipelead.http.exceptions import SendFailedError
+from snipelead.quarantine.admission import adopt_crash
+from snipelead.quarantine.admission import check_quarantine
+from snipelead.quarantine.fingerprint import FINGERPRINT_BODY_BYTES
+from snipelead.quarantine.ledger import CrashLedger
 from snipelead.routing.split import TrafficSplitter
 from snipelead.types import AttemptId
 from snipelead.types import Ran
@@ -33,6 +38,9 @@
     NodeStoppingError,
     WrongIncarnationError,
 )
+# A request that was running when this many targets crashed is not sent to
+# another one at once. One crash alone rarely tells which request caused it.
+MAX_CRASHES_FOR_RETRY = 1
 # Limit of attempts when targets reject a call, unless its route allows more.
 MAX_REFUSED_ATTEMPTS = 3
 
@@ -52,6 +60,8 @@
         Forwards requests to the nodes of other targets.
     balancer : Balancer
         Load balancer that selects targets.
+    ledger : CrashLedger or None
+        Evidence on requests that crash targets.
 
     Attributes
     ----------
@@ -64,7 +74,10 @@
         Traffic splits of the routes.
     """
 
-    def __init__(self, node_id, directory, limiters, forwarder, balancer):
+    def __init__(
+        self, node_id, directory, limiters, forwarder, balancer, ledger=None
+    ):
+        self.ledger = CrashLedger() if ledger is None else ledger
         self.node_id = node_id
         self.directory = directory
         self.limiters = limiters
@@ -106,13 +119,16 @@
             await self._wait_for_targets(service)
         budget = self.balancer.get_retry_budget(route, service)
         budget.add_attempt()
+        if self.ledger.records and not request.complete:
+            await request.receive_body(FINGERPRINT_BODY_BYTES)
         request.save_body()
         tried = set()
         failure = None
         while True:
+            request.rewind()
+            check_quarantine(self.ledger, call, request)
             observation = self._choose_target(call, service, tried, failure)
             tried.add(observation.entry.target_id)
-            request.rewind()
             try:
                 if await self._attempt(
                     connection, request, call, budget, observation, tried
@@ -152,12 +168,16 @@
 
     def _may_retry_error(self, request, call, route, budget, error):
         """Return whether a failed request may be sent to another target."""
+        crash_count = 0
+        if isinstance(error, TargetCrashedError):
+            crash_count = adopt_crash(self.ledger, call, request, error)
         allowed = (
             error.retry_on_other_target
             and not call.response_started
             and (call.ran is Ran.NO or not call.at_most_once)
             and request.is_replayable
             and call.sent_attempts < route.max_attempts
+            and crash_count <= MAX_CRASHES_FOR_RETRY
         )
         if not allowed:
             return False
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -171,7 +171,9 @@
         )
         self.reachability = ReachabilityMonitor(self.directory, settings.zone)
         self.forwarder = Forwarder(self.reachability, self.statuses)
-        self.crash_detector = CrashDetector(settings.node_id, self.ledger)
+        self.crash_detector = CrashDetector(
+            settings.node_id, self.local_targets, self.ledger
+        )
         self.limiters = TargetLimiters(
             self.local_targets,
             self.sender,
@@ -182,6 +184,7 @@
             self.crash_detector,
         )
         self.metrics.get_rate_limits = self.limiters.rate_limits
+        self.metrics.get_quarantine_counts = self._count_quarantine
         self.balancer = Balancer(
             settings.zone,
             self.directory,
@@ -200,6 +203,7 @@
             self.limiters,
             self.forwarder,
             self.balancer,
+            self.ledger,
         )
         self.claim_manager = ClaimManager(self.claims, self._make_claim_id)
         self.dispatcher = Dispatcher(
@@ -214,6 +218,13 @@
             *(server.active_requests for server in self.servers)
         )
 
+    def _count_quarantine(self):
+        return (
+            self.crash_detector.crash_count,
+            self.ledger.refusal_count,
+            self.ledger.count_verdicts(),
+        )
+
     def _make_claim_id(self):
         return f'c-{self.attempts.make_attempt_id()}'
 
--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -14,14 +14,17 @@
 from snipelead.controls.polling import FIRST_RETRY_DELAY_S
 from snipelead.controls.polling import MS_PER_S
 from snipelead.logs import log_event
+from snipelead.messages import CrashUpdate
 from snipelead.messages import digest_controls
 from snipelead.messages import Registration
 from snipelead.messages import Snapshot
 from snipelead.messages import SyncRequest
+from snipelead.quarantine.ledger import CrashLedger
 from snipelead.releases.packing import pack
 from snipelead.types import Incarnation
 from snipelead.types import MembershipSource
 from snipelead.utils.backoff import Backoff
+from snipelead.utils.waiting import wait_any
 
 __all__ = ['SyncClient']
 
@@ -74,8 +77,16 @@
     """
 
     def __init__(
-        self, settings, transport, holder, directory, local_targets, rng=None
+        self,
+        settings,
+        transport,
+        holder,
+        directory,
+        local_targets,
+        rng=None,
+        ledger=None,
     ):
+        self.ledger = CrashLedger() if ledger is None else ledger
         links = ControlLinks(
             settings.controls, settings.zone, settings.node_id, transport, rng
         )
@@ -98,6 +109,8 @@
         self._seen_services = set()
         self._seen_epoch = ''
         self._polled_at = 0.0
+        self._polled_link = None
+        self._polled_crashes = 0
         self._leave_requested = trio.Event()
         self._leave_acknowledged = trio.Event()
 
@@ -145,6 +158,7 @@
         self._update_registration()
         self.sequence += 1
         self._polled_at = trio.current_time()
+        self._polled_link = link
         link.polled = True
         is_registered = link.registered_version == self.registration.version
         certify = not self.holder.ready and self.floor is None
@@ -162,23 +176,34 @@
             unseen_services=self._unseen_services(),
             offered_release=self._make_offer(),
             controls=self._controls_digest(),
+            crashes=self._make_crash_update(link),
         )
 
     async def wait_request_outdated(self):
-        """Wait until targets, subscriptions or the leaving state change."""
-        while self._current_facts() == self._registered_facts():
-            async with trio.open_nursery() as nursery:
-                for wait in (
-                    self.local_targets.wait_changed,
-                    self.directory.wait_subscribed,
-                    self._wait_leave_requested,
-                ):
-                    nursery.start_soon(_cancel_after, wait, nursery)
+        """Wait until a fact changes that the controls should know.
+
+        These are targets, subscriptions, the leaving state and crashes.
+        """
+        while (
+            self._current_facts() == self._registered_facts()
+            and self._polled_link.reported_crashes == self.ledger.version
+        ):
+            await wait_any(
+                self.local_targets.wait_changed,
+                self.directory.wait_subscribed,
+                self._wait_leave_requested,
+                self.ledger.wait_changed,
+            )
 
     async def handle_reply(self, link, request, reply):
         """Apply a reply; return the delay before the next poll in seconds."""
+        link.reported_crashes = self._polled_crashes
+        if reply.crashes is not None:
+            self._merge_crashes(link, reply.crashes)
         if reply.needs_registration:
             link.registered_version = 0
+            # The control has been restarted and has lost its records.
+            link.reported_crashes = 0
             return self.backoff.next_delay_s() if request.registration else 0.0
         link.registered_version = request.registration_version
         if self.registration.leaving:
@@ -195,7 +220,7 @@
             return self._update_readiness(link, reply)
         if reply.retry_after_ms:
             return reply.retry_after_ms / MS_PER_S
-        empty = not changed and reply.directory is None
+        empty = not changed and reply.directory is reply.crashes is None
         polled_for_s = trio.current_time() - self._polled_at
         ended_early = request.hold_ms and polled_for_s < EMPTY_REPLY_PAUSE_S
         return EMPTY_REPLY_PAUSE_S if empty and ended_early else 0.0
@@ -215,6 +240,26 @@
                 self.local_targets.set_incarnation(Incarnation(latest + 1))
         return super().handle_failure(link, error)
 
+    def _make_crash_update(self, link):
+        """Return the crash records that a control lacks, or None."""
+        self._polled_crashes = self.ledger.version
+        if not self.ledger.version:
+            return None
+        return CrashUpdate(
+            link.crash_epoch,
+            link.crash_version,
+            self.ledger.list_changes(link.reported_crashes),
+        )
+
+    def _merge_crashes(self, link, update):
+        """Merge the crash records of a control."""
+        all_reported = link.reported_crashes == self.ledger.version
+        self.ledger.merge(update.records)
+        if all_reported:
+            link.reported_crashes = self.ledger.version
+        link.crash_epoch = update.epoch
+        link.crash_version = update.version
+
     def _update_readiness(self, link, reply):
         """Mark the node ready if it may serve.
 
@@ -343,8 +388,3 @@
         if self._leave_requested.is_set():
             await trio.sleep_forever()
         await self._leave_requested.wait()
-
-
-async def _cancel_after(wait, nursery):
-    await wait()
-    nursery.cancel_scope.cancel()
--- a/snipelead/controls/exchange.py
+++ b/snipelead/controls/exchange.py
@@ -35,6 +35,8 @@
         Source of jitter.
     timings : ControlTimings
         Gives the hold time and the reply timeout of a poll.
+    ledger : CrashLedger
+        Receives the peer's crash records.
 
     Attributes
     ----------
@@ -46,7 +48,8 @@
         Number of failed polls since the last reply.
     """
 
-    def __init__(self, control_id, link, directory, rng, timings):
+    def __init__(self, control_id, link, directory, rng, timings, ledger):
+        self.ledger = ledger
         self.control_id = control_id
         self.link = link
         self.timings = timings
@@ -65,7 +68,12 @@
             # peer replies at once.
             hold_ms = 0 if self.failures else self.timings.exchange_hold_ms
             request = ExchangeRequest(
-                self.control_id, self.epoch, self.version, hold_ms
+                self.control_id,
+                self.epoch,
+                self.version,
+                hold_ms,
+                self.link.crash_epoch,
+                self.link.crash_version,
             )
             try:
                 reply = await self.link.polls.call(
@@ -77,17 +85,22 @@
                 self._handle_failure(error)
                 await trio.sleep(self.backoff.next_delay_s())
             else:
-                self._handle_reply(reply.directory)
+                self._handle_reply(reply)
         self.directory.drop_peer(self.link.peer.address)
 
-    def _handle_reply(self, update):
-        """Mark the peer reachable and apply its update, if there is one."""
+    def _handle_reply(self, reply):
+        """Mark the peer reachable and apply its updates, if there are any."""
         if self.failures or self.last_reply_at is None:
             log_event(PEER_REACHED, control=self.link.control_id)
         self.failures = 0
         self.backoff.reset()
         self.last_reply_at = trio.current_time()
         self.directory.set_reachable(self.link.peer.address, True)
+        if reply.crashes is not None:
+            self.ledger.merge(reply.crashes.records)
+            self.link.crash_epoch = reply.crashes.epoch
+            self.link.crash_version = reply.crashes.version
+        update = reply.directory
         if update is None:
             return
         self.directory.apply_peer(self.link.peer.address, update)
--- a/snipelead/controls/links.py
+++ b/snipelead/controls/links.py
@@ -51,6 +51,10 @@
     registered_version : int
         Version of this process's registration that the control has
         confirmed.
+    reported_crashes : int
+        Version of this process's crash records that the control has.
+    crash_epoch, crash_version : str, int
+        Version of the control's crash records that this process has.
     closed : bool
         Whether the link was closed because the control was removed.
     """
@@ -68,6 +72,9 @@
         self.failures = 0
         self.possibly_stale_until = 0.0
         self.registered_version = 0
+        self.reported_crashes = 0
+        self.crash_epoch = ''
+        self.crash_version = 0
         self.closed = False
 
     def update_identity(self, endpoint):
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -20,6 +20,7 @@
 from snipelead.controls.snapshots import SnapshotLimiter
 from snipelead.controls.updates import UpdateBuilder
 from snipelead.logs import log_event
+from snipelead.messages import CrashUpdate
 from snipelead.messages import digest_controls
 from snipelead.messages import ExchangeReply
 from snipelead.messages import ExchangeRequest
@@ -29,12 +30,15 @@
 from snipelead.messages import FreshnessRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
+from snipelead.quarantine.ledger import CrashLedger
+from snipelead.utils.waiting import wait_any
 
 __all__ = ['ControlService']
 
 # Upper bound of the hold time that a request may ask for.
 MAX_HOLD_MS = 60_000
 MIN_DIRECTORY_INTERVAL_S = 0.5
+_NO_CRASHES = CrashUpdate('', 0)
 
 
 class ControlService:
@@ -61,6 +65,7 @@
         self.rng = rng or random.Random()
         self.sessions = NodeSessions()
         self.directory = ControlDirectory(self.sessions.wake)
+        self.ledger = CrashLedger(self.sessions.wake)
         self.leases = NodeLeases(
             settings.timings, self.sessions, self.directory
         )
@@ -121,6 +126,7 @@
             self.directory,
             self.rng,
             self.settings.timings,
+            self.ledger,
         )
         nursery.start_soon(exchange.run)
 
@@ -153,7 +159,17 @@
 
     async def sync(self, request):
         """Handle a long poll; see :meth:`_sync`."""
-        return self._attach_controls(request, await self._sync(request))
+        if request.crashes is not None:
+            self.ledger.merge(request.crashes.records)
+        reply = await self._sync(request)
+        if not request.is_relay:
+            reply = replace(reply, crashes=self._crash_update(request))
+        return self._attach_controls(request, reply)
+
+    def _crash_update(self, request):
+        """Return the crash records that a node lacks, or None."""
+        known = request.crashes or _NO_CRASHES
+        return self.ledger.update_since(known.epoch, known.version)
 
     async def _sync(self, request):
         """Handle a long poll, without the list of controls.
@@ -186,15 +202,23 @@
         return await self._hold_poll(session, request)
 
     async def exchange(self, request):
-        """Handle the long poll of another control for targets of own nodes."""
+        """Handle the long poll of another control.
+
+        It asks for the targets of own nodes and for crash records.
+        """
         own = self.directory.own
         hold_ms = min(request.hold_ms, MAX_HOLD_MS)
         with trio.move_on_after(hold_ms / MS_PER_S):
             while True:
                 update = own.update_since(request.epoch, request.version)
-                if update is not None:
-                    return ExchangeReply(update)
-                await self.directory.wait_own_changed()
+                crashes = self.ledger.update_since(
+                    request.crash_epoch, request.crash_version
+                )
+                if update is not None or crashes is not None:
+                    return ExchangeReply(update, crashes)
+                await wait_any(
+                    self.directory.wait_own_changed, self.ledger.wait_changed
+                )
         return ExchangeReply()
 
     async def handle_fleet(self, request):
@@ -291,7 +315,7 @@
         """Return a reply with updates, or None if there are none."""
         reply = self._release_update(request, self.publisher.published)
         directory = self._directory_update(session, request)
-        if reply is None and directory is None:
+        if reply is directory is None and self._crash_update(request) is None:
             return None
         return replace(
             reply or SyncReply(),
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -7,6 +7,7 @@
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
+from snipelead.quarantine.ledger import CrashLedger
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.leases import expire_targets
 from snipelead.targets.local import LocalTargets
@@ -43,6 +44,8 @@
         Targets that announced themselves to this node.
     statuses : TargetStatuses
         Statuses that targets have stated in their responses.
+    ledger : CrashLedger
+        Evidence on requests that crash targets.
     sync_client : SyncClient
         Client that receives releases and targets from the controls.
     call_path : CallPath
@@ -64,12 +67,14 @@
             settings.advertised_address or settings.address,
         )
         self.statuses = TargetStatuses()
+        self.ledger = CrashLedger()
         self.sync_client = SyncClient(
             settings,
             transport,
             self.holder,
             self.directory,
             self.local_targets,
+            ledger=self.ledger,
         )
         self.call_path = CallPath(
             settings,
@@ -80,6 +85,7 @@
             self.metrics,
             protocols=frontend.protocols,
             statuses=self.statuses,
+            ledger=self.ledger,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
--- a/snipelead/messages/sync.py
+++ b/snipelead/messages/sync.py
@@ -4,6 +4,7 @@
 from msgspec import Struct
 import xxhash
 
+from snipelead.messages.quarantine import CrashUpdate
 from snipelead.messages.registry import register_reply
 from snipelead.messages.targets import DirectoryUpdate
 from snipelead.messages.targets import TargetEntry
@@ -130,6 +131,10 @@
     controls : int or None
         Digest of the control processes that the sender learned from
         replies; None if its settings list them.
+    crashes : CrashUpdate or None
+        Epoch and version of the control process's crash records that the
+        sender has, and records that the control process may lack; None if
+        neither has any.
     """
 
     node_id: NodeId
@@ -146,6 +151,7 @@
     is_relay: bool = False
     offered_release: Snapshot | None = None
     controls: int | None = None
+    crashes: CrashUpdate | None = None
 
 
 class SyncReply(Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -184,6 +190,8 @@
         to date; another one may have a newer release.
     controls : tuple of ControlEndpoint
         All control processes; empty if the sender's digest matches.
+    crashes : CrashUpdate or None
+        Crash records that changed since the sender's version.
     """
 
     delta: Delta | None = None
@@ -198,6 +206,7 @@
     requests_release: bool = False
     possibly_stale: bool = False
     controls: tuple[ControlEndpoint, ...] = ()
+    crashes: CrashUpdate | None = None
 
 
 def digest_controls(controls):
--- a/snipelead/messages/targets.py
+++ b/snipelead/messages/targets.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from snipelead.messages.quarantine import CrashUpdate
 from snipelead.messages.registry import register_reply
 from snipelead.types import Address
 from snipelead.types import ControlId
@@ -109,12 +110,16 @@
     hold_ms : int
         Maximum time in milliseconds that the peer may hold the request
         without an update.
+    crash_epoch, crash_version : str, int
+        Version of the peer's crash records that the sender has.
     """
 
     control_id: ControlId
     epoch: str = ''
     version: int = 0
     hold_ms: int = 0
+    crash_epoch: str = ''
+    crash_version: int = 0
 
 
 class ExchangeReply(Struct, frozen=True, omit_defaults=True):
@@ -124,9 +129,12 @@
     ----------
     directory : DirectoryUpdate or None
         Changes since the sender's version, None if there are none.
+    crashes : CrashUpdate or None
+        Changed crash records, None if there are none.
     """
 
     directory: DirectoryUpdate | None = None
+    crashes: CrashUpdate | None = None
 
 
 register_reply(ExchangeRequest, ExchangeReply)
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -114,6 +114,14 @@
         target.
     get_rate_limits : callable
         Returns the values of ``rate_limits`` by target id.
+    target_crashes, quarantine_refusals : Counter
+        Crashes of local targets, and requests refused because copies of them
+        crash targets.
+    watched_requests : Gauge
+        Requests that were running when targets crashed, by verdict.
+    get_quarantine_counts : callable
+        Returns the values of these three: two integers and a dictionary from
+        each verdict to an integer.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -159,6 +167,22 @@
             registry=self.registry,
         )
         self.get_rate_limits = dict
+        self.target_crashes = Counter(
+            'snipelead_target_crashes_total',
+            'Crashes of local targets while they were running requests.',
+            registry=self.registry,
+        )
+        self.quarantine_refusals = Counter(
+            'snipelead_quarantine_refusals_total',
+            'Requests refused because copies of them crash targets.',
+            registry=self.registry,
+        )
+        self.watched_requests = Gauge(
+            'snipelead_watched_requests',
+            'Requests that were running when targets crashed, by verdict.',
+            registry=self.registry,
+        )
+        self.get_quarantine_counts = lambda: (0, 0, {})
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -205,6 +229,11 @@
         self.rate_limits.values.clear()
         for target_id, rate_limit in self.get_rate_limits().items():
             self.rate_limits.set({'target': target_id}, rate_limit)
+        crash_count, refusal_count, watched = self.get_quarantine_counts()
+        self.target_crashes.set({}, crash_count)
+        self.quarantine_refusals.set({}, refusal_count)
+        for verdict, count in watched.items():
+            self.watched_requests.set({'verdict': verdict.value}, count)
         return super().render(accept)
 
     def _add_labelled_buckets(self, key):
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -13,7 +13,6 @@
 from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetBusyError
-from snipelead.callers.exceptions import TargetCrashedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.callers.request_log import log_decision
@@ -30,6 +29,8 @@
 from snipelead.nodes.local_status import LocalTargetStatus
 from snipelead.nodes.peer_messages import Load
 from snipelead.nodes.service_statistics import ServiceStatistics
+from snipelead.quarantine.admission import check_quarantine
+from snipelead.quarantine.admission import make_crash_error
 from snipelead.quarantine.detector import CrashDetector
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.targets.status import TargetStatuses
@@ -96,7 +97,7 @@
         crash_detector=None,
     ):
         self.crash_detector = crash_detector or CrashDetector(
-            local_targets.node_id, CrashLedger()
+            local_targets.node_id, local_targets, CrashLedger()
         )
         self.target_id = target_id
         self.local_targets = local_targets
@@ -150,6 +151,7 @@
             If the request was refused or its response was lost.
         """
         self.get_accepting_target(incarnation)
+        self._check_quarantine(call, request)
         if call.at_most_once:
             self.begin_attempt(call, attempt_id)
         try:
@@ -253,6 +255,7 @@
             # It may also have left while the connection was being opened.
             target = self.get_accepting_target(incarnation)
             call.check_deadline()
+            self._check_quarantine(call, request)
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             reader.connection.close()
@@ -275,6 +278,13 @@
         self.mark_attempt(call, attempt_id, AttemptState.ANSWERED)
         return LocalResponse(self, call, address, reader, response)
 
+    def _check_quarantine(self, call, request):
+        # The node that received the request has checked it as well, with the
+        # start of its body if that is still arriving here.
+        ledger = self.crash_detector.ledger
+        if ledger.records and request.complete:
+            check_quarantine(ledger, call, request)
+
     async def _send_tracked(self, reader, call, request, target):
         """Send a request; find out whether the target crashes meanwhile."""
         detector = self.crash_detector
@@ -291,10 +301,8 @@
                 crash = await detector.find_crash(target, lost_at)
                 if crash is None:
                     raise
-                raise TargetCrashedError(
-                    f'{self.target_id} ended while it was running the request',
-                    ran=error.ran,
-                    crashes=detector.count_crashes(call, request),
+                raise make_crash_error(
+                    detector.ledger, crash, call, request, error.ran
                 ) from error
             detector.record_completion(call, request)
             return response
--- a/snipelead/quarantine/detector.py
+++ b/snipelead/quarantine/detector.py
@@ -17,6 +17,7 @@
 from snipelead.quarantine.fingerprint import fingerprint_request
 from snipelead.quarantine.fingerprint import identify_request
 from snipelead.quarantine.fingerprint import summarize_request
+from snipelead.types import TargetState
 from snipelead.utils.bounded_dict import BoundedDict
 
 __all__ = ['CrashDetector']
@@ -57,6 +58,8 @@
     ----------
     node_id : NodeId
         Id of this node.
+    local_targets : LocalTargets
+        Local targets; one that has crashed is removed.
     ledger : CrashLedger
         Receives the evidence.
 
@@ -73,8 +76,9 @@
         Number of crashes of local targets.
     """
 
-    def __init__(self, node_id, ledger):
+    def __init__(self, node_id, local_targets, ledger):
         self.node_id = node_id
+        self.local_targets = local_targets
         self.ledger = ledger
         self.runs = {}
         self.crashes = BoundedDict(MAX_TRACKED_TARGETS)
@@ -118,18 +122,6 @@
                 fingerprint_request(request, call.tenant), self.node_id
             )
 
-    def count_crashes(self, call, request):
-        """Return the number of targets known to have crashed under a request.
-
-        Parameters
-        ----------
-        call, request : Call, Request
-            The request.
-        """
-        return self.ledger.count_crashes(
-            fingerprint_request(request, call.tenant)
-        )
-
     async def find_crash(self, target, lost_at):
         """Return the crash that explains a lost connection.
 
@@ -182,6 +174,7 @@
         )
         for run in runs:
             self._suspect(run, crash)
+        self._withdraw(entry)
         return crash
 
     def _suspect(self, run, crash):
@@ -204,6 +197,15 @@
             crashes=self.ledger.count_crashes(fingerprint),
         )
 
+    def _withdraw(self, entry):
+        """Remove a target until it announces itself again."""
+        registered = self.local_targets.targets.get(entry.target_id)
+        if (
+            registered is not None
+            and registered.entry.target_incarnation == entry.target_incarnation
+        ):
+            self.local_targets.change_state(entry.target_id, TargetState.GONE)
+
 
 class _Check:
     """State of the checks whether one incarnation of a target has ended.
--- a/snipelead/quarantine/ledger.py
+++ b/snipelead/quarantine/ledger.py
@@ -109,6 +109,11 @@
     process needs to lead, and a process that has lost its records gets them
     back from any other.
 
+    Parameters
+    ----------
+    on_change : callable or None
+        Called after a change.
+
     Attributes
     ----------
     epoch : str
@@ -121,13 +126,17 @@
         those that do not lead to a quarantine are evicted first.
     verdicts : dict of Fingerprint to Verdict
         Verdicts on the records.
+    refusal_count : int
+        Number of requests refused because of a quarantine.
     """
 
-    def __init__(self):
+    def __init__(self, on_change=None):
+        self.on_change = on_change
         self.epoch = uuid4().hex[:EPOCH_CHARS]
         self.version = 0
         self.records = OrderedDict()
         self.verdicts = {}
+        self.refusal_count = 0
         self._versions = {}
         self._changed = trio.Event()
 
@@ -224,6 +233,8 @@
             return False
         self._changed.set()
         self._changed = trio.Event()
+        if self.on_change is not None:
+            self.on_change()
         return True
 
     def update_since(self, epoch, version):
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -8,13 +8,15 @@
 from snipelead.callers.call import Call
 from snipelead.metrics import ControlMetrics
 from snipelead.metrics import NodeMetrics
+from snipelead.quarantine.ledger import Verdict
 from snipelead.types import Preference
 from snipelead.types import Ran
 from snipelead.types import RequestClass
 from snipelead.types import TenantName
 
 PAGE = Path(snipelead.__file__).parent.parent / 'docs' / 'METRICS.md'
-ROW = re.compile(r'\| `(\w+)` \| (\w+) \| [^|]+ \| ([\w, ]+) \|')
+ROW = re.compile(r'\| `(\w+)` \| (\w+) \| [^|]+ \| ([\w, ]+|-) \|')
+NO_LABELS = '-'
 # Label of the upper bound that the library adds to each bucket.
 BUCKET_LABEL = 'le'
 
@@ -23,7 +25,7 @@
     """Return kind and labels of the metrics in a section of the page."""
     text = PAGE.read_text().partition(f'## {section}\n')[2].partition('\n## ')
     return {
-        name: (kind, set(labels.split(', ')))
+        name: (kind, set(labels.split(', ')) - {NO_LABELS})
         for name, kind, labels in ROW.findall(text[0])
     }
 
@@ -57,6 +59,11 @@
             call.ran, call.target_time_s = Ran.YES, 0.1
             metrics.observe_call(call)
             metrics.get_rate_limits = lambda: {'t': 2.5}
+            metrics.get_quarantine_counts = lambda: (
+                1,
+                2,
+                {Verdict.SUSPECT: 3},
+            )
             return metrics
 
         self.check('Node', trio.run(main))
--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -14,6 +14,7 @@
 from specs.log_agreement import LogAgreement
 from specs.node_floor import NodeFloor
 from specs.node_restart import NodeRestart
+from specs.quarantine import Quarantine
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 from specs.replace_race import ReplaceRace
@@ -34,6 +35,7 @@
     ReplaceRace(),
     ControlChoice(),
     StatedLimit(),
+    Quarantine(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
@@ -47,6 +49,7 @@
     ReleaseRace(max_log=6, max_elections=3),
     Drain(requests=6),
     StatedLimit(max_periods=2),
+    Quarantine(max_restarts=2),
 )
 
 
