Tell crashes of a target apart, and withdraw one that ends idle

Two faults of the detector, found by its tests:

A target that does not tell its incarnation, as those of the product's own announcements, was in the same incarnation for ever. Its second crash was taken for the first, and later lost connections were taken for a crash without a check. Such a target now gets an incarnation when it is registered after it was removed.

--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -14,6 +14,7 @@
 from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetBusyError
 from snipelead.callers.exceptions import TargetLeavingError
+from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.callers.request_log import log_decision
 from snipelead.callers.request_log import log_failure
@@ -246,8 +247,14 @@
         """Send an admitted request and wait for the response head."""
         try:
             # The target may have started leaving while the request waited.
-            address = self.get_accepting_target(incarnation).target_address
+            target = self.get_accepting_target(incarnation)
+            address = target.target_address
             reader = await self.sender.acquire(address)
+        except TargetUnreachableError as error:
+            self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
+            if error.__cause__.is_refused:
+                self.crash_detector.record_down(target)
+            raise
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             raise
--- a/snipelead/platform/tests/test_crashing_requests.py
+++ b/snipelead/platform/tests/test_crashing_requests.py
@@ -241,3 +241,18 @@
 
         self.run_scenario(scenario)
         self.check_bound('/orders/crash')
+
+    def test_target_that_ended_idle_is_withdrawn_with_the_first_request(self):
+        # Others went on choosing it until its lease ended.
+        async def scenario(nursery):
+            node = self.nodes[0]
+            node.target.cancel_scope.cancel()
+            await trio.sleep(0.2)
+            for number in range(5):
+                await self.send_request(node, f'/reads/{number}')
+            self.assertEqual({}, node.daemon.local_targets.targets)
+            await trio.sleep(4.0)
+            self.assertNotEqual({}, node.daemon.local_targets.targets)
+
+        self.run_scenario(scenario)
+        self.assertEqual({200}, {o.status for o in self.outcomes})
--- a/snipelead/quarantine/detector.py
+++ b/snipelead/quarantine/detector.py
@@ -14,6 +14,7 @@
 from snipelead.messages import TargetCrash
 from snipelead.quarantine.events import REQUEST_SUSPECTED
 from snipelead.quarantine.events import TARGET_CRASHED
+from snipelead.quarantine.events import TARGET_DOWN
 from snipelead.quarantine.fingerprint import fingerprint_request
 from snipelead.quarantine.fingerprint import identify_request
 from snipelead.quarantine.fingerprint import summarize_request
@@ -122,6 +123,17 @@
                 fingerprint_request(request, call.tenant), self.node_id
             )
 
+    def record_down(self, target):
+        """Record that no process listens at the address of a target.
+
+        Parameters
+        ----------
+        target : LocalTarget
+            The target; removed until it announces itself again.
+        """
+        if self._withdraw(target):
+            log_event(TARGET_DOWN, target=target.entry.target_id)
+
     async def find_crash(self, target, lost_at):
         """Return the crash that explains a lost connection.
 
@@ -138,7 +150,7 @@
             None if the target still accepts connections or is leaving.
         """
         entry = target.entry
-        key = (entry.target_id, entry.target_incarnation)
+        key = (entry.target_id, target.incarnation)
         check = self._checks.get(key)
         if check is None:
             check = self._checks[key] = _Check()
@@ -155,11 +167,11 @@
         entry = target.entry
         crash = TargetCrash(
             entry.target_id,
-            entry.target_incarnation,
+            target.incarnation,
             self.node_id,
             int(time.time() * _MS_PER_S),
         )
-        self.crashes[entry.target_id, entry.target_incarnation] = crash
+        self.crashes[crash.target_id, crash.incarnation] = crash
         self.crash_count += 1
         runs = [
             run
@@ -174,7 +186,7 @@
         )
         for run in runs:
             self._suspect(run, crash)
-        self._withdraw(entry)
+        self._withdraw(target)
         return crash
 
     def _suspect(self, run, crash):
@@ -197,14 +209,17 @@
             crashes=self.ledger.count_crashes(fingerprint),
         )
 
-    def _withdraw(self, entry):
-        """Remove a target until it announces itself again."""
-        registered = self.local_targets.targets.get(entry.target_id)
-        if (
-            registered is not None
-            and registered.entry.target_incarnation == entry.target_incarnation
-        ):
-            self.local_targets.change_state(entry.target_id, TargetState.GONE)
+    def _withdraw(self, target):
+        """Remove a target that has ended; return whether it was registered.
+
+        It is ignored if another incarnation is registered by now.
+        """
+        target_id = target.entry.target_id
+        registered = self.local_targets.targets.get(target_id)
+        if registered is None or registered.incarnation != target.incarnation:
+            return False
+        self.local_targets.change_state(target_id, TargetState.GONE)
+        return True
 
 
 class _Check:
--- a/snipelead/quarantine/events.py
+++ b/snipelead/quarantine/events.py
@@ -8,6 +8,7 @@
     'REQUEST_QUARANTINED',
     'REQUEST_SUSPECTED',
     'TARGET_CRASHED',
+    'TARGET_DOWN',
 ]
 
 TARGET_CRASHED = Event(
@@ -45,3 +46,10 @@
     'info',
     'An operator has discarded what is known of crashes under a request.',
 )
+TARGET_DOWN = Event(
+    4028,
+    'target_down',
+    'warning',
+    'The local target refuses connections without a request in flight. It'
+    ' receives none until it announces itself again.',
+)
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -22,13 +22,17 @@
         Listening address of the target itself, usually on loopback.
     entry : TargetEntry
         Description of the target that other processes receive.
+    incarnation : Incarnation
+        Incarnation of the target. If it does not tell, a target is in a new
+        one when it is registered again after it was removed.
     renewed_at : float
         Time of the last announcement or renewal on trio's clock, in seconds.
     """
 
-    def __init__(self, target_address, entry, renewed_at):
+    def __init__(self, target_address, entry, incarnation, renewed_at):
         self.target_address = target_address
         self.entry = entry
+        self.incarnation = incarnation
         self.renewed_at = renewed_at
 
 
@@ -120,8 +124,13 @@
             known.entry.relative_service_time if known else 0.0,
             target_incarnation,
         )
+        incarnation = target_incarnation or (
+            known.incarnation
+            if known
+            else Incarnation(self.incarnation + self.sequence)
+        )
         self.targets[target_id] = LocalTarget(
-            target_address, entry, trio.current_time()
+            target_address, entry, incarnation, trio.current_time()
         )
         self._notify()
 
