Explain connections lost after a crash by it, and list and lift records

The first lost connection of a crash removes the target. Runs that noticed the loss later took that for a planned leave, so that a copy of a crashing request could have been retried as an ordinary lost response.

Controls answer requests for all crash records and to discard the evidence on one, for the command that follows.

--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -28,8 +28,12 @@
 from snipelead.messages import FleetRequest
 from snipelead.messages import FreshnessReply
 from snipelead.messages import FreshnessRequest
+from snipelead.messages import LiftReply
+from snipelead.messages import LiftRequest
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
+from snipelead.messages import WatchedReply
+from snipelead.messages import WatchedRequest
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.utils.waiting import wait_any
 
@@ -102,6 +106,8 @@
             FleetRequest: self.handle_fleet,
             ExchangeRequest: self.exchange,
             FreshnessRequest: self.handle_freshness,
+            WatchedRequest: self.handle_watched,
+            LiftRequest: self.handle_lift,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -240,6 +246,14 @@
         """Return whether this control is possibly stale."""
         return FreshnessReply(self.publisher.possibly_stale)
 
+    async def handle_watched(self, request):
+        """Return all crash records that this control knows."""
+        return WatchedReply(tuple(self.ledger.records.values()))
+
+    async def handle_lift(self, request):
+        """Discard the evidence on a request, here and then everywhere."""
+        return LiftReply(self.ledger.lift(request.fingerprint))
+
     async def collect_fleet_replies(self):
         """Return the views of all controls that reply, this one first.
 
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -22,7 +22,11 @@
 from snipelead.messages.outcomes import SubmitRequest
 from snipelead.messages.quarantine import CrashRecord
 from snipelead.messages.quarantine import CrashUpdate
+from snipelead.messages.quarantine import LiftReply
+from snipelead.messages.quarantine import LiftRequest
 from snipelead.messages.quarantine import TargetCrash
+from snipelead.messages.quarantine import WatchedReply
+from snipelead.messages.quarantine import WatchedRequest
 from snipelead.messages.registry import register_reply
 from snipelead.messages.registry import REPLY_TYPES
 from snipelead.messages.sync import ControlEndpoint
@@ -53,6 +57,8 @@
     'FleetRequest',
     'FreshnessReply',
     'FreshnessRequest',
+    'LiftReply',
+    'LiftRequest',
     'NodeStatus',
     'OutcomesReply',
     'OutcomesRequest',
@@ -68,6 +74,8 @@
     'SyncRequest',
     'TargetCrash',
     'TargetEntry',
+    'WatchedReply',
+    'WatchedRequest',
     'digest_controls',
     'register_reply',
 ]
--- a/snipelead/messages/quarantine.py
+++ b/snipelead/messages/quarantine.py
@@ -2,12 +2,21 @@
 
 from msgspec import Struct
 
+from snipelead.messages.registry import register_reply
 from snipelead.types import Fingerprint
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
 from snipelead.types import TargetId
 
-__all__ = ['CrashRecord', 'CrashUpdate', 'TargetCrash']
+__all__ = [
+    'CrashRecord',
+    'CrashUpdate',
+    'LiftReply',
+    'LiftRequest',
+    'TargetCrash',
+    'WatchedReply',
+    'WatchedRequest',
+]
 
 
 class TargetCrash(Struct, frozen=True, array_like=True, order=True):
@@ -74,3 +83,47 @@
     epoch: str
     version: int
     records: tuple[CrashRecord, ...] = ()
+
+
+class WatchedRequest(Struct, frozen=True):
+    """Request of an operator for all crash records."""
+
+
+class WatchedReply(Struct, frozen=True):
+    """Reply to a :class:`WatchedRequest`.
+
+    Parameters
+    ----------
+    records : tuple of CrashRecord
+        Records that the control knows.
+    """
+
+    records: tuple[CrashRecord, ...]
+
+
+class LiftRequest(Struct, frozen=True):
+    """Request of an operator to discard the evidence on a request.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Fingerprint of the request.
+    """
+
+    fingerprint: Fingerprint
+
+
+class LiftReply(Struct, frozen=True):
+    """Reply to a :class:`LiftRequest`.
+
+    Parameters
+    ----------
+    found : bool
+        Whether the control knew any evidence.
+    """
+
+    found: bool
+
+
+register_reply(WatchedRequest, WatchedReply)
+register_reply(LiftRequest, LiftReply)
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -303,9 +303,9 @@
             except ResponseLostError as error:
                 lost_at = trio.current_time()
                 reader.connection.close()
-                if self.status.is_leaving():
-                    raise
-                crash = await detector.find_crash(target, lost_at)
+                crash = await detector.find_crash(
+                    target, lost_at, self.status.is_leaving()
+                )
                 if crash is None:
                     raise
                 raise make_crash_error(
--- a/snipelead/quarantine/detector.py
+++ b/snipelead/quarantine/detector.py
@@ -134,7 +134,7 @@
         if self._withdraw(target):
             log_event(TARGET_DOWN, target=target.entry.target_id)
 
-    async def find_crash(self, target, lost_at):
+    async def find_crash(self, target, lost_at, is_leaving=False):
         """Return the crash that explains a lost connection.
 
         Parameters
@@ -143,6 +143,8 @@
             The target as it was when the request was sent.
         lost_at : float
             When the connection was lost, in seconds of trio's clock.
+        is_leaving : bool
+            Whether the target is leaving or was removed.
 
         Returns
         -------
@@ -151,6 +153,9 @@
         """
         entry = target.entry
         key = (entry.target_id, target.incarnation)
+        if is_leaving:
+            # One that has crashed was removed with the first lost connection.
+            return self.crashes.get(key)
         check = self._checks.get(key)
         if check is None:
             check = self._checks[key] = _Check()
--- a/snipelead/quarantine/tests/test_detector.py
+++ b/snipelead/quarantine/tests/test_detector.py
@@ -112,6 +112,32 @@
 
         self.run_test(test)
 
+    def test_connection_lost_later_is_explained_by_the_same_crash(self):
+        # The target has been removed by then, which is no planned leave.
+        async def test():
+            target = self.target
+            self.listener.close()
+            crash = await self.crash(make_request())
+            later = await self.detector.find_crash(
+                target, trio.current_time(), is_leaving=True
+            )
+            self.assertEqual(crash, later)
+
+        self.run_test(test)
+
+    def test_target_that_leaves_has_not_crashed(self):
+        async def test():
+            target = self.target
+            self.listener.close()
+            self.assertIsNone(
+                await self.detector.find_crash(
+                    target, trio.current_time(), is_leaving=True
+                )
+            )
+            self.assertEqual(0, self.ledger.version)
+
+        self.run_test(test)
+
     def test_target_without_incarnation_crashes_again_under_the_same_id(self):
         # Later crashes were taken for the first one, and its checks skipped.
         async def test():
