Send requests that crash targets in the soak, and check the bound

Clients of all nodes send copies of up to three such requests, one of them unsafe, in several series amid the other faults; retries keep the path. Arrivals count from undisturbed nodes, later than the stable window after the third crash; more than three fail the run (BUDGET).

--- a/snipelead/soak/checker.py
+++ b/snipelead/soak/checker.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from snipelead.emulator.platform_client import guarantees_not_run
+from snipelead.soak.crashing_requests import CrashingRequests
 from snipelead.soak.disturbances import ANY_CONTROL
 from snipelead.soak.disturbances import Disturbances
 from snipelead.soak.exceptions import GuaranteeViolationError
@@ -74,11 +75,14 @@
         Violations in order of detection.
     target_statuses : TargetStatusChecker
         Checks that nodes act on what targets state.
+    crashing_requests : CrashingRequests
+        Checks how often requests that crash targets reach them.
     """
 
     def __init__(self, clock, get_epoch=lambda node: (0, 0)):
         self.clock = clock
         self.target_statuses = TargetStatusChecker(self, get_epoch)
+        self.crashing_requests = CrashingRequests(self)
         self.requests = {}
         self.releases = []
         self.newest_seen = {}
@@ -270,6 +274,7 @@
         record = self.requests.get(attempt_id)
         if record is not None:
             self.target_statuses.record_arrival(target, record)
+            self.crashing_requests.record_arrival(record)
 
     def record_execution(self, target_request, execution):
         """Record that a target begins to execute a request.
--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -8,6 +8,7 @@
 from snipelead.emulator.platform_client import Attempt
 from snipelead.emulator.platform_client import ClientConnection
 from snipelead.emulator.platform_client import guarantees_not_run
+from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.records import RequestRecord
 from snipelead.soak.routes import HOST
 from snipelead.soak.routes import marker_prefix
@@ -30,6 +31,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Probability that a client abandons a request before its deadline.
 ABANDON_PROBABILITY = 0.03
+# Probability that a request is a copy of one that crashes targets, while there
+# are any.
+CRASHING_PROBABILITY = 0.03
 # Longest pause between two probes for the release that a node has applied, in
 # seconds.
 MAX_PROBE_PAUSE_S = 0.2
@@ -110,7 +114,10 @@
             if scope.cancelled_caught:
                 return
             with retry_connection:
-                attempt, record = self._make_request(record.prefix)
+                attempt, record = self._make_request(
+                    record.prefix,
+                    record.path if record.path in CRASHING_PREFIXES else None,
+                )
                 response = await self._exchange(
                     retry_connection, attempt, record
                 )
@@ -134,12 +141,25 @@
                 # which it closes the connection.
                 return
 
-    def _make_request(self, prefix=None):
+    def _make_request(self, prefix=None, path=None):
+        """Return a new request and its record.
+
+        Parameters
+        ----------
+        prefix : str or None
+            Path prefix; None draws one, or a crashing request.
+        path : str or None
+            Path; None draws one that no other request has.
+        """
+        active = self.checker.crashing_requests.active
+        if active and prefix is None and self._draws_crashing_request():
+            path = self.rng.choice(active)
+            prefix = CRASHING_PREFIXES[path]
         prefix = prefix or self.rng.choice(
             ('/reads/', '/reads/', '/orders/', '/moves/')
         )
         number = next(self.request_numbers)
-        path = f'{prefix}{number:x}'
+        path = path or f'{prefix}{number:x}'
         repeatable = prefix != '/orders/'
         deadline_s = self.rng.uniform(*DEADLINE_RANGE_S)
         attempt = Attempt(
@@ -164,6 +184,9 @@
         )
         return attempt, record
 
+    def _draws_crashing_request(self):
+        return self.rng.random() < CRASHING_PROBABILITY
+
     def _record_sent(self, record):
         record.sent_at = self.checker.clock()
         record.incarnation = self.machine.incarnation
--- a/snipelead/soak/disturbances.py
+++ b/snipelead/soak/disturbances.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from math import inf
 
-__all__ = ['ANY_CONTROL', 'Disturbances']
+__all__ = ['ANY_CONTROL', 'Disturbances', 'STABILIZATION_S']
 
 # Time after the end of a fault in which machines still count as disturbed, in
 # seconds. The platform states this bound.
--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.deployment import MachineState
 from snipelead.soak.disturbances import ANY_CONTROL
 from snipelead.testing.relay import Direction
@@ -35,6 +36,8 @@
 STATED_LIMITS = (0.0, 0.5, 1.5, 5.0, 20.0)
 LIMIT_DURATION_RANGE_S = (5.0, 9.0)
 MAX_LIMITS_IN_SERIES = 3
+# How long copies of a crashing request are sent, in seconds.
+CRASHING_DURATION_RANGE_S = (3.0, 9.0)
 
 
 class FaultInjector:
@@ -99,6 +102,8 @@
             self.limit_target,
             self.limit_target,
             self.restart_node_of_limited_target,
+            self.send_crashing_request,
+            self.send_crashing_request,
             self.send_faulty_responses,
             self.stall_target_connections,
         )
@@ -443,6 +448,17 @@
                 await self._restart(host.machine)
         self.busy_machines.discard(host.machine.name)
 
+    async def send_crashing_request(self):
+        """Let clients of all nodes send a request that crashes targets.
+
+        Its copies come in several series, amid other faults.
+        """
+        crashing_requests = self.checker.crashing_requests
+        path = self.rng.choice(sorted(CRASHING_PREFIXES))
+        crashing_requests.active.append(path)
+        await trio.sleep(self.rng.uniform(*CRASHING_DURATION_RANGE_S))
+        crashing_requests.active.remove(path)
+
     async def _limit(self, host):
         target = host.target
         if target is None or target.rate_limits:
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -8,6 +8,7 @@
 from snipelead.emulator.platform_operator import HeartbeatSender
 from snipelead.emulator.platform_target import Misbehaviour
 from snipelead.emulator.platform_target import PlatformTarget
+from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.records import Execution
 from snipelead.testing.relay import Relay
 
@@ -15,6 +16,7 @@
 
 SLOTS = 8
 MEAN_SERVICE_TIME_S = 0.03
+CRASH_DELAY_RANGE_S = (0.0, 0.2)
 DELAYED_HEARTBEAT_INTERVAL_S = 0.4
 FIRST_START_TIME_MS = 1_700_000_000_000
 # Faulty responses that a target sends to some requests.
@@ -129,6 +131,9 @@
         target.health_states_status = self.rng.random() < 0.5  # noqa: PLR2004
         target.draw_service_time_s = self._draw_service_time_s
         target.on_run = self._record_execution
+        target.crashing_paths = CRASHING_PREFIXES
+        target.crash_delay_s = self.rng.uniform(*CRASH_DELAY_RANGE_S)
+        target.on_crash = self._crash_under
         target.on_receive = partial(
             self.checker.record_arrival, target.target_id
         )
@@ -151,6 +156,10 @@
             )
             await self.heartbeat_sender.run()
 
+    def _crash_under(self, target_request):
+        self.checker.crashing_requests.record_crash(target_request.path)
+        self.crash()
+
     def _draw_service_time_s(self):
         if self.rng.random() < self.faulty_response_probability:
             self.target.next_misbehaviours.append(
