List and lift the quarantine of requests from the command line

An operator could see in logs that a request is refused, but not all that is known, and had no way to end it once the service is repaired. Explanations of a refused request and of a run that ended with its target have tests.

--- a/snipelead/cli/application.py
+++ b/snipelead/cli/application.py
@@ -14,6 +14,8 @@
 from snipelead.cli.daemons import TargetCommand
 from snipelead.cli.fleet import FleetStatusCommand
 from snipelead.cli.logs import LogsExplainCommand
+from snipelead.cli.quarantine import QuarantineLiftCommand
+from snipelead.cli.quarantine import QuarantineListCommand
 from snipelead.cli.quickstart import QuickstartCommand
 from snipelead.cli.releases import ReleaseListCommand
 from snipelead.cli.releases import ReleaseShowCommand
@@ -52,6 +54,8 @@
         ReleaseShowCommand(),
         ReleaseListCommand(),
         FleetStatusCommand(),
+        QuarantineListCommand(),
+        QuarantineLiftCommand(),
         LogsExplainCommand(),
         QuickstartCommand(),
         *make_bench_commands(),
--- a/snipelead/cli/exceptions.py
+++ b/snipelead/cli/exceptions.py
@@ -10,6 +10,7 @@
     'QuickstartError',
     'RequestNotLoggedError',
     'UnexpectedError',
+    'UnknownFingerprintError',
     'UsageError',
 ]
 
@@ -44,6 +45,12 @@
     code = 'SL4012'
 
 
+class UnknownFingerprintError(SnipeleadError):
+    """The control knows no crash under the request."""
+
+    code = 'SL4013'
+
+
 class OperatingSystemError(SnipeleadError):
     """The operating system refused something, such as an address in use."""
 
--- a/snipelead/platform/tests/test_log_diagnosis.py
+++ b/snipelead/platform/tests/test_log_diagnosis.py
@@ -8,6 +8,7 @@
 
 from snipelead.callers.tests.fakes import wait_until
 from snipelead.emulator.platform_target import Misbehaviour
+from snipelead.messages import TargetCrash
 from snipelead.platform.tests.test_protocols import PlatformNode
 from snipelead.platform.tests.test_protocols import PlatformTestCase
 from snipelead.types import TargetState
@@ -134,6 +135,47 @@
             'ran=no attempts=1 sends=0',
         )
 
+    def test_refusal_of_a_request_in_quarantine_is_explained(self):
+        async def test(nursery):
+            ledger = self.near.path.ledger
+            request_path = '/reads/crash'
+            self.near.target.crashing_paths = (request_path,)
+            await self.call(request_path)
+            (fingerprint,) = ledger.records
+            for number in range(2):
+                crash = TargetCrash(f't{number}', number, 'n2', 1_000)
+                ledger.record_crash(fingerprint, crash, '')
+            self.output.truncate(0)
+            response, _ = await self.call(request_path, Attempt_Id=REQUEST_ID)
+            self.assertEqual(503, response.status)
+            self.assertEqual(b'60.000', response.fields[b'retry-after'])
+
+        self.run_locally(test)
+        self.check_explanation(
+            'call_refused',
+            'code=SL3027',
+            't-n1 (noticed by n1 at 20',
+            't0 (noticed by n2 at 1970-01-01T00:00:01.000+00:00)',
+            'ran=no attempts=0 sends=0',
+        )
+
+    def test_run_that_ends_with_its_target_is_explained(self):
+        async def test(nursery):
+            self.near.target.crashing_paths = ('/orders/crash',)
+            response, _ = await self.call(
+                '/orders/crash', 'POST', Attempt_Id=REQUEST_ID
+            )
+            self.assertEqual(502, response.status)
+
+        self.run_locally(test)
+        self.check_explanation(
+            'request_suspected',
+            'summary=default: POST shop/orders/crash',
+            'crashes=1',
+            'code=SL3028',
+            'ran=unknown',
+        )
+
     def test_release_that_routed_the_request_is_shown(self):
         async def test(nursery):
             response, _ = await self.call('/no', Attempt_Id=REQUEST_ID)
