--- a/snipelead/cli/quarantine.py
+++ b/snipelead/cli/quarantine.py
@@ -170,16 +170,39 @@
     name = 'quarantine lift'
     description = 'Discard what is known of crashes under a request.'
     help = """Copies of the request are sent to targets again until they have
-crashed as many once more. Exits 1 if the control knows no such request.
+crashed as many once more. With --all, all quarantines end, as after the repair
+of a service that crashed under many requests. Exits 1 if the control knows no
+such request.
 
 Example:
   snipelead quarantine lift --rpc 127.0.0.1:7110 9c41...68"""
-    arguments = [argument('fingerprint', 'As `quarantine list` shows it.')]
-    options = [RPC_OPTION, TRANSPORT_OPTION]
+    arguments = [
+        argument(
+            'fingerprint', 'As `quarantine list` shows it.', optional=True
+        )
+    ]
+    options = [
+        RPC_OPTION,
+        TRANSPORT_OPTION,
+        option('all', description='Lift all quarantines.'),
+    ]
 
     def run_command(self):
         """Ask a control to discard the evidence."""
         text = self.argument('fingerprint')
+        if bool(text) == self.option('all'):
+            raise UsageError('give either a fingerprint or --all')
+        if self.option('all'):
+            return self._lift_all()
+        return self._lift(text)
+
+    def _lift_all(self):
+        for record in trio.run(self.call_control, WatchedRequest()).records:
+            if judge(record) is Verdict.QUARANTINED:
+                self._lift(record.fingerprint.hex())
+        return ExitCode.OK
+
+    def _lift(self, text):
         try:
             fingerprint = bytes.fromhex(text)
         except ValueError as error:
--- a/snipelead/cli/tests/test_quarantine.py
+++ b/snipelead/cli/tests/test_quarantine.py
@@ -106,6 +106,12 @@
         self.assertEqual([ExitCode.OK], codes)
         self.assertIs(Verdict.CLEAR, self.ledger.get_verdict(QUARANTINED))
 
+    def test_lift_of_all_ends_quarantines_only(self):
+        codes = self.run_commands('quarantine lift --all {}')
+        self.assertEqual([ExitCode.OK], codes)
+        self.assertIs(Verdict.CLEAR, self.ledger.get_verdict(QUARANTINED))
+        self.assertIs(Verdict.SUSPECT, self.ledger.get_verdict(SUSPECTED))
+
     def test_lift_of_an_unknown_request_is_refused(self):
         codes = self.run_commands(
             f'quarantine lift {{}} {QUARANTINED.hex()}',
@@ -130,5 +136,7 @@
             'quarantine list --rpc nowhere',
             'quarantine list --rpc 127.0.0.1:1 --transport pigeon',
             'quarantine lift --rpc 127.0.0.1:1 no-hex',
+            'quarantine lift --rpc 127.0.0.1:1',
+            'quarantine lift --rpc 127.0.0.1:1 --all abcd',
         ):
             self.assertEqual(ExitCode.USAGE, self.tester.execute(command))
