--- a/snipelead/platform/tests/test_crashing_requests.py
+++ b/snipelead/platform/tests/test_crashing_requests.py
@@ -256,3 +256,46 @@
 
         self.run_scenario(scenario)
         self.assertEqual({200}, {o.status for o in self.outcomes})
+
+    def test_node_that_was_cut_off_refuses_it_once_it_is_back(self):
+        async def scenario(nursery):
+            node = self.nodes[0]
+            self.network.isolate(
+                node.rpc_address, [peer.address for peer in self.peers]
+            )
+            for number in range(8):
+                await self.send_request(self.nodes[1 + number % 4], CRASHING)
+                await trio.sleep(0.5)
+            self.network.heal()
+            await trio.sleep(STABLE_WINDOW_S)
+            outcome = await self.send_request(node, CRASHING)
+            self.assertEqual('SL3027', outcome.code)
+
+        self.run_scenario(scenario)
+        self.check_bound(CRASHING)
+
+    def test_restarts_of_nodes_are_no_crashes(self):
+        async def scenario(nursery):
+            nursery.start_soon(self.send_innocents)
+            for node in self.nodes:
+                await node.restart(nursery)
+                await trio.sleep(1.0)
+            for node in self.nodes:
+                self.assertEqual(0, node.daemon.ledger.version)
+
+        self.run_scenario(scenario)
+
+    def test_copies_that_wait_in_queues_are_not_sent(self):
+        # Each target runs one request at a time.
+        async def scenario(nursery):
+            for node in self.nodes:
+                node.target.slots = 1
+            nursery.start_soon(self.send_innocents)
+            for _ in range(6):
+                for node in self.nodes:
+                    for _ in range(3):
+                        nursery.start_soon(self.send_request, node, CRASHING)
+                await trio.sleep(2.0)
+
+        self.run_scenario(scenario)
+        self.check_bound(CRASHING)
