--- a/snipelead/platform/tests/test_crashing_requests.py
+++ b/snipelead/platform/tests/test_crashing_requests.py
@@ -299,3 +299,25 @@
 
         self.run_scenario(scenario)
         self.check_bound(CRASHING)
+
+    def test_restarted_controls_are_told_of_a_quarantine_again(self):
+        async def scenario(nursery):
+            await self.send_copies(for_s=5.0)
+            await trio.sleep(STABLE_WINDOW_S)
+            await self.restart_controls(nursery)
+            await trio.sleep(STABLE_WINDOW_S)
+            await self.nodes[0].restart(nursery)
+            await trio.sleep(STABLE_WINDOW_S)
+            outcome = await self.send_request(self.nodes[0], CRASHING)
+            self.assertEqual('SL3027', outcome.code)
+
+        self.run_scenario(scenario)
+
+    def test_one_copy_crashes_two_targets_at_most(self):
+        # The route allows three attempts.
+        async def scenario(nursery):
+            await self.send_request(self.nodes[0], CRASHING)
+            await trio.sleep(2.0)
+
+        self.run_scenario(scenario)
+        self.assertEqual(2, len(self.crashes))
