--- a/snipelead/quarantine/fingerprint.py
+++ b/snipelead/quarantine/fingerprint.py
@@ -7,6 +7,7 @@
 __all__ = [
     'FINGERPRINT_BODY_BYTES',
     'fingerprint_request',
+    'identify_request',
     'summarize_request',
 ]
 
--- a/snipelead/quarantine/ledger.py
+++ b/snipelead/quarantine/ledger.py
@@ -15,7 +15,13 @@
 from snipelead.quarantine.events import REQUEST_QUARANTINED
 from snipelead.types import Fingerprint
 
-__all__ = ['CrashLedger', 'Verdict', 'judge', 'merge_records']
+__all__ = [
+    'CrashLedger',
+    'Verdict',
+    'count_completions',
+    'judge',
+    'merge_records',
+]
 
 # Crashes of different targets after which copies of a request are refused.
 CRASHES_UNTIL_QUARANTINE = 3
