--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -109,7 +109,6 @@
         self._seen_services = set()
         self._seen_epoch = ''
         self._polled_at = 0.0
-        self._polled_link = None
         self._polled_crashes = 0
         self._leave_requested = trio.Event()
         self._leave_acknowledged = trio.Event()
@@ -158,7 +157,6 @@
         self._update_registration()
         self.sequence += 1
         self._polled_at = trio.current_time()
-        self._polled_link = link
         link.polled = True
         is_registered = link.registered_version == self.registration.version
         certify = not self.holder.ready and self.floor is None
@@ -186,7 +184,7 @@
         """
         while (
             self._current_facts() == self._registered_facts()
-            and self._polled_link.reported_crashes == self.ledger.version
+            and self._polled_crashes == self.ledger.version
         ):
             await wait_any(
                 self.local_targets.wait_changed,
