--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -16,7 +16,7 @@
 
 __all__ = ['CallerReader', 'Request']
 
-# Part of a body of which a copy is kept while the rest is forwarded.
+# Size of the start of a body that is kept while the body is forwarded.
 KEPT_BODY_BYTES = 64 * 1024
 CONTINUE_RESPONSE = encode_head(b'HTTP/1.1 100 Continue', ())
 
--- a/snipelead/controls/tests/test_crash_reports.py
+++ b/snipelead/controls/tests/test_crash_reports.py
@@ -30,7 +30,7 @@
         return self.control.service.ledger.count_crashes(FINGERPRINT)
 
     def test_unreachable_control_is_polled_without_pause(self):
-        # What the control had not been told interrupted each pause.
+        # An unreported crash ended each pause between polls at once.
         async def test(mesh):
             self.control.scope.cancel()
             await trio.sleep(1.0)
--- a/snipelead/quarantine/ledger.py
+++ b/snipelead/quarantine/ledger.py
@@ -30,8 +30,8 @@
 # A request is not held responsible if more than this many of its copies are
 # completed for each crash.
 COMPLETIONS_PER_CRASH = 1
-# Completions that are counted for a request. Enough to clear one with the
-# highest number of crashes listed; the whole fleet is told of each.
+# Completions that are counted for a request, enough to clear one with the
+# highest number of crashes listed. Each count is sent to all nodes.
 MAX_COMPLETIONS = COMPLETIONS_PER_CRASH * MAX_CRASHES_LISTED + 1
 MAX_RECORDS = 1_000
 EPOCH_CHARS = 8
--- a/snipelead/quarantine/tests/test_ledger.py
+++ b/snipelead/quarantine/tests/test_ledger.py
@@ -55,7 +55,7 @@
     def test_popular_request_changes_its_record_a_bounded_number_of_times(
         self,
     ):
-        # Each change is told to the whole fleet.
+        # Each change is sent to all nodes.
         ledger = make_ledger(crashes=1)
         for number in range(1_000):
             ledger.record_completion(REQUEST, f'n{number % 50}')
--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -31,8 +31,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Probability that a client abandons a request before its deadline.
 ABANDON_PROBABILITY = 0.03
-# Probability that a request is a copy of one that crashes targets, while there
-# are any.
+# Probability that a request is a copy of an active crashing request.
 CRASHING_PROBABILITY = 0.03
 # Longest pause between two probes for the release that a node has applied, in
 # seconds.
