--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,91 +1,150 @@
-"""The weights of a traffic split change, and a part gets the weight 0."""
+"""A control that has lost its disk is killed while it joins again."""
 
 import asyncio
+import os
 from pathlib import Path
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from mesh import Client  # noqa: E402
+from mesh import CannotRunError  # noqa: E402
 from mesh import Operator  # noqa: E402
 from mesh import route  # noqa: E402
 from mesh import run_case  # noqa: E402
-from mesh import Target  # noqa: E402
 from mesh import TROUBLE  # noqa: E402
 from mesh import wait_for  # noqa: E402
 
 HOST = 'shop.example'
-SERVICES = ('stable', 'canary', 'stable')
-ROUTES = 4
-REQUESTS_BEFORE = 30
-REQUESTS_AFTER = 50
-CONFIG_APPLY_S = 2.0
-
-
-def split(stable, canary):
-    """Return the routes, with the weights of the two services."""
-    parts = [
-        {'service': 'stable', 'weight': stable},
-        {'service': 'canary', 'weight': canary},
-    ]
-    return [
-        route(f'r-{i}', f'/main{i}/', None, **{'traffic-split': parts})
-        for i in range(ROUTES)
-    ] + [route('r-canary', '/canary/', 'canary')]
-
-
-async def send_to_all(mesh, client, name, count):
-    """Send requests on each split route to each node; return the answers."""
-    return [
-        await client.send(node, f'/main{i}/{name}{number}')
-        for number in range(count)
-        for i in range(ROUTES)
-        for node in mesh.nodes
-    ]
+CATCH_UP_S = 4.0
+RECOVERY_S = 15.0
+RESTART_DELAY_S = 0.5
+JOIN_LIMIT_S = 10.0
+MAX_TRIES = 6
+RESTARTS = 4
+
+
+def kill_after_snapshot(control):
+    """Kill a control that joins as soon as its snapshot is on its disk.
+
+    Returns
+    -------
+    bool
+        Whether the log that belongs to the snapshot is not on its disk.
+    """
+    deadline = time.monotonic() + JOIN_LIMIT_S
+    directory = control.data_dir
+    while time.monotonic() < deadline:
+        names = os.listdir(directory)
+        if any(
+            n.startswith('snapshot-') and not n.endswith('.tmp') for n in names
+        ):
+            control.popen.send_signal(signal.SIGKILL)
+            control.popen.wait()
+            names = sorted(p.name for p in directory.iterdir())
+            control.mesh.record.write(
+                f'{control.name} is killed as it joins; its disk holds {names}'
+            )
+            logs = [n for n in names if n.startswith('log-')]
+            return [n for n in logs if not n.endswith('.tmp')] == [
+                'log-000000000001'
+            ]
+    raise CannotRunError(f'{control.name} got no snapshot')
+
+
+async def wait_reads(operator, controls):
+    """Wait until controls answer with the newest acknowledged version."""
+    version = operator.acked['version']
+
+    async def is_read(control):
+        return await operator.read(control) == version
+
+    for control in controls:
+        await wait_for(
+            lambda control=control: is_read(control),
+            f'{control.name} answers with {version}',
+        )
+
+
+async def lose_disk(control):
+    """Kill a control and start it again with an empty disk."""
+    control.kill()
+    control.lose_disk()
+    await asyncio.sleep(RESTART_DELAY_S)
+    control.start()
+
+
+async def rejoin(operator, control):
+    """Let a control lose its disk and join again, killed on the way."""
+    for _ in range(MAX_TRIES):
+        await lose_disk(control)
+        is_hit = True
+        if TROUBLE:
+            is_hit = await asyncio.to_thread(kill_after_snapshot, control)
+            await asyncio.sleep(RESTART_DELAY_S)
+            control.start()
+        await wait_reads(operator, [control])
+        await asyncio.sleep(CATCH_UP_S)
+        if is_hit:
+            return
+    raise CannotRunError('no kill came between the snapshot and the log')
+
+
+async def restart(record, control):
+    """Stop a control as planned, then start it whenever it has ended."""
+    control.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(control.popen.wait)
+    for number in range(RESTARTS):
+        await asyncio.sleep(RESTART_DELAY_S)
+        control.start()
+        await asyncio.sleep(2.0)
+        if control.is_running:
+            return
+        lines = control.read_log().splitlines()
+        reason = next(x for x in reversed(lines) if 'Error' in x)
+        record.say(
+            f'{control.name} ended by itself, start {number + 1} after the'
+            f' stop: {reason.strip(" |")}'
+        )
 
 
 async def main(mesh, record):
     """Return whether the rule held."""
-    mesh.start()
-    operator = Operator(mesh, HOST, ('stable', 'canary'))
-    client = Client(record, HOST)
-    targets = [
-        Target(node, f'i-{i}', record) for i, node in enumerate(mesh.nodes)
-    ]
-    for target in targets:
-        await target.start()
-    if TROUBLE:
-        await operator.submit(operator.make(split(90, 10)))
-    else:
-        await operator.submit(operator.make(split(1, 0)))
-    await mesh.wait_ready()
-
-    async def is_served(node, path):
-        return (await client.send(node, path))[1].status == 200
-
-    for node in mesh.nodes:
-        for path in ('/main0/first', '/canary/first'):
-            await wait_for(
-                lambda node=node, path=path: is_served(node, path),
-                f'{node.name} serves {path}',
-            )
-    await send_to_all(mesh, client, 'before', REQUESTS_BEFORE)
-    if TROUBLE:
-        await operator.submit(operator.make(split(1, 0)))
-    record.say(f'version {operator.version} acknowledged: weights 1 and 0')
-    await asyncio.sleep(CONFIG_APPLY_S + 3.0)
-    versions = {await operator.read(c) for c in mesh.controls}
-    record.say(f'the controls read back {sorted(map(str, versions))}')
-    late = await send_to_all(mesh, client, 'after', REQUESTS_AFTER)
-    ran_by_canary = {attempt_id for _, attempt_id in targets[1].runs}
-    wrong = [i for i, answer in late if i in ran_by_canary]
-    served = [i for i, answer in late if answer.status == 200]
+    first, _, third = mesh.controls
+    for control in mesh.controls:
+        control.start()
+    operator = Operator(mesh, HOST, ('orders',))
+    paths = [route('r-orders', '/orders/', 'orders')]
+    await operator.submit(operator.make(paths))
+    await wait_reads(operator, mesh.controls)
+    await rejoin(operator, third)
+    for timeout_ms in (2_000, 3_000):
+        paths = [route('r-orders', '/orders/', 'orders', 'safe', timeout_ms)]
+        if not await operator.submit(operator.make(paths)):
+            raise CannotRunError('no ack')
+    await wait_reads(operator, mesh.controls)
+    record.say(f'version {operator.acked["version"]} is acknowledged')
+    await restart(record, third)
+    await asyncio.sleep(CATCH_UP_S)
+    paths = [route('r-orders', '/orders/', 'orders', 'safe', 4_000)]
+    if not await operator.submit(operator.make(paths)):
+        raise CannotRunError('no ack')
+    version = operator.acked['version']
+    record.say(f'version {version} is acknowledged; then one disk is lost')
+    await lose_disk(first)
+    await asyncio.sleep(RECOVERY_S)
+    versions = []
+    for _ in range(5):
+        versions += [await operator.read(c) for c in mesh.controls]
+        await asyncio.sleep(1.0)
+    read = versions.count(version)
     record.say(
-        f'{len(late)} requests later than config-apply after the ack:'
-        f' {len(served)} served, {len(wrong)} run by the service with'
-        ' weight 0'
+        f'later than recovery, {read} of {len(versions)} reads of the'
+        f' configuration got version {version}; they got'
+        f' {sorted(set(map(str, versions)))}'
     )
-    return not wrong
+    return read > 0 and third.is_running
 
 
-run_case(main, SERVICES, Path(__file__).resolve().parent)
+run_case(main, (), Path(__file__).resolve().parent)
