--- a/snipelead/testing/cluster.py
+++ b/snipelead/testing/cluster.py
@@ -1,6 +1,7 @@
 """Cluster of voters on an in-memory network, with fault injection."""
 
 from contextlib import asynccontextmanager
+from functools import partial
 
 import trio
 
@@ -148,11 +149,28 @@
     async def kill(self, name):
         """End a process without cleanup, as SIGKILL does."""
         self.disks[name].crash()
-        voter = self.voters.pop(name, None)
-        if voter is not None:
-            self.cancel_scopes[name].cancel()
+        if name in self.voters:
+            self._end_process(name)
             await trio.sleep(0.01)
 
+    def kill_after_writes(self, name, write_count):
+        """Kill a process during a write.
+
+        Parameters
+        ----------
+        name : str
+            Control id; the process may not have started yet.
+        write_count : int
+            Number of its writes that complete before.
+        """
+        disk = self.disks[name]
+        disk.crash_after_writes = write_count
+        disk.on_crash = partial(self._end_process, name)
+
+    def _end_process(self, name):
+        del self.voters[name]
+        self.cancel_scopes[name].cancel()
+
     async def erase_disk(self, name):
         """Kill a process and erase its disk."""
         await self.kill(name)
--- a/snipelead/testing/disk.py
+++ b/snipelead/testing/disk.py
@@ -35,6 +35,11 @@
         Open use of the disk; None when it is not locked.
     write_count : int
         Number of completed writes.
+    crash_after_writes : int or None
+        Number of writes that still complete before the process crashes in
+        the next one; None if it does not.
+    on_crash : callable or None
+        Called without arguments when the process crashes for this reason.
     """
 
     def __init__(self, seed=0, max_write_time_s=0.002):
@@ -45,9 +50,12 @@
         self.is_failing = False
         self.lock_holder = None
         self.write_count = 0
+        self.crash_after_writes = None
+        self.on_crash = None
 
     def crash(self):
         """Crash the process that uses the disk; a pending append is torn."""
+        self.crash_after_writes = None
         if self.lock_holder is not None:
             self.lock_holder.crashed = True
             self.lock_holder.keep_partial_append()
@@ -59,6 +67,16 @@
         self.contents.clear()
         self.free_bytes = None
 
+    def count_write(self):
+        """Count a write; crash the process if it is not to complete."""
+        if self.crash_after_writes == 0:
+            self.crash()
+            if self.on_crash is not None:
+                self.on_crash()
+        elif self.crash_after_writes is not None:
+            self.crash_after_writes -= 1
+        self.write_count += 1
+
     def corrupt_byte(self, name, offset):
         """Corrupt one byte of a file."""
         self.contents[name][offset] ^= 0xFF
@@ -125,8 +143,7 @@
     async def _wait_write(self, size):
         disk = self.disk
         await trio.sleep(disk.rng.uniform(0, disk.max_write_time_s))
-        if self.crashed:
-            raise OSError(errno.EIO, 'the simulated process was killed')
+        self._check_running()
         if disk.free_bytes is not None and disk.free_bytes < size:
             raise DiskFullError(
                 errno.ENOSPC, 'no space left on the simulated disk'
@@ -135,4 +152,9 @@
             raise OSError(errno.EIO, 'simulated I/O error of the disk')
         if disk.free_bytes is not None:
             disk.free_bytes -= size
-        disk.write_count += 1
+        disk.count_write()
+        self._check_running()
+
+    def _check_running(self):
+        if self.crashed:
+            raise OSError(errno.EIO, 'the simulated process was killed')
--- a/snipelead/testing/soak.py
+++ b/snipelead/testing/soak.py
@@ -37,9 +37,27 @@
 KEY_PERIOD_S = 20
 CANCELLED = 'cancelled'
 RECOVERY_S = 60
+# Time in which most voters join, in seconds.
+JOIN_S = 2.0
+# A voter that joins has installed its snapshot after fewer writes.
+MAX_COMPLETED_WRITES = 9
 # Seeds divisible by this number run five voters, the others three.
 FIVE_VOTER_SEED_INTERVAL = 4
 DEFAULT_DURATION_S = 120.0
+# Methods that inject one fault each.
+FAULTS = (
+    'kill',
+    'kill_leader',
+    'stop_leader_gracefully',
+    'kill_during_write',
+    'erase_disk',
+    'kill_while_joining',
+    'partition',
+    'partition_one_way',
+    'freeze',
+    'kill_all',
+    'delay_messages',
+)
 
 
 class VoterSoakRun:
@@ -53,6 +71,8 @@
         Simulated duration of the fault injection, in seconds.
     names : str
         Control ids, one letter each.
+    faults : tuple of str
+        Faults to choose from, see ``FAULTS``.
 
     Attributes
     ----------
@@ -62,16 +82,23 @@
         Names of the injected faults, in order.
     newest_read : int
         Newest release number that a reader received.
+    quiet_until : float
+        Time until which clients add nothing to the log, in seconds of trio's
+        clock.
     """
 
-    def __init__(self, seed, seconds=DEFAULT_DURATION_S, names='abc'):
+    def __init__(
+        self, seed, seconds=DEFAULT_DURATION_S, names='abc', faults=FAULTS
+    ):
         self.seed = seed
         self.seconds = seconds
         self.names = names
+        self.faults = faults
         self.rng = random.Random(seed)
         self.checker = HistoryChecker()
         self.injected = []
         self.id_count = 0
+        self.quiet_until = 0.0
         self.newest_read = 0
 
     async def run(self):
@@ -140,6 +167,11 @@
         channel = channels[self.rng.choice(self.names)]
         return await channel.call(request, CALL_TIMEOUT_S)
 
+    async def wait_before_request(self, max_s):
+        """Wait for a random time, and until no quiet period lasts."""
+        await trio.sleep(self.rng.uniform(0, max_s))
+        await trio.sleep_until(max(self.quiet_until, trio.current_time()))
+
     def next_id(self, prefix):
         """Return a unique id with a prefix."""
         self.id_count += 1
@@ -149,7 +181,7 @@
         """Submit notes whose release numbers conflict with other operators."""
         channels = self.connect_client(name)
         while True:
-            await trio.sleep(self.rng.uniform(0, 0.5))
+            await self.wait_before_request(0.5)
             number = self.newest_read + self.rng.randint(1, 2)
             note_id = self.next_id('note')
             note = make_note(number, note_id, note_id)
@@ -172,7 +204,7 @@
         """Claim keys that other clients claim too, and settle some claims."""
         channels = self.connect_client(name)
         while True:
-            await trio.sleep(self.rng.uniform(0, 0.2))
+            await self.wait_before_request(0.2)
             period = int(trio.current_time() / KEY_PERIOD_S)
             key = f'{period}-{self.rng.randrange(KEY_COUNT)}'
             claim_id = self.next_id('claim')
@@ -223,22 +255,12 @@
 
     async def inject_faults(self):
         """Inject one or two faults at a time; end them in most cases."""
-        faults = (
-            self.kill,
-            self.kill_leader,
-            self.stop_leader_gracefully,
-            self.erase_disk,
-            self.partition,
-            self.partition_one_way,
-            self.freeze,
-            self.kill_all,
-            self.delay_messages,
-        )
         while True:
             await trio.sleep(self.rng.uniform(0.5, 3))
-            for fault in self.rng.sample(faults, self.rng.choice((1, 2))):
-                self.injected.append(fault.__name__)
-                await fault()
+            count = min(self.rng.choice((1, 2)), len(self.faults))
+            for fault in self.rng.sample(self.faults, count):
+                self.injected.append(fault)
+                await getattr(self, fault)()
                 await trio.sleep(self.rng.uniform(0, 1))
             await trio.sleep(self.rng.uniform(0, 4))
             if self.rng.random() < 0.8:
@@ -274,6 +296,34 @@
             await self.cluster.erase_disk(name)
             await self.cluster.start(name)
 
+    async def kill_during_write(self):
+        """Kill a random voter during one of its next writes."""
+        self.cluster.kill_after_writes(
+            self.choose_voter(), self.rng.randrange(MAX_COMPLETED_WRITES)
+        )
+
+    async def kill_while_joining(self):
+        """Erase a disk; kill the new voter in an early write and once more.
+
+        Meanwhile clients are quiet, since a voter that has fallen behind gets
+        another snapshot, which replaces its log.
+        """
+        if not self.cluster.is_fully_formed():
+            return
+        name = self.choose_voter()
+        self.quiet_until = trio.current_time() + JOIN_S
+        await self.cluster.erase_disk(name)
+        self.cluster.kill_after_writes(
+            name, self.rng.randrange(MAX_COMPLETED_WRITES)
+        )
+        await self.cluster.start(name)
+        with trio.move_on_at(self.quiet_until):
+            while name in self.cluster.voters:
+                await trio.sleep(0.01)
+            await self.cluster.start(name)
+        await trio.sleep(self.rng.uniform(0, JOIN_S))
+        await self.cluster.kill(name)
+
     async def partition(self):
         """Isolate a random voter from the others."""
         self.cluster.isolate(self.choose_voter())
@@ -304,12 +354,14 @@
             raise next(iter(self.cluster.failures.values()))
         self.cluster.network.heal()
         self.cluster.network.max_delay_s = 0.02
+        for disk in self.cluster.disks.values():
+            disk.crash_after_writes = None
         for name in self.names:
             if name not in self.cluster.voters:
                 await self.cluster.start(name)
 
 
-def run_seed(seed, seconds=DEFAULT_DURATION_S):
+def run_seed(seed, seconds=DEFAULT_DURATION_S, faults=FAULTS):
     """Run one seed on a simulated clock.
 
     Returns
@@ -318,7 +370,7 @@
         The completed run.
     """
     names = 'abcde' if seed % FIVE_VOTER_SEED_INTERVAL == 0 else 'abc'
-    run = VoterSoakRun(seed, seconds, names)
+    run = VoterSoakRun(seed, seconds, names, faults)
     run_simulated(run.run, seed)
     return run
 
--- a/snipelead/testing/tests/test_soak.py
+++ b/snipelead/testing/tests/test_soak.py
@@ -4,6 +4,7 @@
 import trio
 
 from snipelead.exceptions import InvariantError
+from snipelead.testing.soak import FAULTS
 from snipelead.testing.soak import run_seed
 from snipelead.voters.election import Election
 from snipelead.voters.exceptions import CorruptStorageError
@@ -35,10 +36,10 @@
 class DefectDetectionTest(TestCase):
     """The soak test detects the removal of each safety mechanism."""
 
-    def assert_detected(self, *other_errors):
+    def assert_detected(self, *other_errors, faults=FAULTS):
         for seed in range(1, 1 + MAX_SEEDS):
             try:
-                run_seed(seed, DURATION_S)
+                run_seed(seed, DURATION_S, faults)
             except ExceptionGroup as group:
                 detected, other = group.split((*VIOLATIONS, *other_errors))
                 self.assertIsNotNone(detected, other)
@@ -63,6 +64,24 @@
         with mock.patch.object(Storage, 'append', append_delayed):
             self.assert_detected(CorruptStorageError)
 
+    def test_log_replaced_in_memory_only_after_a_crash(self):
+        """A voter killed while it joined was unable to start again."""
+        original_open = Storage.open
+        original_start_new_log = Storage._start_new_log
+
+        async def open_without_new_log(storage, *args):
+            async def start_new_log(log):
+                if storage.snapshot is None:
+                    await original_start_new_log(storage, log)
+
+            storage._start_new_log = start_new_log
+            log = await original_open(storage, *args)
+            del storage._start_new_log
+            return log
+
+        with mock.patch.object(Storage, 'open', open_without_new_log):
+            self.assert_detected(faults=('kill_while_joining', 'kill_leader'))
+
     def test_vote_for_candidate_with_outdated_log(self):
         with mock.patch.object(
             Election, '_is_log_up_to_date', lambda self, request: True
--- a/snipelead/voters/storage.py
+++ b/snipelead/voters/storage.py
@@ -198,15 +198,21 @@
             return Log()
         self.log_generation = int(logs[-1].removeprefix(LOG_PREFIX))
         log = await self._read_log(logs[-1])
-        log = self._align_with_snapshot(log)
+        follows_snapshot = self._follows_snapshot(log)
+        if not follows_snapshot:
+            log = Log(self.snapshot.index, self.snapshot.term)
         if log.last_term > self.vote.term:
             raise CorruptStorageError(
                 f'the last log term {log.last_term} is above the saved'
                 f' current term {self.vote.term}',
                 file=VOTE_NAME,
             )
+        if not follows_snapshot:
+            # Entries appended to the old file would be read at the next start
+            # as if they followed its own.
+            await self._start_new_log(log)
         for name in snapshots[:-1] + logs[:-1]:
-            await self.files.remove(name)
+            await self._write(self.files.remove, name)
         return log
 
     async def _read_log(self, name):
@@ -226,20 +232,22 @@
             log.append(decode(payload))
         return log
 
-    def _align_with_snapshot(self, log):
-        """Return the log, emptied if it does not connect to the snapshot."""
+    def _follows_snapshot(self, log):
+        """Return whether the log contains the snapshot's last entry.
+
+        It does not if the snapshot came from the leader and a crash prevented
+        the log from being replaced after it.
+        """
         snapshot = self.snapshot
         if snapshot is None:
             if log.base_index:
                 raise CorruptStorageError('the snapshot file is missing')
-            return log
+            return True
         if log.term_at(snapshot.index) == snapshot.term:
-            return log
+            return True
         if log.base_index > snapshot.index:
             raise CorruptStorageError('the log starts after the snapshot')
-        # The snapshot came from the leader, and a crash prevented the log
-        # from being replaced after it.
-        return Log(snapshot.index, snapshot.term)
+        return False
 
     async def close(self):
         """Stop all writes and release the data directory."""
