Do not take a reset for the end of a response without a length

Cause: the kernel reports an error of a connection once. When a send failed because the target had reset the connection, that send took the error; the reads after it returned the received bytes and then an end of stream, which completes a response that has neither a length nor chunks.

Evidence: ResetTest fails before the change where the body of the request is forwarded while it arrives: 200 in place of 502.

Why it works: the connection remembers that it failed before the peer had ended its stream, whoever was told of it, and its reads never report an end of stream then. The kernel tells the two apart: a failed send reports EPIPE, not the reset, if the peer's end of stream came first. A whole response is delivered as before if it has a length or ended before the reset (EndOfStreamTest, LengthTest).

Result: the three tests pass, with bodies held whole and streamed, to the node's own target and through another node.

--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -59,6 +59,8 @@
         Time of the last use on trio's clock, in seconds.
     closed : bool
         Whether :meth:`close` has been called.
+    was_reset : bool
+        Whether the connection failed before the peer had ended its stream.
     cancel_scope : trio.CancelScope or None
         Cancel scope of the task that serves the connection.
     """
@@ -69,6 +71,7 @@
         self.sock = sock
         self.last_used_at = 0.0
         self.closed = False
+        self.was_reset = False
         self.cancel_scope = None
 
     def __enter__(self):
@@ -110,11 +113,15 @@
             # tasks even when data is already available.
             try:
                 await trio.lowlevel.wait_readable(self.sock)
-                return self.sock.recv(RECEIVE_BUFFER_BYTES)
+                data = self.sock.recv(RECEIVE_BUFFER_BYTES)
             except BlockingIOError:
                 continue
             except (OSError, trio.ClosedResourceError) as error:
+                self.was_reset = True
                 raise ConnectionLostError(str(error)) from error
+            if not data and self.was_reset:
+                raise ConnectionLostError('the connection was reset')
+            return data
         raise ConnectionLostError('the connection was closed locally')
 
     async def send(self, data):
@@ -151,6 +158,10 @@
         except BlockingIOError:
             return 0
         except OSError as error:
+            # The kernel reports an error of the connection only once, so that
+            # the next receive would return an end of stream instead. It
+            # reports EPIPE if the peer had ended its stream before.
+            self.was_reset = self.was_reset or error.errno != errno.EPIPE
             raise SendFailedError(str(error)) from error
 
     def is_idle(self):
