Close a connection on which a request was sent only in part

Cause: when a target responds before it has read a long body, the rest is not sent. The mark that the connection cannot be used again was set after the response had been returned, but a refusal is raised, not returned.

Why it works: the reader of the connection is marked before the first byte of a request is sent, and the mark is removed once the last one is. The pool keeps no marked connection, so that no way out of sending (answer, refusal, error, cancellation) has to think of it. Requests forwarded to another node, which may refuse before it gets the body, are marked in the same way.

--- a/snipelead/http/pool.py
+++ b/snipelead/http/pool.py
@@ -105,7 +105,11 @@
         unread_data = (
             reader.ready_messages or reader.current_message is not None
         )
-        is_reusable = reader.error is None and not unread_data
+        is_reusable = (
+            reader.error is None
+            and not unread_data
+            and not reader.request_incomplete
+        )
         if not is_reusable or len(readers) >= self.max_idle_per_address:
             reader.connection.close()
             return
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -433,11 +433,15 @@
         announced none.
     is_reused : bool
         Whether an earlier response was read from the connection.
+    request_incomplete : bool
+        Whether a request was sent only in part. The peer would take anything
+        sent after it for the rest of its body.
     """
 
     is_head_request = False
     idle_timeout_s = inf
     is_reused = False
+    request_incomplete = False
 
     def make_parser(self):
         """Return a new response parser."""
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -228,6 +228,7 @@
             framing.field_line,
             b'Expect: 100-continue',
         ]
+        reader.request_incomplete = True
         await reader.connection.send(encode_head(request_line, field_lines))
         if not await self._wait_for_continue(reader):
             return
@@ -237,6 +238,7 @@
             await send_remaining_body(
                 reader.connection, request, framing.chunked
             )
+            reader.request_incomplete = False
         except SendFailedError:
             # The peer may respond early and close; use its response.
             return
--- a/snipelead/platform/tests/early_target.py
+++ b/snipelead/platform/tests/early_target.py
@@ -42,7 +42,8 @@
     ----------
     respond : callable
         Coroutine function of stream, attempt id and the received part of the
-        body. The connection ends when it returns.
+        body. The connection ends when it returns, unless it returns true once
+        it has read the rest of the body.
 
     Attributes
     ----------
@@ -89,8 +90,7 @@
         attempt_id = fields[b'attempt-id']
         self.received.append((line, attempt_id))
         if b'content-length' in fields or b'transfer-encoding' in fields:
-            await self.respond(stream, attempt_id, body)
-            return False
+            return await self.respond(stream, attempt_id, body)
         await stream.send_all(
             b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nResponse-Seal: 1\r\n'
             b'Content-Length: 2\r\n\r\nok' % attempt_id
--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -3,6 +3,7 @@
 
 import trio
 
+from snipelead.callers.tests.fakes import wait_until
 from snipelead.http import pool
 from snipelead.platform.tests.early_target import EarlyTarget
 from snipelead.platform.tests.early_target import open_small_connection
@@ -16,6 +17,7 @@
 HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nResponse-Seal: 1\r\n'
 # Time in which a blocked send fails after a reset.
 RESET_S = 0.05
+RECEIVE_BYTES = 64 * 1024
 
 
 class EarlyResponseTestCase(PlatformTestCase):
@@ -98,9 +100,7 @@
     def test_response_that_ended_before_a_reset_is_complete(self):
         async def test(body, target):
             response, received = await self.post(body)
-            self.assertEqual(
-                (200, RESPONSE_BODY), (response.status, received)
-            )
+            self.assertEqual((200, RESPONSE_BODY), (response.status, received))
 
         self.run_with_all_paths(test)
 
@@ -116,8 +116,64 @@
     def test_whole_response_is_delivered_after_a_reset(self):
         async def test(body, target):
             response, received = await self.post(body)
-            self.assertEqual(
-                (200, RESPONSE_BODY), (response.status, received)
-            )
+            self.assertEqual((200, RESPONSE_BODY), (response.status, received))
 
         self.run_with_all_paths(test)
+
+
+class KeptConnectionTest(EarlyResponseTestCase):
+    """A target reads on where the rest of a body is due.
+
+    It gets nothing else there: the connection is not used again.
+    """
+
+    head = b''
+
+    def make_nodes(self):
+        super().make_nodes()
+        self.late_bodies = []
+        self.may_read = trio.Event()
+
+    async def respond(self, stream, attempt_id, body):
+        length = b'Content-Length: 2\r\n\r\nok'
+        await stream.send_all(self.head % attempt_id + length)
+        await self.may_read.wait()
+        while len(body) < self.body_bytes:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                break
+            body += data
+        self.late_bodies.append(body[: self.body_bytes])
+        return len(body) == self.body_bytes
+
+    def check_next_request(self, status):
+        """Send a long request, then another one, and read on only then."""
+
+        async def test(body, target):
+            self.may_read = trio.Event()
+            self.body_bytes = len(body)
+            if body is STREAMED_BODY:
+                # The body is sent to its end before the response is read.
+                self.may_read.set()
+            response, _ = await self.post(body)
+            self.assertEqual(status, response.status)
+            response, received = await self.call('/orders/2')
+            self.assertEqual((200, b'ok'), (response.status, received))
+            self.may_read.set()
+            await wait_until(lambda: self.late_bodies)
+            for late_body in self.late_bodies:
+                self.assertEqual(b'', late_body.strip(b'x'))
+            self.assertEqual(b'attempt-2', target.received[-1][1])
+
+        self.run_with_all_paths(test)
+
+    def test_next_request_after_an_early_refusal(self):
+        """The mark that the request was sent in part was never set."""
+        self.head = (
+            b'HTTP/1.1 503 Busy\r\nAttempt-Id: %b\r\nNot-Executed: 1\r\n'
+        )
+        self.check_next_request(503)
+
+    def test_next_request_after_an_early_answer(self):
+        self.head = HEAD
+        self.check_next_request(200)
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -133,7 +133,7 @@
         call.ran = Ran.UNKNOWN
         sent_at = trio.current_time()
         try:
-            fully_sent = await self._send(reader, line, field_lines, request)
+            await self._send(reader, line, field_lines, request)
             response = await self._receive_answer(
                 reader, call, request, entry, sent_at
             )
@@ -143,10 +143,6 @@
             raise ResponseLostError(
                 'the connection to the target was lost', ran=call.ran
             ) from error
-        if not fully_sent:
-            # The connection cannot be reused, since the target still expects
-            # the rest of this request.
-            response.keep_alive = False
         return response
 
     async def _receive_answer(self, reader, call, request, entry, sent_at):
@@ -218,40 +214,39 @@
             await response.buffer_body(limit)
 
     async def _send(self, reader, line, field_lines, request):
-        """Send a request; return whether it was sent completely."""
+        """Send a request, unless the target responds before its end."""
         connection = reader.connection
+        reader.request_incomplete = True
         try:
             if request.complete:
-                return await self._send_complete(
-                    reader, line, field_lines, request
-                )
-            await send_message(connection, line, field_lines, request)
+                await self._send_complete(reader, line, field_lines, request)
+            else:
+                await send_message(connection, line, field_lines, request)
+                reader.request_incomplete = False
         except SendFailedError:
             # A target may respond early and close the connection; its response
             # is still valid.
-            return False
-        return True
+            return
 
     async def _send_complete(self, reader, line, field_lines, request):
         """Send a request whose body has been received completely.
 
         If the target responds before it has read the whole request, the rest
-        is not sent. Return whether the request was sent completely.
+        is not sent.
         """
         connection = reader.connection
         data = encode_message(line, field_lines, request)
         sent = connection.send_nowait(data)
         if sent == len(data):
-            return True
+            reader.request_incomplete = False
+            return
         rest = memoryview(data)[sent:]
-        finished = False
         async with trio.open_nursery() as nursery:
 
             async def send_remaining_body():
-                nonlocal finished
                 with suppress(SendFailedError):
                     await connection.send(rest)
-                    finished = True
+                    reader.request_incomplete = False
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(send_remaining_body)
@@ -261,7 +256,6 @@
                 nursery.cancel_scope.cancel()
             if reader.error is not None:
                 nursery.cancel_scope.cancel()
-        return finished
 
     async def _receive_final(self, reader, request):
         for _ in range(MAX_SKIPPED_RESPONSES):
