Start a split anew when the shares of its services change

Cause: the sequence of a split is kept as credits, sums of weights that each service is still owed. They were kept from one release to the next as long as the names of the services stayed the same, so that credits collected under the weights 90 and 10 outweighed the weights 1 and 0. A service of weight 0 could be chosen as long as its credit was the highest.

Why it works: credits are counted in requests, not in weights, and belong to one set of shares. A release that leaves the shares as they are, also with weights in proportion or in another order, goes on with them; any other one starts a new sequence at a random position. Services of weight 0 are not part of a sequence at all.

--- a/snipelead/routing/split.py
+++ b/snipelead/routing/split.py
@@ -1,5 +1,6 @@
 """Weighted traffic splitting among the services of a route."""
 
+from math import isclose
 import random
 
 from snipelead.releases.document import MAX_TRACKED_ROUTES
@@ -8,7 +9,7 @@
 __all__ = ['TrafficSplitter']
 
 
-# A new route starts at a random one of this many steps of its sequence.
+# A new sequence starts at a random one of this many steps of its sequence.
 MAX_PHASE_STEPS = 128
 
 
@@ -27,17 +28,20 @@
 
     Attributes
     ----------
-    credits : dict of RouteName to dict of ServiceName to float
-        Accumulated weight of each service that it has not been given yet.
+    sequences : dict of RouteName to SplitSequence
+        Present position of each route in its sequence.
     """
 
     def __init__(self, rng=None):
         self.rng = rng or random.Random()
-        self.credits = BoundedDict(MAX_TRACKED_ROUTES)
+        self.sequences = BoundedDict(MAX_TRACKED_ROUTES)
 
     def choose(self, route):
         """Return the service of the next request of a route.
 
+        A sequence goes on from one release to the next only while the shares
+        of the services stay the same.
+
         Parameters
         ----------
         route : Route
@@ -48,26 +52,72 @@
         -------
         ServiceName
         """
-        if not route.split:
-            return route.service
-        total = sum(part.weight for part in route.split)
-        if total <= 0:
+        split = route.split
+        if not split:
             return route.service
-        services = {part.service for part in route.split}
-        route_credits = self.credits.get(route.name)
-        if route_credits is None or route_credits.keys() != services:
-            route_credits = self.credits[route.name] = dict.fromkeys(
-                services, 0.0
-            )
-            for _ in range(self.rng.randrange(MAX_PHASE_STEPS)):
-                _advance(route_credits, route.split, total)
-        return _advance(route_credits, route.split, total)
-
-
-def _advance(route_credits, split, total):
-    """Return the service that is next in the sequence of a route."""
+        sequence = self.sequences.get(route.name)
+        if sequence is None or sequence.split is not split:
+            shares = _compute_shares(split)
+            if not shares:
+                return route.service
+            if sequence is None or not sequence.has_shares(shares):
+                sequence = self._start_sequence(shares)
+                self.sequences[route.name] = sequence
+            sequence.split = split
+        return sequence.advance()
+
+    def _start_sequence(self, shares):
+        sequence = SplitSequence(shares)
+        for _ in range(self.rng.randrange(MAX_PHASE_STEPS)):
+            sequence.advance()
+        return sequence
+
+
+class SplitSequence:
+    """Sequence of services in which each one has a share.
+
+    Parameters
+    ----------
+    shares : dict of ServiceName to float
+        Share of each service, above 0; they add up to 1.
+
+    Attributes
+    ----------
+    credits : dict of ServiceName to float
+        Number of requests that each service has not been given yet.
+    split : tuple of WeightedService or None
+        Split that the shares were last compared with.
+    """
+
+    __slots__ = ('credits', 'shares', 'split')
+
+    def __init__(self, shares):
+        self.shares = shares
+        self.credits = dict.fromkeys(shares, 0.0)
+        self.split = None
+
+    def has_shares(self, shares):
+        """Return whether the services have these shares."""
+        return self.shares.keys() == shares.keys() and all(
+            isclose(share, self.shares[service])
+            for service, share in shares.items()
+        )
+
+    def advance(self):
+        """Return the next service of the sequence."""
+        for service, share in self.shares.items():
+            self.credits[service] += share
+        chosen = max(self.credits, key=self.credits.get)
+        self.credits[chosen] -= 1.0
+        return chosen
+
+
+def _compute_shares(split):
+    """Return the shares of the services with a weight above 0."""
+    total = sum(part.weight for part in split)
+    shares = {}
     for part in split:
-        route_credits[part.service] += part.weight
-    chosen = max(split, key=lambda part: route_credits[part.service])
-    route_credits[chosen.service] -= total
-    return chosen.service
+        if part.weight > 0:
+            share = part.weight / total
+            shares[part.service] = shares.get(part.service, 0.0) + share
+    return shares
--- a/snipelead/routing/tests/test_split.py
+++ b/snipelead/routing/tests/test_split.py
@@ -60,8 +60,8 @@
     def test_number_of_routes_is_bounded(self):
         for number in range(MAX_TRACKED_ROUTES + 10):
             self.choose(make_route(1.0, 1.0, name=f'r{number}'), 1)
-        self.assertEqual(MAX_TRACKED_ROUTES, len(self.table.credits))
-        self.assertNotIn('r0', self.table.credits)
+        self.assertEqual(MAX_TRACKED_ROUTES, len(self.table.sequences))
+        self.assertNotIn('r0', self.table.sequences)
 
 
 class FleetSplitTest(TestCase):
@@ -83,3 +83,60 @@
             share = counts[f's{index}'] / counts.total()
             # The platform allows a deviation of 0.1.
             self.assertLess(abs(share - weight / sum(weights)), 0.1)
+
+
+class ChangedSplitTest(TestCase):
+    """Requests follow the weights of the present release only."""
+
+    def choose(self, splitter, route, count):
+        return [splitter.choose(route) for _ in range(count)]
+
+    def test_service_whose_weight_becomes_zero_gets_no_more_requests(self):
+        """Credits collected under larger weights outweighed the new ones."""
+        for requests_before in range(1, 130):
+            splitter = TrafficSplitter(Random(requests_before))
+            self.choose(splitter, make_route(90.0, 10.0), requests_before)
+            chosen = self.choose(splitter, make_route(1.0, 0.0), 200)
+            self.assertEqual({'s0'}, set(chosen))
+
+    def test_shares_follow_smaller_weights_at_once(self):
+        for requests_before in range(1, 130):
+            splitter = TrafficSplitter(Random(requests_before))
+            self.choose(splitter, make_route(9000.0, 1000.0), requests_before)
+            chosen = self.choose(splitter, make_route(1.0, 3.0), 20)
+            self.assertLessEqual(abs(chosen.count('s1') - 15), 1)
+
+    def test_sequence_goes_on_while_shares_stay_equal(self):
+        """A release that changes other things must not restart a split."""
+        whole, parts = TrafficSplitter(Random(1)), TrafficSplitter(Random(1))
+        expected = self.choose(whole, make_route(90.0, 10.0), 60)
+        chosen = []
+        for factor in (1.0, 0.1, 0.7, 300.0, 1e-3, 1.0):
+            route = make_route(90.0 * factor, 10.0 * factor)
+            chosen += self.choose(parts, route, 10)
+        self.assertEqual(expected, chosen)
+
+    def test_sequence_goes_on_if_parts_change_places(self):
+        splitter = TrafficSplitter(Random(1))
+        route = make_route(70.0, 30.0)
+        turned = Route('r', 's0', split=route.split[::-1])
+        chosen = []
+        for _ in range(50):
+            chosen += [splitter.choose(route), splitter.choose(turned)]
+        self.assertLessEqual(abs(chosen.count('s1') - 30), 1)
+
+    def test_part_of_weight_zero_may_come_and_go(self):
+        splitter = TrafficSplitter(Random(1))
+        chosen = []
+        for _ in range(50):
+            chosen += self.choose(splitter, make_route(70.0, 30.0), 1)
+            chosen += self.choose(splitter, make_route(70.0, 30.0, 0.0), 1)
+        self.assertLessEqual(abs(chosen.count('s1') - 30), 1)
+
+    def test_services_keep_their_share_when_a_part_is_added(self):
+        for seed in range(20):
+            splitter = TrafficSplitter(Random(seed))
+            self.choose(splitter, make_route(90.0, 10.0), 17)
+            chosen = self.choose(splitter, make_route(50.0, 30.0, 20.0), 100)
+            for index, count in enumerate((50, 30, 20)):
+                self.assertLessEqual(abs(chosen.count(f's{index}') - count), 2)
