Generate early responses, resets and changed weights in random runs

Cause: no random run sent a body that a target does not read at once, reset a response without a length, or changed the weights of a split.

Change: the soak sends long bodies, its targets refuse some of them early and read on, or reset a part of a response; its relays pass resets on and have small buffers; its releases split a route by changing weights.

--- a/snipelead/emulator/platform_operator.py
+++ b/snipelead/emulator/platform_operator.py
@@ -36,13 +36,15 @@
     prefix : str
         Path prefix that the route serves, with leading and trailing slash.
     service : str
-        Service that requests are sent to.
+        Service that requests are sent to, unless there is a split.
     repeatable : bool
         Whether requests may run more than once.
     timeout_ms, target_latency_ms : int
         Timeout and latency objective of a response, in milliseconds.
     max_attempts : int
         Maximum number of targets that one request is sent to.
+    split : tuple of (str, float)
+        Weighted services that the requests are split among.
     """
 
     prefix: str
@@ -51,19 +53,34 @@
     timeout_ms: int = 2_000
     target_latency_ms: int = 500
     max_attempts: int = 2
+    split: tuple[tuple[str, float], ...] = ()
+
+    @property
+    def services(self):
+        """Services that requests may be sent to."""
+        if self.split:
+            return tuple(name for name, weight in self.split if weight)
+        return (self.service,)
 
     def to_path(self):
         """Return the route as an entry of ``paths`` in the release."""
-        return {
+        path = {
             'name': 'r' + self.prefix.replace('/', '-').rstrip('-'),
             'path-prefix': self.prefix,
             'kind': 'safe' if self.repeatable else 'unsafe',
             'timeout': f'{self.timeout_ms}ms',
             'target-latency': f'{self.target_latency_ms}ms',
             'priority': 1 + self.repeatable,
-            'service': self.service,
             'max-attempts': self.max_attempts,
         }
+        if self.split:
+            path['traffic-split'] = [
+                {'service': name, 'weight': weight}
+                for name, weight in self.split
+            ]
+        else:
+            path['service'] = self.service
+        return path
 
 
 def encode_release(number, base, host, routes, services):
--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -3,6 +3,7 @@
 Tests make it violate the protocol on demand.
 """
 
+from contextlib import suppress
 from enum import Enum
 from math import inf
 
@@ -10,6 +11,7 @@
 import trio
 
 from snipelead.callers.connections import ConnectionServer
+from snipelead.callers.exceptions import CallerDisconnectedError
 from snipelead.callers.protocol import CallerProtocol
 from snipelead.http.connection import listen
 from snipelead.http.reading import FieldRules
@@ -22,6 +24,8 @@
 IDLE_TIMEOUT_S = 60.0
 HEALTH_PATH = b'/health'
 SEAL_FIELD = b'Response-Seal: 3e1b.07.5a2'
+# Time until a target reads on after it has responded early, in seconds.
+READ_ON_DELAY_S = 0.3
 
 
 class Misbehaviour(Enum):
@@ -52,6 +56,12 @@
     MOVED = 'moved'
     # Status 500 after the request ran.
     ERROR = 'error'
+    # Reports that the request was not run before its body has been read. The
+    # rest is read later.
+    EARLY_SHED = 'early shed'
+    # A part of a response without a length, before the body of the request has
+    # been read; then the connection is reset.
+    EARLY_RESET = 'early reset'
 
 
 class StartedRequest(Struct, frozen=True):
@@ -102,6 +112,11 @@
         Header fields of the requests that ran.
     next_misbehaviours : list of Misbehaviour
         Misbehaviours of the next responses; later responses are valid.
+    draw_misbehaviour : callable or None
+        Returns the misbehaviour for a request if there is none in this list.
+    on_late_body : callable or None
+        Called with the attempt id of a request and the bytes that came in the
+        place of its body after it was refused early.
     response_event : trio.Event or None
         Event that responses wait for.
     connections : int
@@ -141,6 +156,8 @@
         self.states_leaving = False
         self.health_states_status = True
         self.rate_limits = ()
+        self.draw_misbehaviour = None
+        self.on_late_body = None
         self.on_receive = None
         self.on_run = None
         self.crashing_paths = ()
@@ -179,28 +196,31 @@
 
     async def _handle(self, connection, request):
         if request.url == HEALTH_PATH:
-            status = 503 if self.is_leaving else 200
-            id_field = b'Instance-Id: ' + self.target_id.encode()
-            encode = (
-                self._encode_message
-                if self.health_states_status
-                else _encode_message
-            )
-            await connection.send(encode(status, b'', id_field))
-            return
+            await self._send_health(connection)
+        else:
+            await self._handle_request(connection, request)
+
+    async def _send_health(self, connection):
+        status = 503 if self.is_leaving else 200
+        id_field = b'Instance-Id: ' + self.target_id.encode()
+        encode = (
+            self._encode_message
+            if self.health_states_status
+            else _encode_message
+        )
+        await connection.send(encode(status, b'', id_field))
+
+    async def _handle_request(self, connection, request):
         fields = request.fields
         attempt_id = fields.get(b'attempt-id', b'')
         if self.on_receive is not None:
             self.on_receive(attempt_id.decode())
-        misbehaviour = (
-            self.next_misbehaviours.pop(0)
-            if self.next_misbehaviours
-            else Misbehaviour.NONE
-        )
-        if fields.get(b'expect-instance', b'').decode() != self.target_id:
-            misbehaviour = Misbehaviour.MOVED
-        elif self.in_flight >= self.slots:
-            misbehaviour = Misbehaviour.SHED
+        misbehaviour = self._choose_misbehaviour(request)
+        if misbehaviour is Misbehaviour.EARLY_SHED:
+            await self._shed_early(connection, request, attempt_id)
+            return
+        if misbehaviour is not Misbehaviour.EARLY_RESET:
+            await _receive_body(request)
         if misbehaviour in (Misbehaviour.SHED, Misbehaviour.MOVED):
             await self._send_response(
                 connection, request, attempt_id, misbehaviour
@@ -230,6 +250,27 @@
             connection, request, attempt_id, misbehaviour
         )
 
+    def _choose_misbehaviour(self, request):
+        expected_id = request.fields.get(b'expect-instance', b'').decode()
+        if expected_id != self.target_id:
+            return Misbehaviour.MOVED
+        if self.in_flight >= self.slots:
+            return Misbehaviour.SHED
+        if self.next_misbehaviours:
+            return self.next_misbehaviours.pop(0)
+        if self.draw_misbehaviour is not None:
+            return self.draw_misbehaviour(request)
+        return Misbehaviour.NONE
+
+    async def _shed_early(self, connection, request, attempt_id):
+        await self._send_response(
+            connection, request, attempt_id, Misbehaviour.SHED
+        )
+        await trio.sleep(READ_ON_DELAY_S)
+        body = await _receive_body(request)
+        if self.on_late_body is not None:
+            self.on_late_body(attempt_id.decode(), body)
+
     async def _crash(self, started):
         await trio.sleep(self.crash_delay_s)
         if self.on_crash is not None:
@@ -293,6 +334,11 @@
                 connection.close()
             case Misbehaviour.RESET:
                 connection.abort()
+            case Misbehaviour.EARLY_RESET:
+                field_lines = (b'Attempt-Id: ' + attempt_id, SEAL_FIELD)
+                head = encode_head(status_line(200), field_lines)
+                await connection.send(head + body[: len(body) // 2])
+                connection.abort()
             case Misbehaviour.NONE:
                 await connection.send(valid_response)
 
@@ -316,6 +362,15 @@
         return (*limits, *leaving)
 
 
+async def _receive_body(request):
+    """Return the body of a request, as far as it arrives."""
+    body = b''
+    with suppress(CallerDisconnectedError):
+        while data := await request.read():
+            body += data
+    return body
+
+
 def _encode_message(status, body, *field_lines):
     length = b'Content-Length: %d' % len(body)
     return encode_head(status_line(status), (length, *field_lines)) + body
--- a/snipelead/platform/tests/early_target.py
+++ b/snipelead/platform/tests/early_target.py
@@ -6,7 +6,7 @@
 import trio
 
 from snipelead.callers.tests.fakes import bound_address
-from snipelead.http import pool
+from snipelead.http.connection import connect
 from snipelead.http.connection import listen
 
 __all__ = ['EarlyTarget', 'open_small_connection', 'reset']
@@ -15,12 +15,11 @@
 SEND_BUFFER_BYTES = 16 * 1024
 RECEIVE_BUFFER_BYTES = 4 * 1024
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-_open_connection = pool.connect
 
 
 async def open_small_connection(address):
     """Open a connection that accepts little data while nobody reads it."""
-    connection = await _open_connection(address)
+    connection = await connect(address)
     connection.sock.setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
     )
--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -4,7 +4,6 @@
 import trio
 
 from snipelead.callers.tests.fakes import wait_until
-from snipelead.http import pool
 from snipelead.platform.tests.early_target import EarlyTarget
 from snipelead.platform.tests.early_target import open_small_connection
 from snipelead.platform.tests.early_target import reset
@@ -26,7 +25,7 @@
     def setUp(self):
         super().setUp()
         self.enterContext(
-            mock.patch.object(pool, 'connect', open_small_connection)
+            mock.patch('snipelead.http.pool.connect', open_small_connection)
         )
 
     def make_nodes(self):
--- a/snipelead/routing/tests/test_split.py
+++ b/snipelead/routing/tests/test_split.py
@@ -140,3 +140,35 @@
             chosen = self.choose(splitter, make_route(50.0, 30.0, 20.0), 100)
             for index, count in enumerate((50, 30, 20)):
                 self.assertLessEqual(abs(chosen.count(f's{index}') - count), 2)
+
+
+class RandomChangesTest(TestCase):
+    """Random releases change the weights, the order and the parts."""
+
+    def test_requests_follow_the_shares_since_their_last_change(self):
+        """After any number of requests, by less than one for each part."""
+        for seed in range(300):
+            rng = Random(seed)
+            splitter = TrafficSplitter(rng)
+            for _ in range(8):
+                weights = [
+                    rng.choice((0, 0, 1, 3, 10, 90, 0.5, 4e3))
+                    for _ in range(rng.randint(1, 4))
+                ]
+                if any(weights):
+                    self.check_shares(rng, splitter, weights)
+
+    def check_shares(self, rng, splitter, weights):
+        total = sum(weights)
+        counts = Counter()
+        # The first requests are those of a release that changes the shares.
+        for request_count in range(1, rng.randint(2, 60)):
+            factor = rng.choice((1.0, 1.0, 0.1, 7.0))
+            split = make_route(*(factor * w for w in weights)).split
+            split = tuple(rng.sample(split, len(split)))
+            counts[splitter.choose(Route('r', 's0', split=split))] += 1
+            for index, weight in enumerate(weights):
+                count = counts[f's{index}']
+                expected = request_count * weight / total
+                self.assertLess(abs(count - expected), len(weights))
+                self.assertTrue(weight or not count)
--- a/snipelead/soak/checker.py
+++ b/snipelead/soak/checker.py
@@ -12,6 +12,7 @@
 from snipelead.soak.disturbances import ANY_CONTROL
 from snipelead.soak.disturbances import Disturbances
 from snipelead.soak.exceptions import GuaranteeViolationError
+from snipelead.soak.routes import BODY_BYTE
 from snipelead.soak.target_status import TargetStatusChecker
 
 __all__ = ['HistoryChecker']
@@ -276,6 +277,15 @@
             self.target_statuses.record_arrival(target, record)
             self.crashing_requests.record_arrival(record)
 
+    def record_late_body(self, attempt_id, body):
+        """Record what came in the place of a body after an early refusal."""
+        self.counts['late body'] += 1
+        if body.strip(BODY_BYTE):
+            self.fail(
+                'UNASKED',
+                f'{body.strip(BODY_BYTE)[:80]!r} in the body of {attempt_id}',
+            )
+
     def record_execution(self, target_request, execution):
         """Record that a target begins to execute a request.
 
@@ -344,10 +354,11 @@
         )
         moment = record.sent_at - CONFIG_APPLY_S if undisturbed else -inf
         allowed = {
-            r.service_by_prefix.get(record.prefix)
+            service
             for r in self.admissible_releases(
                 self.acknowledged_floor(moment), execution.at
             )
+            for service in r.services_by_prefix.get(record.prefix, ())
         }
         if execution.service not in allowed:
             rule = 'CONFIG' if undisturbed else 'ROUTE'
@@ -397,7 +408,7 @@
                 record.ended_at,
             )
             if (
-                all(record.prefix in r.service_by_prefix for r in candidates)
+                all(record.prefix in r.services_by_prefix for r in candidates)
                 and candidates
             ):
                 undisturbed = self.disturbances.is_undisturbed(
--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -10,6 +10,7 @@
 from snipelead.emulator.platform_client import guarantees_not_run
 from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.records import RequestRecord
+from snipelead.soak.routes import BODY_BYTE
 from snipelead.soak.routes import HOST
 from snipelead.soak.routes import marker_prefix
 from snipelead.soak.routes import MARKER_ROUTE
@@ -33,6 +34,9 @@
 ABANDON_PROBABILITY = 0.03
 # Probability that a request is a copy of an active crashing request.
 CRASHING_PROBABILITY = 0.03
+# Long bodies; a node receives the shorter ones in full before it sends them.
+LONG_BODY_PROBABILITY = 0.2
+LONG_BODY_BYTES = (100_000, 900_000)
 # Longest pause between two probes for the release that a node has applied, in
 # seconds.
 MAX_PROBE_PAUSE_S = 0.2
@@ -167,7 +171,7 @@
             HOST,
             path,
             int(deadline_s * 1_000),
-            b'' if repeatable else b'order',
+            b'' if repeatable else self._make_body(),
         )
         record = RequestRecord(
             attempt.attempt_id,
@@ -183,6 +187,12 @@
         )
         return attempt, record
 
+    def _make_body(self):
+        size = 1
+        if self.rng.random() < LONG_BODY_PROBABILITY:
+            size = self.rng.choice(LONG_BODY_BYTES)
+        return BODY_BYTE * size
+
     def _draws_crashing_request(self):
         return self.rng.random() < CRASHING_PROBABILITY
 
--- a/snipelead/soak/operators.py
+++ b/snipelead/soak/operators.py
@@ -24,6 +24,8 @@
 RACE_PROBABILITY = 0.2
 # Least timeout of the route whose service varies between releases.
 MOVING_ROUTE_TIMEOUT_MS = 2_000
+# Weights of the two services between which this route is split, if it is.
+SPLIT_WEIGHTS = ((90, 10), (1, 0), (0, 1), (0.5, 0.5), (1000, 3000), ())
 INVALID_PROBABILITY = 0.1
 RESEND_PROBABILITY = 0.3
 MAX_SUBMIT_ATTEMPTS = 4
@@ -147,11 +149,13 @@
         while number in used and self.rng.random() >= RACE_PROBABILITY:
             number += 1
         valid = always_valid or self.rng.random() >= INVALID_PROBABILITY
+        weights = self.rng.choice(SPLIT_WEIGHTS)
         # The timeout makes releases of the same number differ.
         moving_route = RouteSpec(
             '/moves/',
             self.rng.choice(SERVICES),
             timeout_ms=MOVING_ROUTE_TIMEOUT_MS + next(self.timeout_offsets_ms),
+            split=tuple(zip(SERVICES, weights, strict=False)),
         )
         marker_route = msgspec.structs.replace(
             MARKER_ROUTE, prefix=marker_prefix(number)
@@ -168,7 +172,7 @@
             number,
             base,
             encode_release(number, base, HOST, routes, SERVICES),
-            {r.prefix: r.service for r in routes},
+            {r.prefix: r.services for r in routes},
             self.checker.clock(),
             valid=valid,
         )
--- a/snipelead/soak/records.py
+++ b/snipelead/soak/records.py
@@ -17,8 +17,8 @@
         Number of the release and of the release that it replaces.
     body : bytes
         Body of the submission.
-    service_by_prefix : dict of str to str
-        Service that requests are routed to, by path prefix.
+    services_by_prefix : dict of str to tuple of str
+        Services that requests may be routed to, by path prefix.
     sent_at : float
         Time of the first submission, in seconds.
     acked_at : float
@@ -33,7 +33,7 @@
     number: int
     base: int
     body: bytes
-    service_by_prefix: dict
+    services_by_prefix: dict
     sent_at: float
     acked_at: float = inf
     refused: bool = False
--- a/snipelead/soak/routes.py
+++ b/snipelead/soak/routes.py
@@ -5,6 +5,7 @@
 from snipelead.emulator.platform_operator import RouteSpec
 
 __all__ = [
+    'BODY_BYTE',
     'HOST',
     'make_rng',
     'marker_prefix',
@@ -14,6 +15,8 @@
 ]
 
 HOST = 'soak.example'
+# All bytes of the bodies of requests.
+BODY_BYTE = b'x'
 SERVICES = ('reads', 'orders')
 
 ROUTES = {
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 from itertools import count
+import socket
 
 import trio
 
@@ -32,6 +33,15 @@
 )
 
 
+# Responses that a target sends before it has read a long body.
+EARLY_RESPONSES = (Misbehaviour.EARLY_SHED, Misbehaviour.EARLY_RESET)
+EARLY_RESPONSE_PROBABILITY = 0.3
+# Size of the buffers between a node and a target, in bytes.
+BUFFER_BYTES = 4_096
+# Longer bodies are long ones.
+MAX_SHORT_BODY_BYTES = 50_000
+
+
 class TargetHost:
     """Runs a target beside a node, and replaces it whenever it ends.
 
@@ -130,6 +140,11 @@
         target.slots = SLOTS
         target.health_states_status = self.rng.random() < 0.5  # noqa: PLR2004
         target.draw_service_time_s = self._draw_service_time_s
+        target.draw_misbehaviour = self._draw_misbehaviour
+        target.on_late_body = self.checker.record_late_body
+        target.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
+        )
         target.on_run = self._record_execution
         target.crashing_paths = CRASHING_PREFIXES
         target.crash_delay_s = self.rng.uniform(*CRASH_DELAY_RANGE_S)
@@ -142,7 +157,7 @@
         self.faulty_response_probability = 0.0
         async with trio.open_nursery() as nursery:
             await nursery.start(target.run)
-            self.relay = Relay(target.address)
+            self.relay = Relay(target.address, buffer_bytes=BUFFER_BYTES)
             address = await nursery.start(self.relay.run)
             self.target = target
             self.heartbeat_sender = HeartbeatSender(
@@ -161,12 +176,18 @@
         self.crash()
 
     def _draw_service_time_s(self):
-        if self.rng.random() < self.faulty_response_probability:
-            self.target.next_misbehaviours.append(
-                self.rng.choice(FAULTY_RESPONSES)
-            )
         return self.rng.expovariate(1 / MEAN_SERVICE_TIME_S) * self.slowdown
 
+    def _draw_misbehaviour(self, request):
+        if (request.content_length or 0) > MAX_SHORT_BODY_BYTES:
+            probability, choices = EARLY_RESPONSE_PROBABILITY, EARLY_RESPONSES
+        else:
+            probability = self.faulty_response_probability
+            choices = FAULTY_RESPONSES
+        if self.rng.random() < probability:
+            return self.rng.choice(choices)
+        return Misbehaviour.NONE
+
     def _record_execution(self, target_request):
         self.checker.record_execution(
             target_request,
--- a/snipelead/soak/tests/test_checker.py
+++ b/snipelead/soak/tests/test_checker.py
@@ -18,8 +18,9 @@
 def make_release(number, base, sent_at=0.0, **changes):
     service_by_prefix = {**ROUTES, f'/marker-{number}/': 'reads', **changes}
     routes = [RouteSpec(p, s) for p, s in service_by_prefix.items()]
+    services_by_prefix = {route.prefix: route.services for route in routes}
     body = encode_release(number, base, 'h', routes, ('reads', 'orders'))
-    return ReleaseRecord(number, base, body, service_by_prefix, sent_at)
+    return ReleaseRecord(number, base, body, services_by_prefix, sent_at)
 
 
 class HistoryCheckerCase(TestCase):
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -10,6 +10,8 @@
 __all__ = ['Direction', 'Relay', 'RelayThread']
 
 CHUNK_BYTES = 65_536
+# Segment size of an Ethernet, used with small buffers.
+SEGMENT_BYTES = 1_448
 # SO_LINGER with a timeout of 0 seconds makes close send a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -32,6 +34,9 @@
         Address that connections are relayed to.
     address : Address
         Address at which the relay listens; port 0 lets the system choose.
+    buffer_bytes : int or None
+        Size of the socket buffers for requests; None for the default. A peer
+        that does not read soon blocks the writer if they are small.
 
     Attributes
     ----------
@@ -45,8 +50,9 @@
         Additional delay of each chunk, in seconds.
     """
 
-    def __init__(self, upstream, address='127.0.0.1:0'):
+    def __init__(self, upstream, address='127.0.0.1:0', buffer_bytes=None):
         self.upstream = upstream
+        self.buffer_bytes = buffer_bytes
         self.address = address
         self.accepted_count = 0
         self.relayed_bytes = 0
@@ -74,10 +80,7 @@
         connections, self._connections = self._connections, set()
         for connection in connections:
             for stream in connection:
-                stream.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-                stream.socket.close()
+                _reset(stream)
 
     def stall_connections(self):
         """Stop relaying on the open connections; new ones work.
@@ -91,6 +94,14 @@
         """Relay until cancelled; passes the bound address to ``start``."""
         host, port = _split_address(self.address)
         listeners = await trio.open_tcp_listeners(port, host=host)
+        if self.buffer_bytes is not None:
+            for listener in listeners:
+                listener.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self.buffer_bytes
+                )
+                listener.socket.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
+                )
         port = listeners[0].socket.getsockname()[1]
         self.address = f'{host}:{port}'
         async with trio.open_nursery() as nursery:
@@ -110,6 +121,10 @@
             except OSError:
                 return
             async with upstream:
+                if self.buffer_bytes is not None:
+                    upstream.socket.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_SNDBUF, self.buffer_bytes
+                    )
                 connection = (client, upstream)
                 self._connections.add(connection)
                 try:
@@ -119,7 +134,7 @@
 
     async def _copy(self, source, destination, direction, nursery, stalled):
         try:
-            while data := await source.receive_some(CHUNK_BYTES):
+            while data := await _receive(source, destination):
                 # Data may arrive before the copying tasks are cancelled.
                 if stalled.is_set():
                     await trio.sleep_forever()
@@ -154,6 +169,22 @@
             await trio.sleep_forever()
 
 
+async def _receive(source, destination):
+    """Return the next bytes; a reset of the source resets the destination."""
+    try:
+        return await source.receive_some(CHUNK_BYTES)
+    except trio.BrokenResourceError:
+        _reset(destination)
+        raise
+
+
+def _reset(stream):
+    stream.socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+    )
+    stream.socket.close()
+
+
 def _split_address(address):
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
