Test that half of a response of a target that crashes is not complete

Cause: the kernel resets a connection that a crashed target leaves with unread bytes; no test had that.

Change: one more test of early responses.

--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -69,22 +69,25 @@
 class ResetTest(EarlyResponseTestCase):
     """A response without a length is complete only if it was not reset."""
 
-    def make_nodes(self):
-        self.part = RESPONSE_BODY[: len(RESPONSE_BODY) // 2]
-        super().make_nodes()
+    end_connection = staticmethod(reset)
 
     async def respond(self, stream, attempt_id, body):
-        await stream.send_all(HEAD % attempt_id + b'\r\n' + self.part)
-        reset(stream)
+        part = RESPONSE_BODY[: len(RESPONSE_BODY) // 2]
+        await stream.send_all(HEAD % attempt_id + b'\r\n' + part)
+        self.end_connection(stream)
+
+    async def check_lost(self, body, target):
+        response, _ = await self.post(body)
+        self.assertEqual(502, response.status)
 
     def test_response_that_is_reset_is_not_passed_on_as_complete(self):
         """The failed send had taken the error that told of the reset."""
+        self.run_with_all_paths(self.check_lost)
 
-        async def test(body, target):
-            response, _ = await self.post(body)
-            self.assertEqual(502, response.status)
-
-        self.run_with_all_paths(test)
+    def test_response_of_a_target_that_crashes_is_not_complete(self):
+        """The kernel resets a connection that is closed with unread bytes."""
+        self.end_connection = lambda stream: stream.socket.close()
+        self.run_with_all_paths(self.check_lost)
 
 
 class EndOfStreamTest(EarlyResponseTestCase):
