Show that other responses end the sending of a request

Cause: while a body received in full is being sent, any response ends the sending, also an interim one or a late one to an earlier request. The target then waits for the rest of the body, and the request ends at its deadline.

--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -17,6 +17,8 @@
 # Time in which a blocked send fails after a reset.
 RESET_S = 0.05
 RECEIVE_BYTES = 64 * 1024
+# Pause of a target between its first bytes and reading on, in seconds.
+READ_ON_DELAY_S = 0.2
 
 
 class EarlyResponseTestCase(PlatformTestCase):
@@ -179,3 +181,38 @@
     def test_next_request_after_an_early_answer(self):
         self.head = HEAD
         self.check_next_request(200)
+
+
+class OtherResponseTest(EarlyResponseTestCase):
+    """A request is sent to its end unless its own final response comes."""
+
+    other_response = b''
+
+    async def respond(self, stream, attempt_id, body):
+        await stream.send_all(self.other_response)
+        await trio.sleep(READ_ON_DELAY_S)
+        while len(body) < self.body_bytes:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return False
+            body += data
+        await stream.send_all(
+            HEAD % attempt_id + b'Content-Length: 2\r\n\r\nok'
+        )
+        return True
+
+    async def check_served(self, body, target):
+        self.body_bytes = len(body)
+        response, received = await self.post(body)
+        self.assertEqual((200, b'ok'), (response.status, received))
+
+    def test_interim_response_does_not_end_the_sending(self):
+        """The request ended at its deadline."""
+        self.other_response = b'HTTP/1.1 102 Processing\r\n\r\n'
+        self.run_with_all_paths(self.check_served)
+
+    def test_late_response_to_another_request_does_not_end_the_sending(self):
+        """The request ended at its deadline."""
+        head = HEAD % b'earlier'
+        self.other_response = head + b'Content-Length: 4\r\n\r\nlate'
+        self.run_with_all_paths(self.check_served)
