--- a/snipelead/platform/tests/early_target.py
+++ b/snipelead/platform/tests/early_target.py
@@ -1,15 +1,19 @@
-"""Target that responds before it has read the body of a request."""
+"""Targets that respond before they have read the body of a request."""
 
 import socket
 import struct
+from unittest import mock
 
 import trio
 
 from snipelead.callers.tests.fakes import bound_address
+from snipelead.callers.tests.fakes import Caller
 from snipelead.http.connection import connect
 from snipelead.http.connection import listen
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.platform.tests.test_protocols import PlatformTestCase
 
-__all__ = ['EarlyTarget', 'open_small_connection', 'reset']
+__all__ = ['EarlyTarget', 'EarlyTargetTestCase', 'reset']
 
 # The bodies of the tests do not fit into these buffers.
 SEND_BUFFER_BYTES = 16 * 1024
@@ -17,7 +21,7 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
-async def open_small_connection(address):
+async def _open_small_connection(address):
     """Open a connection that accepts little data while nobody reads it."""
     connection = await connect(address)
     connection.sock.setsockopt(
@@ -95,3 +99,52 @@
             b'Content-Length: 2\r\n\r\nok' % attempt_id
         )
         return True
+
+
+class EarlyTargetTestCase(PlatformTestCase):
+    """Base of tests whose targets respond early; see :meth:`respond`.
+
+    Connections to targets have small buffers, so that a request cannot be sent
+    to its end while the target does not read it.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.enterContext(
+            mock.patch('snipelead.http.pool.connect', _open_small_connection)
+        )
+
+    def make_nodes(self):
+        super().make_nodes()
+        for node in (self.near, self.far):
+            node.target.listener.close()
+            node.target = EarlyTarget(self.respond)
+
+    async def respond(self, stream, attempt_id, body):
+        """Respond to a request with a body, see :class:`EarlyTarget`."""
+        raise NotImplementedError
+
+    async def post(self, path, body, attempt_id):
+        """Send a request; return its response and the body of it.
+
+        The response is read while the request is still being sent.
+        """
+        caller = await Caller.open(self.near.path.caller_address)
+        with caller.connection:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    _send_request, caller, path, body, attempt_id
+                )
+                response = await caller.receive()
+                nursery.cancel_scope.cancel()
+        return response
+
+
+async def _send_request(caller, path, body, attempt_id):
+    try:
+        await caller.send(
+            path, 'POST', body, Attempt_Id=attempt_id, Deadline_Ms=5_000
+        )
+    except ConnectionLostError:
+        # The node has responded and closed the connection.
+        pass
--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -1,13 +1,10 @@
 from functools import partial
-from unittest import mock
 
 import trio
 
 from snipelead.callers.tests.fakes import wait_until
-from snipelead.platform.tests.early_target import EarlyTarget
-from snipelead.platform.tests.early_target import open_small_connection
+from snipelead.platform.tests.early_target import EarlyTargetTestCase
 from snipelead.platform.tests.early_target import reset
-from snipelead.platform.tests.test_protocols import PlatformTestCase
 
 # Received in full before the first attempt, and forwarded while it arrives.
 HELD_BODY = b'x' * 60_000
@@ -21,51 +18,18 @@
 READ_ON_DELAY_S = 0.2
 
 
-class EarlyResponseTestCase(PlatformTestCase):
-    """Requests whose target responds before it has read their body."""
-
-    def setUp(self):
-        super().setUp()
-        self.enterContext(
-            mock.patch('snipelead.http.pool.connect', open_small_connection)
-        )
-
-    def make_nodes(self):
-        super().make_nodes()
-        for node in (self.near, self.far):
-            node.target.listener.close()
-            node.target = EarlyTarget(self.respond)
-
-    async def respond(self, stream, attempt_id, body):
-        raise NotImplementedError
+class EarlyResponseTestCase(EarlyTargetTestCase):
+    """Runs a test with both kinds of bodies, over one hop and over two."""
 
     def run_with_all_paths(self, test):
         for body in (HELD_BODY, STREAMED_BODY):
             self.make_nodes()
             self.run_with_both_paths(partial(test, body))
 
-    async def post(self, body):
-        """Send a request; read its response while the body is being sent."""
-        caller = await self.open()
+    async def send(self, body):
+        """Send a request with a body; return its response."""
         self.attempts += 1
-        async with trio.open_nursery() as nursery:
-
-            async def send():
-                try:
-                    await caller.send(
-                        '/orders/1',
-                        'POST',
-                        body,
-                        Attempt_Id=f'attempt-{self.attempts}',
-                        Deadline_Ms=5_000,
-                    )
-                except OSError:
-                    pass
-
-            nursery.start_soon(send)
-            response = await caller.receive()
-            nursery.cancel_scope.cancel()
-        return response
+        return await self.post('/orders/1', body, f'attempt-{self.attempts}')
 
 
 class ResetTest(EarlyResponseTestCase):
@@ -79,7 +43,7 @@
         self.end_connection(stream)
 
     async def check_lost(self, body, target):
-        response, _ = await self.post(body)
+        response, _ = await self.send(body)
         self.assertEqual(502, response.status)
 
     def test_response_that_is_reset_is_not_passed_on_as_complete(self):
@@ -103,7 +67,7 @@
 
     def test_response_that_ended_before_a_reset_is_complete(self):
         async def test(body, target):
-            response, received = await self.post(body)
+            response, received = await self.send(body)
             self.assertEqual((200, RESPONSE_BODY), (response.status, received))
 
         self.run_with_all_paths(test)
@@ -119,7 +83,7 @@
 
     def test_whole_response_is_delivered_after_a_reset(self):
         async def test(body, target):
-            response, received = await self.post(body)
+            response, received = await self.send(body)
             self.assertEqual((200, RESPONSE_BODY), (response.status, received))
 
         self.run_with_all_paths(test)
@@ -159,7 +123,7 @@
             if body is STREAMED_BODY:
                 # The body is sent to its end before the response is read.
                 self.may_read.set()
-            response, _ = await self.post(body)
+            response, _ = await self.send(body)
             self.assertEqual(status, response.status)
             response, received = await self.call('/orders/2')
             self.assertEqual((200, b'ok'), (response.status, received))
@@ -203,7 +167,7 @@
 
     async def check_served(self, body, target):
         self.body_bytes = len(body)
-        response, received = await self.post(body)
+        response, received = await self.send(body)
         self.assertEqual((200, b'ok'), (response.status, received))
 
     def test_interim_response_does_not_end_the_sending(self):
--- a/snipelead/platform/tests/test_random_early_responses.py
+++ b/snipelead/platform/tests/test_random_early_responses.py
@@ -1,13 +1,9 @@
 from random import Random
-from unittest import mock
 
 import trio
 
-from snipelead.callers.tests.fakes import Caller
-from snipelead.platform.tests.early_target import EarlyTarget
-from snipelead.platform.tests.early_target import open_small_connection
+from snipelead.platform.tests.early_target import EarlyTargetTestCase
 from snipelead.platform.tests.early_target import reset
-from snipelead.platform.tests.test_protocols import PlatformTestCase
 
 SEEDS = range(1, 9)
 CALLERS = 4
@@ -20,25 +16,13 @@
 SHED_HEAD = b'HTTP/1.1 503 Busy\r\nAttempt-Id: %b\r\nNot-Executed: 1\r\n'
 
 
-class RandomEarlyResponsesTest(PlatformTestCase):
+class RandomEarlyResponsesTest(EarlyTargetTestCase):
     """Random requests to targets that respond before they have read them.
 
     A target gets nothing but a body where a body is due, and nothing but
     requests where a request is due. A caller gets whole responses only.
     """
 
-    def setUp(self):
-        super().setUp()
-        self.enterContext(
-            mock.patch('snipelead.http.pool.connect', open_small_connection)
-        )
-
-    def make_nodes(self):
-        super().make_nodes()
-        for node in (self.near, self.far):
-            node.target.listener.close()
-            node.target = EarlyTarget(self.respond)
-
     def test_bodies_and_responses_are_not_mixed_up(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -62,33 +46,14 @@
         for count in range(REQUESTS_PER_CALLER):
             attempt_id = f'a{number}-{count}'
             size = self.rng.choice(BODY_BYTES)
-            path, method = f'/orders/{number}-{count}', 'POST'
-            line = f'{method} {path} HTTP/1.1'.encode()
+            path = f'/orders/{number}-{count}'
+            line = f'POST {path} HTTP/1.1'.encode()
             self.sent[attempt_id.encode()] = (line, size)
-            caller = await Caller.open(self.near.path.caller_address)
-            with caller.connection:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(
-                        self.send, caller, path, method, size, attempt_id
-                    )
-                    response, body = await caller.receive()
-                    nursery.cancel_scope.cancel()
+            response, body = await self.post(path, b'x' * size, attempt_id)
             self.statuses.append(response.status)
             if response.status == 200:
                 self.assertEqual(RESPONSE_BODY, body)
 
-    async def send(self, caller, path, method, size, attempt_id):
-        try:
-            await caller.send(
-                path,
-                method,
-                b'x' * size,
-                Attempt_Id=attempt_id,
-                Deadline_Ms=5_000,
-            )
-        except OSError:
-            pass
-
     async def respond(self, stream, attempt_id, body):
         """Respond early or late, whole or in part; read on in most cases."""
         size = self.sent[attempt_id][1]
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -31,14 +31,12 @@
     Misbehaviour.RESET,
     Misbehaviour.ERROR,
 )
-
-
 # Responses that a target sends before it has read a long body.
 EARLY_RESPONSES = (Misbehaviour.EARLY_SHED, Misbehaviour.EARLY_RESET)
 EARLY_RESPONSE_PROBABILITY = 0.3
 # Size of the buffers between a node and a target, in bytes.
 BUFFER_BYTES = 4_096
-# Longer bodies are long ones.
+# Longest body of a request that a target always reads before it responds.
 MAX_SHORT_BODY_BYTES = 50_000
 
 
