Relay resets in every order and keep the bodies of crashing requests

Cause: two faults of the soak, both new with its long bodies. A relay took the failure to send to a target that had reset its connection for an end of stream, so that half of a response looked whole to the node; copies of a request that crashes targets got bodies of different sizes, and so were different requests.

Change: a relay resets both ends if either is lost; copies have one body.

--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -171,7 +171,7 @@
             HOST,
             path,
             int(deadline_s * 1_000),
-            b'' if repeatable else self._make_body(),
+            b'' if repeatable else self._make_body(path),
         )
         record = RequestRecord(
             attempt.attempt_id,
@@ -187,9 +187,13 @@
         )
         return attempt, record
 
-    def _make_body(self):
+    def _make_body(self, path):
         size = 1
-        if self.rng.random() < LONG_BODY_PROBABILITY:
+        # All copies of a crashing request have the same body.
+        if (
+            path not in CRASHING_PREFIXES
+            and self.rng.random() < LONG_BODY_PROBABILITY
+        ):
             size = self.rng.choice(LONG_BODY_BYTES)
         return BODY_BYTE * size
 
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -134,7 +134,7 @@
 
     async def _copy(self, source, destination, direction, nursery, stalled):
         try:
-            while data := await _receive(source, destination):
+            while data := await source.receive_some(CHUNK_BYTES):
                 # Data may arrive before the copying tasks are cancelled.
                 if stalled.is_set():
                     await trio.sleep_forever()
@@ -142,7 +142,12 @@
                 await destination.send_all(data)
                 self.relayed_bytes += len(data)
             await self._wait_unblocked(direction)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except trio.BrokenResourceError:
+            # Neither end may take the loss of the other for the end of its
+            # stream.
+            _reset(source)
+            _reset(destination)
+        except trio.ClosedResourceError:
             pass
         nursery.cancel_scope.cancel()
 
@@ -169,16 +174,9 @@
             await trio.sleep_forever()
 
 
-async def _receive(source, destination):
-    """Return the next bytes; a reset of the source resets the destination."""
-    try:
-        return await source.receive_some(CHUNK_BYTES)
-    except trio.BrokenResourceError:
-        _reset(destination)
-        raise
-
-
 def _reset(stream):
+    if stream.socket.fileno() < 0:
+        return
     stream.socket.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
     )
--- a/snipelead/testing/tests/test_relay.py
+++ b/snipelead/testing/tests/test_relay.py
@@ -1,3 +1,6 @@
+import socket
+
+from testtools import ExpectedException
 from testtools import TestCase
 import trio
 
@@ -6,6 +9,9 @@
 from snipelead.emulator.tests.test_target import make_settings
 from snipelead.testing.relay import Direction
 from snipelead.testing.relay import Relay
+from snipelead.testing.relay import RESET_ON_CLOSE
+
+BUFFER_BYTES = 4_096
 
 
 class RelayTest(TestCase):
@@ -60,3 +66,42 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
+
+    def test_reset_by_the_upstream_is_not_relayed_as_an_end_of_stream(self):
+        """It was, when sending to the upstream failed first."""
+
+        async def respond_and_reset(stream):
+            await stream.send_all(b'part')
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            stream.socket.close()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                (listener,) = await trio.open_tcp_listeners(
+                    0, host='127.0.0.1'
+                )
+                listener.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
+                )
+                host, port = listener.socket.getsockname()
+                nursery.start_soon(
+                    trio.serve_listeners, respond_and_reset, [listener]
+                )
+                relay = Relay(f'{host}:{port}', buffer_bytes=BUFFER_BYTES)
+                address = await nursery.start(relay.run)
+                for size in (10, 1_000, 40_000) * 20:
+                    await self.check_reset(address, b'x' * size)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def check_reset(self, address, data):
+        host, _, port = address.rpartition(':')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            with ExpectedException(trio.BrokenResourceError):
+                await stream.send_all(data)
+                while await stream.receive_some():
+                    pass
+                self.fail('the stream ended')
