Fail a run of the soak for violations that a target swallowed

Change: the check at the end of a run raises the first violation that was recorded.

Evidence: test_violation_that_a_target_swallowed_is_raised_at_the_end fails before the change.

Result: the tests of the checker pass.

--- a/snipelead/soak/checker.py
+++ b/snipelead/soak/checker.py
@@ -459,11 +459,16 @@
     def check_end(self, newest_read):
         """Check the guarantees that concern the whole history.
 
+        Violations that were raised where others handle all errors, as in a
+        target, are raised again.
+
         Parameters
         ----------
         newest_read : int
             Number of the newest release that was read.
         """
+        if self.violations:
+            raise self.violations[0]
         newest = self.acknowledged_floor(self.clock())
         if newest_read < newest:
             self.fail(
--- a/snipelead/soak/tests/test_checker.py
+++ b/snipelead/soak/tests/test_checker.py
@@ -1,3 +1,5 @@
+from contextlib import suppress
+
 import msgspec
 from testtools import TestCase
 
@@ -242,6 +244,14 @@
         self.checker.disturbances.begin_fault(['node-1'], self.now)
         self.checker.record_probe(self.send_request('/marker-2/'), 2, False)
 
+    def test_violation_that_a_target_swallowed_is_raised_at_the_end(self):
+        """The command reported such a run as passed."""
+        record = self.send_request('/reads/')
+        request = StartedRequest('unsent', record.path, 'reads', 10)
+        with suppress(GuaranteeViolationError):
+            self.checker.record_execution(request, Execution('t', 'reads', 1))
+        self.assert_violation('UNASKED', self.checker.check_end, 1)
+
     def test_acknowledged_release_missing_at_end(self):
         self.add_acknowledged_release(2, 1, self.now)
         self.assert_violation('CONFIG', self.checker.check_end, 1)
