--- a/snipelead/platform/tests/early_target.py
+++ b/snipelead/platform/tests/early_target.py
@@ -52,6 +52,8 @@
     ----------
     received : list of tuple of bytes and bytes
         Request line and attempt id of each request.
+    connections : int
+        Number of accepted connections.
     """
 
     def __init__(self, respond):
@@ -62,6 +64,7 @@
         )
         self.address = bound_address(self.listener)
         self.received = []
+        self.connections = 0
 
     async def run(self, *, task_status):
         """Serve until cancelled."""
@@ -73,6 +76,7 @@
         )
 
     async def _serve(self, stream):
+        self.connections += 1
         try:
             async with stream:
                 while await self._serve_request(stream):
--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -147,6 +147,33 @@
         self.check_next_request(200)
 
 
+class ReusedConnectionTest(EarlyResponseTestCase):
+    """Connections are used again after requests that were sent to the end."""
+
+    async def respond(self, stream, attempt_id, body):
+        while len(body) < self.body_bytes:
+            body += await stream.receive_some(RECEIVE_BYTES)
+        await stream.send_all(
+            HEAD % attempt_id + b'Content-Length: 2\r\n\r\nok'
+        )
+        return True
+
+    def test_next_request_uses_the_connections_of_a_long_one(self):
+        async def test(body, target):
+            self.body_bytes = len(body)
+            response, _ = await self.send(body)
+            self.assertEqual(200, response.status)
+            pool = self.near.path.forwarder.pool
+            if target is self.far.target:
+                (readers,) = pool.idle_readers.values()
+                self.assertEqual(1, len(readers))
+            response, _ = await self.call('/orders/2')
+            self.assertEqual(200, response.status)
+            self.assertEqual(1, target.connections)
+
+        self.run_with_all_paths(test)
+
+
 class OtherResponseTest(EarlyResponseTestCase):
     """A request is sent to its end unless its own final response comes."""
 
--- a/snipelead/routing/tests/test_split.py
+++ b/snipelead/routing/tests/test_split.py
@@ -126,12 +126,13 @@
         self.assertLessEqual(abs(chosen.count('s1') - 30), 1)
 
     def test_part_of_weight_zero_may_come_and_go(self):
-        splitter = TrafficSplitter(Random(1))
-        chosen = []
-        for _ in range(50):
-            chosen += self.choose(splitter, make_route(70.0, 30.0), 1)
-            chosen += self.choose(splitter, make_route(70.0, 30.0, 0.0), 1)
-        self.assertLessEqual(abs(chosen.count('s1') - 30), 1)
+        for seed in range(20):
+            splitter = TrafficSplitter(Random(seed))
+            chosen = []
+            for _ in range(50):
+                chosen += self.choose(splitter, make_route(70.0, 30.0), 1)
+                chosen += self.choose(splitter, make_route(70.0, 30.0, 0.0), 1)
+            self.assertLessEqual(abs(chosen.count('s1') - 30), 1)
 
     def test_services_keep_their_share_when_a_part_is_added(self):
         for seed in range(20):
