Send a request to its end unless its own final response comes

What callers saw: a proper long request ended at its deadline with 504.

Cause: while a body received in full was being sent, any response ended the sending, also an interim one and a late one to an earlier request; the target went on waiting for the rest of the body.

Why it works: the responses that have arrived are classified; only a final one that is not a stray ends the sending. As many and as large other responses are received meanwhile as are skipped afterwards, so that a target cannot make a node keep more.

--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -14,6 +14,8 @@
 # Time in which a blocked send fails after a reset.
 RESET_S = 0.05
 RECEIVE_BYTES = 64 * 1024
+# Deadline of the requests, in seconds.
+DEADLINE_S = 5.0
 # Pause of a target between its first bytes and reading on, in seconds.
 READ_ON_DELAY_S = 0.2
 
@@ -178,10 +180,17 @@
     """A request is sent to its end unless its own final response comes."""
 
     other_response = b''
+    may_read = None
+
+    async def wait_before_reading(self):
+        if self.may_read is None:
+            await trio.sleep(READ_ON_DELAY_S)
+        else:
+            await self.may_read.wait()
 
     async def respond(self, stream, attempt_id, body):
         await stream.send_all(self.other_response)
-        await trio.sleep(READ_ON_DELAY_S)
+        await self.wait_before_reading()
         while len(body) < self.body_bytes:
             data = await stream.receive_some(RECEIVE_BYTES)
             if not data:
@@ -207,3 +216,21 @@
         head = HEAD % b'earlier'
         self.other_response = head + b'Content-Length: 4\r\n\r\nlate'
         self.run_with_all_paths(self.check_served)
+
+    def check_sending_ends(self, other_responses):
+        async def test(body, target):
+            self.body_bytes = len(body)
+            self.may_read = trio.Event()
+            with trio.fail_after(DEADLINE_S / 2):
+                response, _ = await self.send(HELD_BODY)
+            self.assertEqual(502, response.status)
+
+        self.other_response = other_responses
+        self.run_with_both_paths(partial(test, HELD_BODY))
+
+    def test_too_many_interim_responses_end_the_sending(self):
+        self.check_sending_ends(b'HTTP/1.1 102 Processing\r\n\r\n' * 100)
+
+    def test_too_long_a_response_to_another_request_ends_the_sending(self):
+        head = HEAD % b'earlier' + b'Content-Length: 1000000\r\n\r\n'
+        self.check_sending_ends(head + b'x' * 100_000)
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -133,7 +133,7 @@
         call.ran = Ran.UNKNOWN
         sent_at = trio.current_time()
         try:
-            await self._send(reader, line, field_lines, request)
+            await self._send(reader, line, field_lines, call, request)
             response = await self._receive_answer(
                 reader, call, request, entry, sent_at
             )
@@ -213,13 +213,14 @@
         if limit and (response.content_length or 0) <= limit:
             await response.buffer_body(limit)
 
-    async def _send(self, reader, line, field_lines, request):
-        """Send a request, unless the target responds before its end."""
+    async def _send(self, reader, line, field_lines, call, request):
+        """Send a request, unless the target answers it before its end."""
         connection = reader.connection
         reader.request_incomplete = True
         try:
             if request.complete:
-                await self._send_complete(reader, line, field_lines, request)
+                data = encode_message(line, field_lines, request)
+                await self._send_complete(reader, data, call)
             else:
                 await send_message(connection, line, field_lines, request)
                 reader.request_incomplete = False
@@ -228,14 +229,13 @@
             # is still valid.
             return
 
-    async def _send_complete(self, reader, line, field_lines, request):
+    async def _send_complete(self, reader, data, call):
         """Send a request whose body has been received completely.
 
-        If the target responds before it has read the whole request, the rest
+        If the target answers before it has read the whole request, the rest
         is not sent.
         """
         connection = reader.connection
-        data = encode_message(line, field_lines, request)
         sent = connection.send_nowait(data)
         if sent == len(data):
             reader.request_incomplete = False
@@ -251,12 +251,30 @@
 
             nursery.start_soon(send_remaining_body)
             with suppress(*INCOMPLETE_MESSAGE_ERRORS):
-                while not reader.ready_messages:
+                while not self._has_answer(reader, call):
                     await reader.receive()
                 nursery.cancel_scope.cancel()
             if reader.error is not None:
                 nursery.cancel_scope.cancel()
 
+    def _has_answer(self, reader, call):
+        """Return whether nothing more is to be received before the answer.
+
+        That is also so if the target has sent more other responses than are
+        skipped.
+        """
+        responses = reader.ready_messages
+        return (
+            len(responses) > MAX_SKIPPED_RESPONSES
+            or sum(r.buffered_bytes for r in responses) > MAX_SKIPPED_BYTES
+            or any(
+                not response.is_interim
+                and self.protocol.classify_response(response, call)
+                is not ResponseKind.STRAY
+                for response in responses
+            )
+        )
+
     async def _receive_final(self, reader, request):
         for _ in range(MAX_SKIPPED_RESPONSES):
             response = await reader.next_response(request.method == b'HEAD')
