Remember a reset that a check of an idle connection was told of

Cause: the third call that the kernel may tell of a reset, besides sending and receiving, is the check whether a connection is idle; a read after it would have returned an end of stream. No caller reads on after it today.

Change: the check marks the connection as the two others do.

Evidence: test_reset_that_a_check_reports fails without the mark (scratch copy).

--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -176,7 +176,7 @@
         except BlockingIOError:
             return True
         except OSError:
-            return False
+            self.was_reset = True
         return False
 
     def is_hung_up(self):
--- a/snipelead/http/tests/test_connection_loss.py
+++ b/snipelead/http/tests/test_connection_loss.py
@@ -73,6 +73,16 @@
 
         self.run_with_peer(self.reset, test)
 
+    def test_reset_that_a_check_reports(self):
+        async def test(connection):
+            self.assertEqual(b'part', await connection.receive())
+            while connection.is_idle():
+                await trio.sleep(0.001)
+            with ExpectedException(ConnectionLostError):
+                await connection.receive()
+
+        self.run_with_peer(self.reset, test)
+
     def test_end_of_stream_before_a_reset(self):
         async def test(connection):
             await self.fail_to_send(connection)
