Model early responses and let the soak notice old weights of a split

Cause: the soak passed without the fix of splits, since each release had new weights and several were admissible at a time; early refusals had neither a model nor a soak that fails without their fix.

Change: all releases of five seconds share their weights; the model early_response covers both faults of early responses, with three broken variants; smaller segments and bodies in the soak. Tests reuse the resets that exist.

--- a/snipelead/http/tests/test_connection_loss.py
+++ b/snipelead/http/tests/test_connection_loss.py
@@ -1,5 +1,4 @@
 import socket
-import struct
 
 from testtools import ExpectedException
 from testtools import TestCase
@@ -9,8 +8,6 @@
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import SendFailedError
 
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
 
 class ConnectionLossTest(TestCase):
     """The end of the peer's stream is told from a reset, in any order."""
@@ -38,8 +35,7 @@
         trio.run(main)
 
     def reset(self, peer):
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        peer.close()
+        Connection(peer).abort()
 
     def end_stream_and_reset(self, peer):
         peer.shutdown(socket.SHUT_WR)
--- a/snipelead/platform/tests/early_target.py
+++ b/snipelead/platform/tests/early_target.py
@@ -1,7 +1,6 @@
 """Targets that respond before they have read the body of a request."""
 
 import socket
-import struct
 from unittest import mock
 
 import trio
@@ -13,12 +12,11 @@
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.platform.tests.test_protocols import PlatformTestCase
 
-__all__ = ['EarlyTarget', 'EarlyTargetTestCase', 'reset']
+__all__ = ['EarlyTarget', 'EarlyTargetTestCase']
 
 # The bodies of the tests do not fit into these buffers.
 SEND_BUFFER_BYTES = 16 * 1024
 RECEIVE_BUFFER_BYTES = 4 * 1024
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 async def _open_small_connection(address):
@@ -30,14 +28,6 @@
     return connection
 
 
-def reset(stream):
-    """Close a stream with a TCP reset."""
-    stream.socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-    )
-    stream.socket.close()
-
-
 class EarlyTarget:
     """Target whose responses to requests with a body are chosen by a test.
 
--- a/snipelead/platform/tests/test_early_responses.py
+++ b/snipelead/platform/tests/test_early_responses.py
@@ -4,7 +4,7 @@
 
 from snipelead.callers.tests.fakes import wait_until
 from snipelead.platform.tests.early_target import EarlyTargetTestCase
-from snipelead.platform.tests.early_target import reset
+from snipelead.testing.relay import reset_stream
 
 # Received in full before the first attempt, and forwarded while it arrives.
 HELD_BODY = b'x' * 60_000
@@ -37,7 +37,7 @@
 class ResetTest(EarlyResponseTestCase):
     """A response without a length is complete only if it was not reset."""
 
-    end_connection = staticmethod(reset)
+    end_connection = staticmethod(reset_stream)
 
     async def respond(self, stream, attempt_id, body):
         part = RESPONSE_BODY[: len(RESPONSE_BODY) // 2]
@@ -65,7 +65,7 @@
         await stream.send_all(HEAD % attempt_id + b'\r\n' + RESPONSE_BODY)
         await stream.send_eof()
         await trio.sleep(RESET_S)
-        reset(stream)
+        reset_stream(stream)
 
     def test_response_that_ended_before_a_reset_is_complete(self):
         async def test(body, target):
@@ -81,7 +81,7 @@
     async def respond(self, stream, attempt_id, body):
         length = b'Content-Length: %d\r\n\r\n' % len(RESPONSE_BODY)
         await stream.send_all(HEAD % attempt_id + length + RESPONSE_BODY)
-        reset(stream)
+        reset_stream(stream)
 
     def test_whole_response_is_delivered_after_a_reset(self):
         async def test(body, target):
--- a/snipelead/platform/tests/test_random_early_responses.py
+++ b/snipelead/platform/tests/test_random_early_responses.py
@@ -3,7 +3,7 @@
 import trio
 
 from snipelead.platform.tests.early_target import EarlyTargetTestCase
-from snipelead.platform.tests.early_target import reset
+from snipelead.testing.relay import reset_stream
 
 SEEDS = range(1, 9)
 CALLERS = 4
@@ -64,7 +64,7 @@
             case 0:
                 head = HEAD % attempt_id + b'\r\n'
                 await stream.send_all(head + RESPONSE_BODY[:1_900])
-                reset(stream)
+                reset_stream(stream)
                 return False
             case 1:
                 await stream.send_all(
--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -36,7 +36,7 @@
 CRASHING_PROBABILITY = 0.03
 # Long bodies; a node receives the shorter ones in full before it sends them.
 LONG_BODY_PROBABILITY = 0.1
-LONG_BODY_BYTES = (100_000, 300_000)
+LONG_BODY_BYTES = (60_000, 300_000)
 # Longest pause between two probes for the release that a node has applied, in
 # seconds.
 MAX_PROBE_PAUSE_S = 0.2
--- a/snipelead/soak/operators.py
+++ b/snipelead/soak/operators.py
@@ -24,8 +24,10 @@
 RACE_PROBABILITY = 0.2
 # Least timeout of the route whose service varies between releases.
 MOVING_ROUTE_TIMEOUT_MS = 2_000
-# Weights of the two services between which this route is split, if it is.
-SPLIT_WEIGHTS = ((90, 10), (1, 0), (0, 1), (0.5, 0.5), (1000, 3000), ())
+# Weights of the two services between which this route is split, if it is. All
+# releases of a period have the same, so that only these are admissible later.
+SPLIT_WEIGHTS = ((90, 10), (1, 0), (1000, 3000), (0, 1), ())
+SPLIT_PERIOD_S = 5.0
 INVALID_PROBABILITY = 0.1
 RESEND_PROBABILITY = 0.3
 MAX_SUBMIT_ATTEMPTS = 4
@@ -149,7 +151,8 @@
         while number in used and self.rng.random() >= RACE_PROBABILITY:
             number += 1
         valid = always_valid or self.rng.random() >= INVALID_PROBABILITY
-        weights = self.rng.choice(SPLIT_WEIGHTS)
+        period = int(self.checker.clock() / SPLIT_PERIOD_S)
+        weights = SPLIT_WEIGHTS[period % len(SPLIT_WEIGHTS)]
         # The timeout makes releases of the same number differ.
         moving_route = RouteSpec(
             '/moves/',
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -35,7 +35,7 @@
 EARLY_RESPONSES = (Misbehaviour.EARLY_SHED, Misbehaviour.EARLY_RESET)
 EARLY_RESPONSE_PROBABILITY = 0.3
 # Size of the buffers between a node and a target, in bytes.
-BUFFER_BYTES = 16_384
+BUFFER_BYTES = 4_096
 # Longest body of a request that a target always reads before it responds.
 MAX_SHORT_BODY_BYTES = 50_000
 
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -7,11 +7,12 @@
 
 import trio
 
-__all__ = ['Direction', 'Relay', 'RelayThread']
+__all__ = ['Direction', 'Relay', 'RelayThread', 'reset_stream']
 
 CHUNK_BYTES = 65_536
-# Segment size of an Ethernet, used with small buffers.
-SEGMENT_BYTES = 1_448
+# Segment size used with small buffers. The smaller it is, the less a sender's
+# kernel takes in at first.
+SEGMENT_BYTES = 536
 # SO_LINGER with a timeout of 0 seconds makes close send a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -80,7 +81,7 @@
         connections, self._connections = self._connections, set()
         for connection in connections:
             for stream in connection:
-                _reset(stream)
+                reset_stream(stream)
 
     def stall_connections(self):
         """Stop relaying on the open connections; new ones work.
@@ -145,8 +146,8 @@
         except trio.BrokenResourceError:
             # Neither end may take the loss of the other for the end of its
             # stream.
-            _reset(source)
-            _reset(destination)
+            reset_stream(source)
+            reset_stream(destination)
         except trio.ClosedResourceError:
             pass
         nursery.cancel_scope.cancel()
@@ -174,7 +175,8 @@
             await trio.sleep_forever()
 
 
-def _reset(stream):
+def reset_stream(stream):
+    """Close a stream with a TCP reset; does nothing if it is closed."""
     if stream.socket.fileno() < 0:
         return
     stream.socket.setsockopt(
--- a/snipelead/testing/tests/test_relay.py
+++ b/snipelead/testing/tests/test_relay.py
@@ -9,7 +9,7 @@
 from snipelead.emulator.tests.test_target import make_settings
 from snipelead.testing.relay import Direction
 from snipelead.testing.relay import Relay
-from snipelead.testing.relay import RESET_ON_CLOSE
+from snipelead.testing.relay import reset_stream
 
 BUFFER_BYTES = 4_096
 
@@ -68,14 +68,11 @@
         trio.run(main)
 
     def test_reset_by_the_upstream_is_not_relayed_as_an_end_of_stream(self):
-        """It was, when sending to the upstream failed first."""
+        """A failed send to the upstream closed the client's connection."""
 
         async def respond_and_reset(stream):
             await stream.send_all(b'part')
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-            stream.socket.close()
+            reset_stream(stream)
 
         async def main():
             async with trio.open_nursery() as nursery:
--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -11,6 +11,7 @@
 from specs.control_choice import ControlChoice
 from specs.disk_loss import DiskLoss
 from specs.drain import Drain
+from specs.early_response import EarlyResponse
 from specs.log_agreement import LogAgreement
 from specs.node_floor import NodeFloor
 from specs.node_restart import NodeRestart
@@ -36,6 +37,7 @@
     ControlChoice(),
     StatedLimit(),
     Quarantine(),
+    EarlyResponse(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
