Add customers and public routes to releases

Operators of the platform send customers with API keys, priorities and rate limits, and mark routes as public. They were ignored as unknown fields, and a read of the configuration did not return them.

Releases now hold a table of customers, routes are public or not, and a setting tells whether requests are authenticated, so that removing the last customer does not open the routes. A key of two customers is refused; neither errors nor representations contain keys. Optional bounds of the platform become guarantees in the settings of nodes and controls. Nothing enforces them yet.

--- a/snipelead/platform/configuration.py
+++ b/snipelead/platform/configuration.py
@@ -12,17 +12,21 @@
 from snipelead.platform.formats import decode_release_number
 from snipelead.platform.formats import encode_duration
 from snipelead.platform.formats import encode_release_number
+from snipelead.releases.document import AUTHENTICATION_SETTING
+from snipelead.releases.document import Customer
 from snipelead.releases.document import MAX_DEADLINE_MS
 from snipelead.releases.document import Release
 from snipelead.releases.document import Route
 from snipelead.releases.document import Service
 from snipelead.releases.document import Setting
 from snipelead.releases.document import WeightedService
+from snipelead.types import ApiKey
 from snipelead.types import ReleaseNumber
 from snipelead.types import RequestClass
 from snipelead.types import RouteName
 from snipelead.types import ServiceName
 from snipelead.types import SettingName
+from snipelead.types import TenantName
 
 __all__ = [
     'ReleaseReplacement',
@@ -83,6 +87,7 @@
     service: ServiceName | None = None
     # Each request goes to one of these services, chosen by weight.
     traffic_split: list[_WeightedService] | None = None
+    public: bool | None = None
 
 
 class _VirtualHost(Struct):
@@ -90,6 +95,14 @@
     paths: list[_PathRule]
 
 
+class _Tenant(Struct, rename='kebab', omit_defaults=True):
+    name: TenantName
+    api_keys: list[ApiKey]
+    priority: _Integer | None = None
+    rate_per_s: float | int | None = None
+    burst: float | int | None = None
+
+
 class _Limits(Struct, rename='kebab'):
     max_header_bytes: _Integer
     max_body_bytes: _Integer
@@ -97,13 +110,15 @@
     idle_timeout: str
 
 
-class _Configuration(Struct, rename='kebab'):
+class _Configuration(Struct, rename='kebab', omit_defaults=True):
     # Number of the release, not of the message format.
     version: str
     services: list[_Service]
     limits: _Limits
     base_version: str
     virtual_hosts: list[_VirtualHost] = field(name='virtual-hosts')
+    # If present, requests are authenticated.
+    tenants: list[_Tenant] | None = None
 
 
 _decode_json = msgspec.json.Decoder(_Configuration).decode
@@ -135,16 +150,36 @@
         services = {s.name: _decode_service(s) for s in document.services}
         routes = _decode_routes(document.virtual_hosts)
         settings = _decode_limits(document.limits)
+        customers = _decode_tenants(document.tenants or ())
     except (msgspec.DecodeError, ValueError, OverflowError) as error:
         raise UnreadableConfigurationError(
             f'the configuration is malformed: {error}'
         ) from error
     settings[BASE_SETTING] = Setting(BASE_SETTING, base)
+    if document.tenants is not None:
+        settings[AUTHENTICATION_SETTING] = Setting(
+            AUTHENTICATION_SETTING, True
+        )
     return ReleaseReplacement(
-        base, Release(number, services, routes, settings)
+        base, Release(number, services, routes, settings, customers)
     )
 
 
+def _decode_tenants(tenants):
+    customers = {}
+    for tenant in tenants:
+        if tenant.name in customers:
+            raise ValueError(f'tenant {tenant.name!r} is listed twice')
+        customers[tenant.name] = Customer(
+            tenant.name,
+            tuple(tenant.api_keys),
+            tenant.priority,
+            float(tenant.rate_per_s or 0),
+            float(tenant.burst or 0),
+        )
+    return customers
+
+
 def _decode_service(service):
     return Service(
         service.name,
@@ -212,6 +247,7 @@
         priority=path.priority,
         max_attempts=path.max_attempts,
         label=path.name if name != path.name else '',
+        public=bool(path.public),
     )
 
 
@@ -239,10 +275,11 @@
         JSON document.
     """
     values = {name: s.value for name, s in release.settings.items()}
+    is_authenticated = AUTHENTICATION_SETTING in values
     hosts = {}
     for route in release.routes.values():
         paths = hosts.setdefault(route.host, [])
-        paths.append(_encode_route(route))
+        paths.append(_encode_route(route, is_authenticated))
     return _encode_json(
         _Configuration(
             encode_release_number(release.number),
@@ -255,6 +292,9 @@
             ),
             encode_release_number(values.get(BASE_SETTING, 0)),
             [_VirtualHost(host, paths) for host, paths in hosts.items()],
+            [_encode_customer(c) for c in release.customers.values()]
+            if is_authenticated
+            else None,
         )
     )
 
@@ -269,7 +309,17 @@
     )
 
 
-def _encode_route(route):
+def _encode_customer(customer):
+    return _Tenant(
+        customer.name,
+        list(customer.api_keys),
+        customer.priority,
+        _drop_zero_fraction(customer.rate_per_s) or None,
+        _drop_zero_fraction(customer.burst) or None,
+    )
+
+
+def _encode_route(route, is_authenticated):
     parts = [
         _WeightedService(p.service, _drop_zero_fraction(p.weight))
         for p in route.split
@@ -284,6 +334,7 @@
         route.max_attempts,
         None if parts else route.service,
         parts or None,
+        route.public if is_authenticated else None,
     )
 
 
--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -15,6 +15,7 @@
 from snipelead.settings.exceptions import SettingsError
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import Guarantees
 from snipelead.settings.schema import LogSettings
 from snipelead.settings.schema import NodeLimits
 from snipelead.settings.schema import NodeSettings
@@ -58,6 +59,49 @@
 CROSSING_MS_PER_KB = 140.0
 
 
+class PlatformBounds(Struct, frozen=True):
+    """Bounds of the platform that are optional; absent ones are null.
+
+    Parameters
+    ----------
+    strict_revoke : bool or None
+        Whether removed API keys must be refused within ``revoke`` everywhere.
+    revoke, quota_window, rollback : str or None
+        Durations.
+    quota_overage, quota_extra : float or None
+        Tolerance of the rate limits of customers.
+    exposure_share, exposure_extra : float or None
+        Share and number of requests that a bad version may receive.
+    """
+
+    strict_revoke: bool | None = None
+    revoke: str | None = None
+    quota_window: str | None = None
+    quota_overage: float | None = None
+    quota_extra: float | None = None
+    exposure_share: float | None = None
+    exposure_extra: float | None = None
+    rollback: str | None = None
+
+    def to_guarantees(self):
+        """Convert to the product's settings."""
+        return Guarantees(
+            revocation_ms=(
+                _decode_optional_ms(self.revoke) if self.strict_revoke else 0
+            ),
+            quota_window_ms=_decode_optional_ms(self.quota_window),
+            quota_overage=self.quota_overage or 0.0,
+            quota_extra=self.quota_extra or 0.0,
+            exposure_share=self.exposure_share or 0.0,
+            exposure_extra=self.exposure_extra or 0.0,
+            rollback_ms=_decode_optional_ms(self.rollback),
+        )
+
+
+def _decode_optional_ms(text):
+    return 0 if text is None else decode_duration_ms(text)
+
+
 class PlatformNodeSettings(Struct, frozen=True, tag_field='kind', tag='node'):
     """Settings of a node, as rendered from the platform's template.
 
@@ -91,6 +135,8 @@
     advertised_address : Address or None
         Address at which other nodes reach this one, if it differs from
         ``peer_address``.
+    bounds : PlatformBounds
+        Optional bounds.
     """
 
     node_id: NodeId
@@ -109,6 +155,7 @@
     retry_extra: float
     metrics_port: int | None = None
     advertised_address: Address | None = None
+    bounds: PlatformBounds = PlatformBounds()
 
     def to_settings(self):
         """Convert to the product's node settings."""
@@ -138,6 +185,7 @@
                 body_bytes=64 * 1024 * 1024,
             ),
             log=LogSettings(),
+            guarantees=self.bounds.to_guarantees(),
         )
 
 
@@ -168,6 +216,8 @@
     listen_address : Address or None
         Listening address for other processes, if it differs from ``ip`` with
         the first of ``internal_ports``.
+    bounds : PlatformBounds
+        Optional bounds.
     """
 
     ip: str
@@ -180,6 +230,7 @@
     may_found: bool
     metrics_port: int | None = None
     listen_address: Address | None = None
+    bounds: PlatformBounds = PlatformBounds()
 
     def to_settings(self):
         """Convert to the product's control settings."""
@@ -199,6 +250,7 @@
                 exchange_hold_ms=POLL_HOLD_MS, exchange_miss_ms=POLL_MARGIN_MS
             ),
             log=LogSettings(),
+            guarantees=self.bounds.to_guarantees(),
         )
 
 
--- a/snipelead/platform/tests/test_configuration.py
+++ b/snipelead/platform/tests/test_configuration.py
@@ -10,6 +10,8 @@
 from snipelead.releases.checks import check_release
 from snipelead.releases.delta import apply_delta
 from snipelead.releases.delta import make_delta
+from snipelead.releases.document import AUTHENTICATION_SETTING
+from snipelead.releases.document import Customer
 from snipelead.releases.exceptions import DanglingReferenceError
 from snipelead.releases.exceptions import InvalidNoteError
 
@@ -127,6 +129,88 @@
             self.document, msgspec.json.decode(encode_configuration(release))
         )
 
+    def add_tenants(self):
+        for path in self.paths:
+            path['public'] = False
+        self.paths[1]['public'] = True
+        self.document['tenants'] = [
+            {
+                'name': 'bozi300',
+                'api-keys': ['dedev3nax7u27gxprymh', '2rrytapjsujqurtyiikd'],
+                'priority': 1,
+                'rate-per-s': 326,
+                'burst': 326,
+            },
+            {'name': 'leka610', 'api-keys': []},
+        ]
+
+    def test_encoding_restores_tenants_and_public_routes(self):
+        self.add_tenants()
+        release = self.decode().release
+        self.assertEqual(
+            self.document, msgspec.json.decode(encode_configuration(release))
+        )
+
+    def test_tenants_become_customers(self):
+        self.add_tenants()
+        release = self.decode().release
+        self.assertTrue(release.settings[AUTHENTICATION_SETTING].value)
+        self.assertEqual(
+            Customer(
+                'bozi300',
+                ('dedev3nax7u27gxprymh', '2rrytapjsujqurtyiikd'),
+                1,
+                326.0,
+                326.0,
+            ),
+            release.customers['bozi300'],
+        )
+        self.assertIsNone(release.customers['leka610'].priority)
+        self.assertTrue(release.routes['r-zji9n73'].public)
+        self.assertFalse(release.routes['r-hh2b9wu'].public)
+
+    def test_empty_list_of_tenants_still_requires_keys(self):
+        # Removing the last customer must not open the routes to everybody.
+        self.document['tenants'] = []
+        release = self.decode().release
+        self.assertIn(AUTHENTICATION_SETTING, release.settings)
+        encoded = msgspec.json.decode(encode_configuration(release))
+        self.assertEqual([], encoded['tenants'])
+
+    def test_configuration_without_tenants_requires_no_keys(self):
+        self.assertNotIn(
+            AUTHENTICATION_SETTING, self.decode().release.settings
+        )
+
+    def test_key_of_two_tenants_is_rejected_and_not_shown(self):
+        self.add_tenants()
+        self.document['tenants'][1]['api-keys'] = ['2rrytapjsujqurtyiikd']
+        error = self.assertRaises(InvalidNoteError, self.decode)
+        self.assertNotIn('2rrytapjsujqurtyiikd', str(error.to_info()))
+
+    def test_tenant_listed_twice_is_rejected(self):
+        self.add_tenants()
+        self.document['tenants'][1]['name'] = 'bozi300'
+        self.check_invalid()
+
+    def test_negative_rate_is_rejected(self):
+        self.add_tenants()
+        self.document['tenants'][0]['rate-per-s'] = -1
+        self.check_invalid(InvalidNoteError)
+
+    def test_removed_key_reaches_a_node_as_a_delta(self):
+        self.add_tenants()
+        before = self.decode().release
+        self.document['version'] = '0000000a'
+        self.document['base-version'] = '00000007'
+        del self.document['tenants'][0]['api-keys'][0]
+        after = self.decode().release
+        delta = make_delta(before, after)
+        self.assertEqual(1, len(delta.customers))
+        self.assertEqual((), delta.routes)
+        patched = apply_delta(before, delta)
+        self.assertEqual(after.customers, patched.customers)
+
     def test_truncated_documents_are_rejected(self):
         body = msgspec.json.encode(self.document)
         for size in range(0, len(body), 37):
--- a/snipelead/platform/tests/test_settings.py
+++ b/snipelead/platform/tests/test_settings.py
@@ -9,6 +9,7 @@
 from snipelead.platform.settings import load_platform_settings
 from snipelead.settings.constraints import check_settings
 from snipelead.settings.exceptions import SettingsError
+from snipelead.settings.schema import Guarantees
 from snipelead.types import MembershipSource
 
 DEPLOY = Path(snipelead.__file__).parents[1] / 'deploy'
@@ -32,6 +33,19 @@
     'data-dir': '"/data/my-core"',
     'bootstrap': 'true',
 }
+OPTIONAL_FIELDS = frozenset(
+    f'bounds.{name}'
+    for name in (
+        'strict-revoke',
+        'revoke',
+        'quota-window',
+        'quota-overage',
+        'quota-extra',
+        'exposure-share',
+        'exposure-extra',
+        'rollback',
+    )
+)
 
 
 class PlatformSettingsTest(TestCase):
@@ -39,7 +53,12 @@
         values = TEMPLATE_VALUES | changes
         text = re.sub(
             r'\{\{(.+?)\|json\}\}',
-            lambda match: values[match.group(1)],
+            # The platform fills in null for a bound that it does not state.
+            lambda match: (
+                values.get(match.group(1), 'null')
+                if match.group(1) in OPTIONAL_FIELDS
+                else values[match.group(1)]
+            ),
             (DEPLOY / name).read_text(),
         )
         with tempfile.NamedTemporaryFile('w', suffix='.yaml') as file:
@@ -58,6 +77,39 @@
         self.assertLess(settings.timings.grace_ms, 6_000)
         self.assertLess(settings.timings.linger_ms, settings.timings.grace_ms)
 
+    def test_guarantees_are_off_unless_they_are_stated(self):
+        # A deployment without these bounds must be served as before.
+        for name in ('node.yaml', 'control.yaml'):
+            settings = self.load(name).to_settings()
+            self.assertEqual(Guarantees(), settings.guarantees)
+
+    def test_stated_guarantees_are_passed_on(self):
+        stated = {
+            'bounds.strict-revoke': 'true',
+            'bounds.revoke': '"5000ms"',
+            'bounds.quota-window': '"5s"',
+            'bounds.quota-overage': '0.1',
+            'bounds.quota-extra': '20',
+            'bounds.exposure-share': '0.1',
+            'bounds.exposure-extra': '50',
+            'bounds.rollback': '"5000ms"',
+        }
+        expected = Guarantees(5_000, 5_000, 0.1, 20.0, 0.1, 50.0, 5_000)
+        for name in ('node.yaml', 'control.yaml'):
+            settings = self.load(name, **stated).to_settings()
+            check_settings(settings)
+            self.assertEqual(expected, settings.guarantees)
+
+    def test_revocation_is_not_bounded_unless_it_is_strict(self):
+        settings = self.load(
+            'node.yaml',
+            **{
+                'bounds.strict-revoke': 'false',
+                'bounds.revoke': '"5000ms"',
+            },
+        ).to_settings()
+        self.assertEqual(0, settings.guarantees.revocation_ms)
+
     def test_retries_stay_within_the_budget(self):
         limits = self.load('node.yaml').to_settings().limits
         self.assertLessEqual(limits.retry_ratio, 0.2)
--- a/snipelead/releases/checks.py
+++ b/snipelead/releases/checks.py
@@ -18,6 +18,7 @@
 _TIME_MS = Interval(int, 0, 24 * 60 * 60 * 1_000)
 _PRIORITY = Interval(int, 0, 1_000)
 _WEIGHT = Interval(float, 0)
+_RATE = Interval(float, 0)
 
 
 def _check_service(service):
@@ -48,6 +49,33 @@
         )
 
 
+def _check_customer(customer):
+    check_name('customer', 'name', customer.name)
+    if customer.priority is not None:
+        check_interval(customer.name, 'priority', customer.priority, _PRIORITY)
+    check_interval(customer.name, 'rate_per_s', customer.rate_per_s, _RATE)
+    check_interval(customer.name, 'burst', customer.burst, _RATE)
+    if '' in customer.api_keys:
+        raise InvalidNoteError(
+            f'customer {customer.name!r} has an empty API key'
+        )
+
+
+def _check_key_owners(release):
+    """Check that each API key belongs to one customer."""
+    owners = {}
+    for customer in release.customers.values():
+        for key in customer.api_keys:
+            owner = owners.setdefault(key, customer.name)
+            if owner != customer.name:
+                # The message must not contain the key.
+                raise InvalidNoteError(
+                    f'customers {owner!r} and {customer.name!r} share an API'
+                    ' key',
+                    customer=customer.name,
+                )
+
+
 def _check_references(route, release):
     for service in (route.service, *route.services):
         if service not in release.services:
@@ -74,6 +102,8 @@
         check_name('setting', 'name', setting.name)
     for route in _find_unchecked(release.routes, valid_base.routes):
         _check_route(route)
+    for customer in _find_unchecked(release.customers, valid_base.customers):
+        _check_customer(customer)
 
 
 def _find_unchecked(table, valid_base):
@@ -104,7 +134,7 @@
     DanglingReferenceError
         If a route refers to a service or setting that the release lacks.
     InvalidNoteError
-        If a value is not allowed.
+        If a value is not allowed, or two customers share an API key.
     """
     if _is_checked(release):
         return
@@ -117,4 +147,5 @@
         raise InvalidNoteError(error.message, **error.details) from error
     for route in release.routes.values():
         _check_references(route, release)
+    _check_key_owners(release)
     release.__dict__[_CHECKED_KEY] = True
--- a/snipelead/releases/delta.py
+++ b/snipelead/releases/delta.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from snipelead.releases.checks import check_release
+from snipelead.releases.document import Customer
 from snipelead.releases.document import Release
 from snipelead.releases.document import ReleaseId
 from snipelead.releases.document import Route
@@ -20,10 +21,12 @@
     ----------
     base, result : ReleaseId
         Identities of the release to start from and of the resulting release.
-    services, routes, settings : tuple
+    services, routes, settings, customers : tuple
         Entries that were added or changed.
     removed_services, removed_routes, removed_settings : tuple of str
         Names of the entries that were removed.
+    removed_customers : tuple of str
+        Names of the customers that were removed.
     """
 
     base: ReleaseId
@@ -34,6 +37,8 @@
     removed_services: tuple[str, ...] = ()
     removed_routes: tuple[str, ...] = ()
     removed_settings: tuple[str, ...] = ()
+    customers: tuple[Customer, ...] = ()
+    removed_customers: tuple[str, ...] = ()
 
 
 def _find_changed(old, new):
@@ -67,6 +72,8 @@
         _find_removed(base.services, target.services),
         _find_removed(base.routes, target.routes),
         _find_removed(base.settings, target.settings),
+        _find_changed(base.customers, target.customers),
+        _find_removed(base.customers, target.customers),
     )
 
 
@@ -112,6 +119,9 @@
         _apply_changes(base.services, delta.services, delta.removed_services),
         _apply_changes(base.routes, delta.routes, delta.removed_routes),
         _apply_changes(base.settings, delta.settings, delta.removed_settings),
+        _apply_changes(
+            base.customers, delta.customers, delta.removed_customers
+        ),
     )
     if release.digest != delta.result.digest:
         raise DigestMismatchError(
--- a/snipelead/releases/document.py
+++ b/snipelead/releases/document.py
@@ -7,6 +7,7 @@
 from msgspec.structs import astuple
 import xxhash
 
+from snipelead.types import ApiKey
 from snipelead.types import Digest
 from snipelead.types import ReleaseNumber
 from snipelead.types import RequestClass
@@ -16,6 +17,8 @@
 from snipelead.types import TenantName
 
 __all__ = [
+    'AUTHENTICATION_SETTING',
+    'Customer',
     'EMPTY_RELEASE',
     'ReleaseId',
     'Release',
@@ -25,6 +28,8 @@
     'WeightedService',
 ]
 
+# Setting of a release; if true, requests must carry a customer's API key.
+AUTHENTICATION_SETTING = SettingName('callers.authenticate')
 DEFAULT_DEADLINE_MS = 2_000
 DEFAULT_MAX_ATTEMPTS = 3
 # Number of routes for which a process keeps statistics; several times the
@@ -128,6 +133,8 @@
     label : str
         Name given by the operator if several routes share that name, else
         empty.
+    public : bool
+        Whether requests need no API key in a release that asks for one.
     """
 
     name: RouteName
@@ -146,6 +153,7 @@
     priority: int = 0
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     label: str = ''
+    public: bool = False
 
     @property
     def services(self):
@@ -155,6 +163,38 @@
         return tuple(part.service for part in self.split)
 
 
+class Customer(
+    Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
+):
+    """Customer whose requests are authenticated by API keys.
+
+    Parameters
+    ----------
+    name : TenantName
+        Unique name.
+    api_keys : tuple of ApiKey
+        Keys of which each authenticates a request as the customer's.
+    priority : int or None
+        Priority of the customer's requests, which takes precedence over that
+        of their route; None for the priority of the route.
+    rate_per_s : float
+        Sustained rate limit over all nodes, in requests per second; 0 for no
+        limit.
+    burst : float
+        Requests beyond the sustained rate that are allowed at once.
+    """
+
+    name: TenantName
+    api_keys: tuple[ApiKey, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def __repr__(self):
+        # Keys must not appear in logs or error messages.
+        return f'Customer({self.name!r}, {len(self.api_keys)} keys)'
+
+
 class Setting(
     Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
 ):
@@ -194,19 +234,22 @@
     ----------
     number : ReleaseNumber
         Number assigned by the operator; increases with every release.
-    services, routes, settings : dict
-        Services, routes and settings by name.
+    services, routes, settings, customers : dict
+        Services, routes, settings and customers by name.
     """
 
     number: ReleaseNumber
     services: dict[ServiceName, Service] = {}
     routes: dict[RouteName, Route] = {}
     settings: dict[SettingName, Setting] = {}
+    customers: dict[TenantName, Customer] = {}
 
     @cached_property
     def digest(self):
         """Digest of the number and contents, independent of the dict order."""
-        tables = (self.services, self.routes, self.settings)
+        tables = [self.services, self.routes, self.settings]
+        if self.customers:
+            tables.append(self.customers)
         packed = msgspec.msgpack.encode(
             (self.number, [_sort_field_values(table) for table in tables])
         )
@@ -225,7 +268,16 @@
     and all of their fields are included, because msgspec decides by object
     identity whether to omit a field that equals its default.
     """
-    return [astuple(table[name]) for name in sorted(table)]
+    return [_get_field_values(table[name]) for name in sorted(table)]
+
+
+def _get_field_values(entry):
+    values = astuple(entry)
+    # Releases from before this field existed keep their digests, which nodes
+    # and controls of different versions compare.
+    if isinstance(entry, Route) and not entry.public:
+        return values[:-1]
+    return values
 
 
 EMPTY_RELEASE = Release(ReleaseNumber(0))
--- a/snipelead/releases/note.py
+++ b/snipelead/releases/note.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Struct
 
+from snipelead.releases.document import Customer
 from snipelead.releases.document import Route
 from snipelead.releases.document import Service
 from snipelead.releases.document import Setting
@@ -24,14 +25,14 @@
 class Change(
     Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True
 ):
-    """Action on exactly one service, route or setting.
+    """Action on exactly one service, route, setting or customer.
 
     Parameters
     ----------
     action : {'add', 'change', 'withdraw'}
         Action; ``change`` replaces an existing entry, ``withdraw`` removes
         it.
-    service, route, setting : Service, Route, Setting, str or None
+    service, route, setting, customer : Struct, str or None
         The complete new entry, or its name for ``withdraw``.
     """
 
@@ -39,6 +40,7 @@
     service: Service | str | None = None
     route: Route | str | None = None
     setting: Setting | str | None = None
+    customer: Customer | str | None = None
 
 
 class ReleaseNote(Struct, frozen=True, forbid_unknown_fields=True):
--- a/snipelead/releases/note_application.py
+++ b/snipelead/releases/note_application.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from snipelead.releases.checks import check_release
+from snipelead.releases.document import Customer
 from snipelead.releases.document import Release
 from snipelead.releases.document import Route
 from snipelead.releases.document import Service
@@ -13,17 +14,19 @@
 
 __all__ = ['apply_note', 'validate_note']
 
+_KINDS = ('service', 'route', 'setting', 'customer')
+
 
 def _get_entry(change):
     entries = [
         (kind, value)
-        for kind in ('service', 'route', 'setting')
+        for kind in _KINDS
         if (value := getattr(change, kind)) is not None
     ]
     if len(entries) != 1:
         raise InvalidNoteError(
-            'a change must contain exactly one service, route or setting,'
-            f' got {len(entries)}'
+            'a change must contain exactly one service, route, setting or'
+            f' customer, got {len(entries)}'
         )
     return entries[0]
 
@@ -35,7 +38,7 @@
         case 'withdraw', str() as name:
             if table.pop(name, None) is None:
                 raise InvalidNoteError(f'{kind} {name!r} does not exist')
-        case 'add' | 'change', Service() | Route() | Setting():
+        case 'add' | 'change', (Service() | Route() | Setting() | Customer()):
             if (change.action == 'add') == (value.name in table):
                 problem = (
                     'already exists'
@@ -87,12 +90,11 @@
         'service': dict(current.services),
         'route': dict(current.routes),
         'setting': dict(current.settings),
+        'customer': dict(current.customers),
     }
     for change in note.changes:
         _apply_change(tables, change)
-    release = Release(
-        note.release, tables['service'], tables['route'], tables['setting']
-    )
+    release = Release(note.release, *(tables[kind] for kind in _KINDS))
     check_release(release, current)
     return release
 
@@ -106,8 +108,8 @@
 
     The names of each kind are dictionary keys, which keeps their order.
     """
-    prerequisites = {'service': {}, 'route': {}, 'setting': {}}
-    added = {'service': set(), 'route': set(), 'setting': set()}
+    prerequisites = {kind: {} for kind in _KINDS}
+    added = {kind: set() for kind in _KINDS}
     for change in note.changes:
         kind, value = _get_entry(change)
         name = _get_name(value)
@@ -155,7 +157,8 @@
     if routes:
         services.setdefault(placeholder, Service(placeholder))
     settings = {name: Setting(name, True) for name in prerequisites['setting']}
-    apply_note(Release(0, services, routes, settings), note)
+    customers = {name: Customer(name) for name in prerequisites['customer']}
+    apply_note(Release(0, services, routes, settings, customers), note)
     return tuple(
         f'{kind} {name!r}'
         for kind, names in prerequisites.items()
--- a/snipelead/releases/tests/test_releases.py
+++ b/snipelead/releases/tests/test_releases.py
@@ -1,9 +1,11 @@
+from msgspec.structs import replace
 from testtools import ExpectedException
 from testtools import TestCase
 import zstandard
 
 from snipelead.releases.delta import apply_delta
 from snipelead.releases.delta import make_delta
+from snipelead.releases.document import Customer
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.releases.document import Release
 from snipelead.releases.document import Service
@@ -56,6 +58,49 @@
         self.assertEqual((), delta.routes)
         self.assertEqual(third.digest, apply_delta(self.second, delta).digest)
 
+    def test_release_without_customers_keeps_its_digest(self):
+        # Nodes and controls of different versions compare digests.
+        self.assertEqual(
+            'c309cdc8855a31bd8d7b6a283f14ce6f', self.second.digest
+        )
+
+    def test_customers_and_public_routes_change_the_digest(self):
+        base = self.second
+        route = replace(base.routes['levels'], public=True)
+        public = Release(
+            base.number, base.services, {'levels': route}, base.settings
+        )
+        self.assertNotEqual(base.digest, public.digest)
+        customers = {'balts': Customer('balts', ('k1',))}
+        with_customers = Release(
+            base.number,
+            base.services,
+            base.routes,
+            base.settings,
+            customers,
+        )
+        self.assertNotEqual(base.digest, with_customers.digest)
+
+    def test_notes_add_and_withdraw_customers(self):
+        note = load_note(
+            'release: 3\nnote: n3\nchanges:\n'
+            '  - {action: add, customer: {name: balts, api_keys: [k1, k2],'
+            ' rate_per_s: 5, burst: 10}}'
+        )
+        third = apply_note(self.second, note)
+        self.assertEqual(('k1', 'k2'), third.customers['balts'].api_keys)
+        note = load_note(
+            'release: 4\nnote: n4\nchanges:\n'
+            '  - {action: withdraw, customer: balts}'
+        )
+        self.assertEqual({}, apply_note(third, note).customers)
+
+    def test_keys_are_not_part_of_representations(self):
+        # Representations end up in log lines and error messages.
+        customer = Customer('balts', ('secret-key',))
+        release = Release(1, customers={'balts': customer})
+        self.assertNotIn('secret-key', repr((customer, release)))
+
     def test_delta_for_another_base_is_refused(self):
         delta = make_delta(self.first, self.second)
         with ExpectedException(DigestMismatchError):
--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -6,6 +6,7 @@
 from snipelead.exceptions import InvalidParameterError
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import Guarantees
 from snipelead.settings.schema import LogSettings
 from snipelead.settings.schema import NodeLimits
 from snipelead.settings.schema import NodeSettings
@@ -52,6 +53,15 @@
         'address': [is_address],
         'operator_address': [is_address, None],
     },
+    Guarantees: {
+        'revocation_ms': [_NON_NEGATIVE_TIME_MS],
+        'quota_window_ms': [_NON_NEGATIVE_TIME_MS],
+        'quota_overage': [Interval(float, 0, 1)],
+        'quota_extra': [Interval(float, 0, MAX_COUNT)],
+        'exposure_share': [Interval(float, 0, 1)],
+        'exposure_extra': [Interval(float, 0, MAX_COUNT)],
+        'rollback_ms': [_NON_NEGATIVE_TIME_MS],
+    },
     ControlTimings: {
         'heartbeat_ms': [_POSITIVE_TIME_MS],
         'election_min_ms': [_POSITIVE_TIME_MS],
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -20,6 +20,7 @@
 __all__ = [
     'ControlSettings',
     'ControlTimings',
+    'Guarantees',
     'HealthMode',
     'LogSettings',
     'NodeLimits',
@@ -77,6 +78,44 @@
     role: ControlRole = ControlRole.VOTER
 
 
+class Guarantees(_StrictStruct):
+    """Bounds on authentication, rate limits and rollouts of the whole fleet.
+
+    A feature whose bound is 0 is off.
+
+    Parameters
+    ----------
+    revocation_ms : int
+        Maximum time from the acknowledgement of a release that removes an
+        API key until no node accepts the key, including nodes that are cut
+        off from the controls.
+    quota_window_ms : int
+        Length of the sliding window in which the rate limits of customers
+        hold over all nodes.
+    quota_overage : float
+        Share by which the requests of a customer may exceed the limit in a
+        window.
+    quota_extra : float
+        Number of requests by which they may exceed it besides.
+    exposure_share : float
+        Maximum share of the requests of a service that a rollout may send to
+        a version before it is approved.
+    exposure_extra : float
+        Number of requests that it may send besides.
+    rollback_ms : int
+        Maximum time from the evidence against a version until it receives no
+        more requests.
+    """
+
+    revocation_ms: int = 0
+    quota_window_ms: int = 0
+    quota_overage: float = 0.0
+    quota_extra: float = 0.0
+    exposure_share: float = 0.0
+    exposure_extra: float = 0.0
+    rollback_ms: int = 0
+
+
 class ControlTimings(_StrictStruct):
     """Timings of a control, in milliseconds.
 
@@ -158,6 +197,8 @@
         Timings.
     log : LogSettings
         Log settings.
+    guarantees : Guarantees
+        Bounds that hold over the whole fleet.
     """
 
     control_id: ControlId
@@ -176,6 +217,7 @@
     snapshot_entries: int = 1_000
     timings: ControlTimings = field(default_factory=ControlTimings)
     log: LogSettings = field(default_factory=LogSettings)
+    guarantees: Guarantees = field(default_factory=Guarantees)
 
 
 class NodeTimings(_StrictStruct):
@@ -287,6 +329,8 @@
         Resource limits and load balancing parameters.
     log : LogSettings
         Log settings.
+    guarantees : Guarantees
+        Bounds that hold over the whole fleet.
     """
 
     node_id: NodeId
@@ -301,6 +345,7 @@
     timings: NodeTimings = field(default_factory=NodeTimings)
     limits: NodeLimits = field(default_factory=NodeLimits)
     log: LogSettings = field(default_factory=LogSettings)
+    guarantees: Guarantees = field(default_factory=Guarantees)
 
 
 class HealthMode(Enum):
--- a/snipelead/voters/history.py
+++ b/snipelead/voters/history.py
@@ -92,6 +92,7 @@
         services = dict(self.current.services)
         routes = dict(self.current.routes)
         settings = dict(self.current.settings)
+        customers = dict(self.current.customers)
         for reverse_delta in reversed(
             reverse_deltas[past_digests.index(digest) :]
         ):
@@ -108,8 +109,13 @@
                 reverse_delta.settings,
                 reverse_delta.removed_settings,
             )
+            _apply_changes(
+                customers,
+                reverse_delta.customers,
+                reverse_delta.removed_customers,
+            )
         number = ReleaseNumber(reverse_delta.result.number)
-        return Release(number, services, routes, settings)
+        return Release(number, services, routes, settings, customers)
 
 
 def _apply_changes(table, changed, removed):
