Authenticate callers by API key where requests enter

Releases have customers and public routes, and nothing enforced them.

The dispatcher asks an Authenticator for the customer of a request: 401 with SL3030 or SL3031, the customer's name as the call's tenant and its priority before that of the route. Key and name of the caller are removed from requests of such a release, also on public routes. The node beside the target sets the customer's name from the call metadata, whose type with the release of the authentication is used only for customers, so that the metadata of other requests keeps its bytes.

The tests of callers, nodes, targets and the platform's protocols pass; a test greps what two nodes send, log and expose for the key.

--- /dev/null
+++ b/snipelead/authentication/__init__.py
@@ -0,0 +1,1 @@
+"""API keys of customers, and the bound on their revocation."""
--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -127,6 +127,7 @@
         while True:
             request.rewind()
             check_quarantine(self.ledger, call, request)
+            call.check_authorization()
             observation = self._choose_target(call, service, tried, failure)
             tried.add(observation.entry.target_id)
             try:
--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -8,12 +8,13 @@
 from snipelead.types import AttemptId
 from snipelead.types import Incarnation
 from snipelead.types import Ran
+from snipelead.types import ReleaseNumber
 from snipelead.types import RequestClass
 from snipelead.types import RouteName
 from snipelead.types import TargetId
 from snipelead.types import TenantName
 
-__all__ = ['Call', 'CallMetadata']
+__all__ = ['AuthenticatedCallMetadata', 'Call', 'CallMetadata']
 
 # Deadlines up to this long are set on the cancel scope at once. It is twice
 # the interval at which the watcher sets longer ones.
@@ -64,6 +65,21 @@
     latency_remaining_ms: int | None = None
 
 
+class AuthenticatedCallMetadata(CallMetadata, frozen=True, array_like=True):
+    """Metadata of a request that a customer may have authenticated.
+
+    A type of its own, since the metadata of other requests must not grow.
+
+    Parameters
+    ----------
+    authenticated_in : ReleaseNumber or None
+        Release in which the request's API key belongs to the customer that
+        ``tenant`` names; None if no customer was identified.
+    """
+
+    authenticated_in: ReleaseNumber | None = None
+
+
 class Call:
     """State of one call.
 
@@ -123,11 +139,15 @@
         Time spent in the target's queue, in seconds.
     target_time_s : float
         Time until the target began to respond, in seconds.
+    authorization : Authorization or None
+        Permission to run the request for a customer; None if no customer was
+        identified.
     """
 
     __slots__ = (
         'at_most_once',
         'attempts',
+        'authorization',
         'caller_disconnected',
         'deadline',
         'earlier_ran',
@@ -175,6 +195,7 @@
         self.target_time_s = 0.0
         self.slot_acquired_at = 0.0
         self.status = 0
+        self.authorization = None
 
     @property
     def outcome(self):
@@ -218,6 +239,29 @@
                 'the deadline of the request has passed'
             )
 
+    def check_sendable(self):
+        """Check deadline and authorization right before a request is sent.
+
+        Raises
+        ------
+        CallError
+            If the deadline has passed, or the customer's API key may have
+            been revoked.
+        """
+        self.check_deadline()
+        self.check_authorization()
+
+    def check_authorization(self):
+        """Check that the customer's API key is still valid; after each wait.
+
+        Raises
+        ------
+        CallError
+            If the key may have been revoked.
+        """
+        if self.authorization is not None:
+            self.authorization.check()
+
     def remaining_ms(self):
         """Return the time until the deadline in milliseconds, at least 0."""
         return max(0, int((self.deadline - trio.current_time()) * 1_000))
@@ -247,7 +291,7 @@
         -------
         CallMetadata
         """
-        return CallMetadata(
+        values = (
             entry.target_id,
             entry.incarnation,
             attempt_id,
@@ -260,6 +304,9 @@
             self.priority,
             self._latency_remaining_ms(),
         )
+        if self.authorization is None:
+            return CallMetadata(*values)
+        return AuthenticatedCallMetadata(*values, self.authorization.release)
 
     def set_latency_deadline(self, remaining_ms):
         """Set the time left to meet the latency objective.
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.authentication.authenticator import Authenticator
 from snipelead.callers.attempts import AttemptRunner
 from snipelead.callers.claims import ClaimManager
 from snipelead.callers.connections import ConnectionServer
@@ -90,6 +91,8 @@
         Statuses that targets have stated.
     ledger : CrashLedger or None
         Evidence on requests that crash targets.
+    authenticator : Authenticator or None
+        Identifies customers; None creates one without leases.
 
     Attributes
     ----------
@@ -119,8 +122,10 @@
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
         ledger=None,
+        authenticator=None,
     ):
         self.ledger = CrashLedger() if ledger is None else ledger
+        self.authenticator = authenticator or Authenticator(holder)
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -212,6 +217,7 @@
             self.claim_manager,
             self.metrics,
             self.protocols.caller,
+            self.authenticator,
         )
         self.servers = self._make_servers(limits)
         self.watcher = CallWatcher(
@@ -229,7 +235,7 @@
         return f'c-{self.attempts.make_attempt_id()}'
 
     def _make_servers(self, limits):
-        peer_service = PeerService(self.limiters)
+        peer_service = PeerService(self.limiters, self.authenticator)
         caller_listener = listen(self.settings.caller_address)
         peer_listener = listen(self.settings.address)
         self.caller_address = _bound_address(caller_listener)
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.authentication.authenticator import Authenticator
 from snipelead.callers.call import Call
 from snipelead.callers.claims import MAX_KEY_CHARS
 from snipelead.callers.elapsed_time import ElapsedTimeEstimator
@@ -51,6 +52,8 @@
         Metrics of calls.
     protocol : CallerProtocol
         Interprets the header fields of requests.
+    authenticator : Authenticator or None
+        Identifies customers; None creates one.
 
     Attributes
     ----------
@@ -72,7 +75,9 @@
         claim_manager,
         metrics,
         protocol=DEFAULT_CALLER_PROTOCOL,
+        authenticator=None,
     ):
+        self.authenticator = authenticator or Authenticator(holder)
         self.protocol = protocol
         self.holder = holder
         self.attempts = attempts
@@ -89,7 +94,10 @@
         try:
             route = self.match_route(request)
             options = self.protocol.read_options(request)
-            call = self.make_call(route, options)
+            customer = self.authenticator.authenticate(
+                request, route, options, self.protocol
+            )
+            call = self.make_call(route, options, customer)
             self._check_stop(call)
             request.check_body_size()
         except CallError as error:
@@ -146,7 +154,7 @@
             raise NoRouteError(f'no route matches path {path}')
         return route
 
-    def make_call(self, route, options):
+    def make_call(self, route, options, customer=None):
         """Return the call for a request.
 
         Parameters
@@ -155,6 +163,8 @@
             Route of the request.
         options : CallerOptions
             Options from the header fields of the request.
+        customer : Customer or None
+            Customer of the request; None if none was identified.
 
         Returns
         -------
@@ -165,7 +175,7 @@
             deadline_ms = min(deadline_ms, route.timeout_ms)
         call = Call(
             route.request_class,
-            options.tenant or route.tenant or DEFAULT_TENANT,
+            self._choose_tenant(route, options, customer),
             not route.repeatable,
             min(deadline_ms, MAX_DEADLINE_MS),
         )
@@ -173,6 +183,9 @@
         call.request_id = options.request_id
         call.is_sampled = is_sampled(options.request_id)
         call.priority = route.priority
+        call.authorization = self.authenticator.authorize(customer)
+        if customer is not None and customer.priority is not None:
+            call.priority = customer.priority
         call.max_attempts = route.max_attempts
         if route.target_latency_ms is not None:
             call.set_latency_deadline(
@@ -181,6 +194,12 @@
             )
         return call
 
+    def _choose_tenant(self, route, options, customer):
+        if customer is not None:
+            return customer.name
+        named = None if self.authenticator.is_required else options.tenant
+        return named or route.tenant or DEFAULT_TENANT
+
     def _check_stop(self, call):
         if self.stop_deadline is not None and (
             call.deadline > self.stop_deadline
--- a/snipelead/callers/error_responses.py
+++ b/snipelead/callers/error_responses.py
@@ -1,5 +1,6 @@
 """Error responses that a node generates itself."""
 
+from http import HTTPStatus
 import math
 
 import msgspec
@@ -59,6 +60,9 @@
         b'X-Snipelead-Ran: ' + ran.value.encode(),
         *_retry_after_lines(error),
     ]
+    if error.status == HTTPStatus.UNAUTHORIZED:
+        # RFC 9110, section 15.5.2, requires a challenge.
+        field_lines.append(b'WWW-Authenticate: ApiKey')
     if not keep_alive:
         field_lines.append(b'Connection: close')
     head = encode_head(status_line(error.status), field_lines)
--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -91,6 +91,8 @@
                 b'deadline-ms',
                 b'expect-instance',
                 b'caller-service',
+                b'credential',
+                b'tenant',
             )
         )
     )
--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -7,7 +7,6 @@
 import trio
 
 from snipelead.callers.exceptions import CallError
-from snipelead.callers.exceptions import DeadlineExceededError
 from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import ResponseLostError
 from snipelead.callers.exceptions import TargetUnreachableError
@@ -121,8 +120,8 @@
         if reader is None:
             reader = await self._connect(entry)
         try:
-            call.check_deadline()
-        except DeadlineExceededError:
+            call.check_sendable()
+        except CallError:
             self.pool.release(entry.address, reader)
             raise
         call.ran = Ran.UNKNOWN
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from snipelead.callers.call import AuthenticatedCallMetadata
 from snipelead.callers.call import Call
-from snipelead.callers.call import CallMetadata
 from snipelead.callers.exceptions import BadRequestError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.execution import run_call
@@ -35,10 +35,13 @@
     ----------
     limiters : TargetLimiters
         Concurrency limiters of the local targets.
+    authenticator : Authenticator
+        Checks that requests of customers may still be run.
     """
 
-    def __init__(self, limiters):
+    def __init__(self, limiters, authenticator):
         self.limiters = limiters
+        self.authenticator = authenticator
 
     async def handle(self, connection, request):
         """Handle one request on a connection."""
@@ -47,7 +50,8 @@
             return
         try:
             call_info = msgspec.json.decode(
-                request.fields.get(CALL_FIELD, b''), type=CallMetadata
+                request.fields.get(CALL_FIELD, b''),
+                type=AuthenticatedCallMetadata,
             )
         except msgspec.DecodeError as error:
             raise BadRequestError(
@@ -64,11 +68,15 @@
         call.is_sampled = is_sampled(call_info.request_id)
         call.priority = call_info.priority
         call.set_latency_deadline(call_info.latency_remaining_ms)
+        call.authorization = self.authenticator.adopt(
+            call_info.tenant, call_info.authenticated_in
+        )
         await run_call(connection, request, call, self._send, call_info)
 
     async def _send(self, connection, request, call, call_info):
         if self.limiters.stopping:
             raise NodeStoppingError('the node is stopping')
+        call.check_authorization()
         limiter = self.limiters.find(call_info.target_id)
         status = decode_status(request)
         if status is not None:
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -199,7 +199,7 @@
         try:
             # It may also have left while the connection was being opened.
             target = self.get_accepting_target(incarnation)
-            call.check_deadline()
+            call.check_sendable()
             self._check_quarantine(call, request)
         except BaseException:
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
--- a/snipelead/platform/protocols.py
+++ b/snipelead/platform/protocols.py
@@ -1,5 +1,6 @@
 """HTTP header fields that the platform's clients and targets use."""
 
+from http import HTTPStatus
 import json
 import re
 
@@ -25,6 +26,10 @@
 
 _CALLER_SERVICE = b'caller-service'
 _DEADLINE_MS = b'deadline-ms'
+# API key of the caller's customer.
+_CREDENTIAL = b'credential'
+# Name of the customer, which the target gets.
+_TENANT = b'tenant'
 # Id of one attempt of a client; each retry has a new one.
 _ATTEMPT_ID = b'attempt-id'
 # Id of the target that the request is intended for.
@@ -63,10 +68,13 @@
     """
 
     rules = FieldRules(
-        inspected=frozenset((b'host', _ATTEMPT_ID)),
+        inspected=frozenset((b'host', _ATTEMPT_ID, _CREDENTIAL)),
         removed=frozenset((_CALLER_SERVICE, _DEADLINE_MS, _EXPECT_INSTANCE)),
     )
 
+    api_key_field = _CREDENTIAL
+    tenant_field = _TENANT
+
     def __init__(self, get_local_service):
         self.get_local_service = get_local_service
 
@@ -93,6 +101,7 @@
         return CallerOptions(
             _read_deadline_ms(fields.get(_DEADLINE_MS)),
             request_id=fields.get(_ATTEMPT_ID, b'').decode('latin-1'),
+            api_key=fields.get(_CREDENTIAL),
         )
 
     def encode_error_response(self, error, ran, keep_alive, head_only=False):
@@ -130,6 +139,9 @@
         ):
             seconds = error.retry_after_ms / 1_000
             field_lines.append(b'Retry-After: %.3f' % seconds)
+        if status == HTTPStatus.UNAUTHORIZED:
+            # RFC 9110, section 15.5.2, requires a challenge.
+            field_lines.append(b'WWW-Authenticate: Credential')
         if not keep_alive:
             field_lines.append(b'Connection: close')
         head = encode_head(status_line(status), field_lines)
@@ -196,6 +208,7 @@
         removed=frozenset((_NOT_EXECUTED,)),
     )
     max_buffered_bytes = 1024 * 1024
+    tenant_field = b'Tenant'
 
     def request_field_lines(self, request, call, target_id):
         """Return the field lines of a request to a target."""
@@ -203,6 +216,7 @@
             *request.field_lines,
             b'Deadline-Ms: %d' % max(1, call.remaining_ms()),
             b'Expect-Instance: ' + target_id.encode(),
+            *self.customer_field_lines(call),
         ]
 
     def classify_response(self, response, call):
--- /dev/null
+++ b/snipelead/platform/tests/test_authentication.py
@@ -0,0 +1,159 @@
+from msgspec.structs import replace
+from structlog.testing import capture_logs
+
+from snipelead.callers.tests.fakes import RELEASE
+from snipelead.http.connection import Connection
+from snipelead.platform.tests.test_protocols import PlatformTestCase
+from snipelead.releases.document import AUTHENTICATION_SETTING
+from snipelead.releases.document import Customer
+from snipelead.releases.document import Setting
+
+KEY = 'k-9f31c7'
+CUSTOMER = Customer('spectacle', (KEY, 'k-second'), priority=3)
+AUTHENTICATED = replace(
+    RELEASE,
+    number=2,
+    routes=RELEASE.routes
+    | {'reports': replace(RELEASE.routes['reports'], public=True)},
+    settings={
+        AUTHENTICATION_SETTING: Setting(AUTHENTICATION_SETTING, True),
+    },
+    customers={CUSTOMER.name: CUSTOMER},
+)
+
+
+class AuthenticationTest(PlatformTestCase):
+    def make_nodes(self):
+        super().make_nodes()
+        for node in (self.near, self.far):
+            node.holder.replace(AUTHENTICATED)
+
+    def test_target_gets_the_name_and_not_the_key(self):
+        """Guards against a forged name, and a key that is passed on."""
+
+        async def test(target):
+            response, _ = await self.call(Credential=KEY, Tenant='forged')
+            self.assertEqual(200, response.status)
+            head = target.request_headers[-1]
+            self.assertEqual(b'spectacle', head[b'tenant'])
+            self.assertNotIn(b'credential', head)
+
+        self.run_with_both_paths(test)
+
+    def test_public_route_needs_no_key_and_drops_both_fields(self):
+        async def test(target):
+            for fields in ({}, {'Credential': KEY, 'Tenant': 'forged'}):
+                response, _ = await self.call('/reports/1', **fields)
+                self.assertEqual(200, response.status)
+                head = target.request_headers[-1]
+                self.assertNotIn(b'tenant', head)
+                self.assertNotIn(b'credential', head)
+
+        self.run_with_both_paths(test)
+
+    def test_request_without_a_valid_key_gets_401(self):
+        async def test(target):
+            for fields, code in (
+                ({}, b'SL3030'),
+                ({'Credential': KEY + '\r\nCredential: ' + KEY}, b'SL3030'),
+                ({'Credential': KEY, 'Connection': 'credential'}, b'SL3030'),
+                ({'Credential': 'unknown'}, b'SL3031'),
+                ({'Credential': KEY[:-1]}, b'SL3031'),
+                ({'Credential': ''}, b'SL3031'),
+            ):
+                response, body = await self.call(**fields)
+                self.assertEqual(401, response.status)
+                self.assertIn(code, body)
+            self.assertEqual([], target.runs)
+
+        self.run_with_both_paths(test)
+
+    def test_node_without_a_release_answers_503(self):
+        """Guards against 401 because a node does not know the keys yet."""
+
+        async def test(target):
+            self.near.holder.ready = False
+            response, _ = await self.call(Credential=KEY)
+            self.assertEqual(503, response.status)
+
+        self.run_with_both_paths(test)
+
+    def test_priority_of_the_customer_comes_first(self):
+        priorities = []
+
+        async def test(target):
+            send = self.near.path.attempts._send
+
+            async def record_priority(entry, call, *args):
+                priorities.append((call.priority, call.tenant))
+                return await send(entry, call, *args)
+
+            self.near.path.attempts._send = record_priority
+            await self.call(Credential=KEY)
+            await self.call('/reports/1', Credential=KEY)
+
+        self.run_with_both_paths(test)
+        self.assertEqual([(3, 'spectacle'), (0, 'default')] * 2, priorities)
+
+    def test_key_appears_nowhere(self):
+        """Greps all that the nodes send, log and expose."""
+        sent = []
+        send_nowait = Connection.send_nowait
+
+        def record_sent(connection, data):
+            sent.append((connection, bytes(data)))
+            return send_nowait(connection, data)
+
+        self.patch(Connection, 'send_nowait', record_sent)
+        callers = []
+
+        async def test(target):
+            for path in ('/reads/1', '/reports/1', '/nothing'):
+                for key in (KEY, KEY + 'x', KEY + '\r\nCredential: ' + KEY):
+                    caller = await self.open()
+                    callers.append(caller.connection)
+                    await caller.call(path, Credential=key, Attempt_Id='a')
+            await caller.call('/reads/1', Credential=KEY, Deadline_Ms='x')
+            for node in (self.near, self.far):
+                text, _ = node.metrics.render()
+                self.assertNotIn(KEY.encode(), text)
+
+        with capture_logs() as lines:
+            self.run_with_both_paths(test)
+        by_nodes = b''.join(d for c, d in sent if c not in callers)
+        self.assertIn(b'spectacle', by_nodes)
+        self.assertNotIn(KEY.encode(), by_nodes)
+        self.assertNotEqual([], lines)
+        self.assertNotIn(KEY, repr(lines))
+        self.assertNotIn(KEY, repr(AUTHENTICATED))
+
+
+class NoAuthenticationTest(PlatformTestCase):
+    def test_both_fields_pass_unchanged(self):
+        """Guards against changes for releases without authentication."""
+
+        async def test(target):
+            response, _ = await self.call(Credential='any', Tenant='named')
+            self.assertEqual(200, response.status)
+            head = target.request_headers[-1]
+            self.assertEqual(b'any', head[b'credential'])
+            self.assertEqual(b'named', head[b'tenant'])
+
+        self.run_with_both_paths(test)
+
+    def test_metadata_between_nodes_is_unchanged(self):
+        heads = []
+        send_nowait = Connection.send_nowait
+
+        def record_sent(connection, data):
+            heads.append(bytes(data))
+            return send_nowait(connection, data)
+
+        async def test(nursery):
+            self.patch(Connection, 'send_nowait', record_sent)
+            await self.call()
+
+        self.run_forwarded(test)
+        (head,) = (head for head in heads if b'x-snipelead-call' in head)
+        call = head.partition(b'x-snipelead-call: ')[2].partition(b'\r')[0]
+        self.assertTrue(call.endswith(b'"reads","attempt-1",0,null]'), call)
--- a/snipelead/targets/protocol.py
+++ b/snipelead/targets/protocol.py
@@ -37,10 +37,13 @@
     max_buffered_bytes : int
         Response bodies up to this size are received completely before they
         are forwarded; 0 streams all bodies.
+    tenant_field : bytes
+        Name of the field that tells a target the name of the customer.
     """
 
     rules = FieldRules()
     max_buffered_bytes = 0
+    tenant_field = b'X-Tenant'
 
     def request_field_lines(self, request, call, target_id):
         """Return the field lines of a request to a target.
@@ -62,8 +65,16 @@
         return [
             *request.field_lines,
             b'X-Deadline-Ms: %d' % call.remaining_ms(),
+            *self.customer_field_lines(call),
         ]
 
+    def customer_field_lines(self, call):
+        """Return the field line that names the customer of a call, if any."""
+        if call.authorization is None:
+            return ()
+        name = call.authorization.customer
+        return (b'%b: %b' % (self.tenant_field, name.encode()),)
+
     def classify_response(self, response, call):
         """Classify a response received for a call.
 
