Treat responses with statuses outside 100 to 599 as malformed

Cause: ResponseReader accepted any status of three digits, and the caller got 000, 099, 600 or 999 as a response.

Change: the reader raises MalformedMessageError for them when the head is complete. The connection is closed; the request ends with 502, or goes to another target if it may be repeated. This also applies to health checks and to responses of other nodes.

--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -69,6 +69,7 @@
 
 
 DEFAULT_FIELD_RULES = FieldRules()
+_VALID_STATUSES = range(100, 600)
 _INTERIM_STATUSES = range(100, 200)
 _MIN_SERVER_ERROR_STATUS = 500
 
@@ -455,6 +456,10 @@
         """Complete the head of the current response."""
         message = self.current_message
         message.status = self.parser.get_status_code()
+        if message.status not in _VALID_STATUSES:
+            raise MalformedMessageError(
+                f'the status {message.status:03} is not valid'
+            )
         self.complete_head()
         if self.is_head_request:
             # The parser does not know the method of the request and would
