Keep the version of a target in its directory entry

Cause: heartbeats state the version of the target's software, which was decoded and dropped, so that nodes cannot tell versions apart. Change: TargetHeartbeat.version and TargetEntry.version (last field, default ''); a changed version announces the entry again. Result: tests of the heartbeats and targets pass.

--- a/snipelead/messages/targets.py
+++ b/snipelead/messages/targets.py
@@ -54,6 +54,8 @@
     target_incarnation : Incarnation
         Start time of the target itself in milliseconds since the Unix epoch;
         0 if not known. A target may start again under the same id.
+    version : str
+        Version of the target's software; '' if not known.
     """
 
     target_id: TargetId
@@ -68,6 +70,7 @@
     connections: int = 130
     relative_service_time: float = 0.0
     target_incarnation: Incarnation = UNKNOWN_INCARNATION
+    version: str = ''
 
 
 class DirectoryUpdate(
--- a/snipelead/platform/heartbeats.py
+++ b/snipelead/platform/heartbeats.py
@@ -97,4 +97,5 @@
         heartbeat.born,
         status.seq,
         cold_remaining_ms,
+        info.version,
     )
--- a/snipelead/platform/tests/test_heartbeats.py
+++ b/snipelead/platform/tests/test_heartbeats.py
@@ -38,6 +38,7 @@
         self.assertEqual(4, heartbeat.sequence)
         self.assertEqual(1769505055000, heartbeat.started_ms)
         self.assertEqual(1_500, heartbeat.cold_remaining_ms)
+        self.assertEqual('v1', heartbeat.version)
         self.assertIs(TargetState.SERVING, heartbeat.state)
 
     def test_draining_target_is_leaving(self):
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -54,6 +54,8 @@
     cold_remaining_ms : int
         Remaining warm-up time, in which the target responds slowly, in
         milliseconds.
+    version : str
+        Version of the target's software; '' if not known.
     """
 
     target_id: TargetId
@@ -64,6 +66,7 @@
     started_ms: int
     sequence: int
     cold_remaining_ms: int = 0
+    version: str = ''
 
 
 class HeartbeatOutcome(Enum):
@@ -262,6 +265,7 @@
             DEFAULT_CONNECTIONS,
             state,
             Incarnation(heartbeat.started_ms),
+            heartbeat.version,
         )
         log_event(
             TARGET_ANNOUNCED,
@@ -280,4 +284,5 @@
             and announced.entry.slots == heartbeat.slots
             and announced.entry.target_incarnation == heartbeat.started_ms
             and announced.entry.state is state
+            and announced.entry.version == heartbeat.version
         )
--- a/snipelead/targets/local.py
+++ b/snipelead/targets/local.py
@@ -89,6 +89,7 @@
         connections,
         state,
         target_incarnation=UNKNOWN_INCARNATION,
+        version='',
     ):
         """Register a target or replace its entry.
 
@@ -107,6 +108,8 @@
         target_incarnation : Incarnation
             Start time of the target, see
             :class:`~snipelead.messages.TargetEntry`.
+        version : str
+            Version of the target's software; '' if not known.
         """
         self.sequence += 1
         known = self.targets.get(target_id)
@@ -123,6 +126,7 @@
             connections,
             known.entry.relative_service_time if known else 0.0,
             target_incarnation,
+            version,
         )
         incarnation = target_incarnation or (
             known.incarnation
