--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -29,6 +29,15 @@
 from snipelead.messages.quarantine import WatchedRequest
 from snipelead.messages.registry import register_reply
 from snipelead.messages.registry import REPLY_TYPES
+from snipelead.messages.rollouts import Grant
+from snipelead.messages.rollouts import OrderReply
+from snipelead.messages.rollouts import Rollout
+from snipelead.messages.rollouts import RolloutPhase
+from snipelead.messages.rollouts import RolloutReply
+from snipelead.messages.rollouts import RolloutReport
+from snipelead.messages.rollouts import RolloutUpdate
+from snipelead.messages.rollouts import RouteCounts
+from snipelead.messages.rollouts import ServiceReport
 from snipelead.messages.sync import ControlEndpoint
 from snipelead.messages.sync import digest_controls
 from snipelead.messages.sync import FreshnessReply
@@ -57,14 +66,23 @@
     'FleetRequest',
     'FreshnessReply',
     'FreshnessRequest',
+    'Grant',
     'LiftReply',
     'LiftRequest',
     'NodeStatus',
+    'OrderReply',
     'OutcomesReply',
     'OutcomesRequest',
     'REPLY_TYPES',
     'Registration',
     'ReplaceRequest',
+    'Rollout',
+    'RolloutPhase',
+    'RolloutReply',
+    'RolloutReport',
+    'RolloutUpdate',
+    'RouteCounts',
+    'ServiceReport',
     'SettleReply',
     'SettleRequest',
     'Snapshot',
--- /dev/null
+++ b/snipelead/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: moving the traffic of a service to another target version."""
--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -6,6 +6,8 @@
 from snipelead.exceptions import ErrorInfo
 from snipelead.messages import ClaimRequest
 from snipelead.messages import register_reply
+from snipelead.messages import RolloutPhase
+from snipelead.messages import RouteCounts
 from snipelead.messages import SettleRequest
 from snipelead.releases.delta import Delta
 from snipelead.releases.document import ReleaseId
@@ -14,10 +16,12 @@
 from snipelead.types import ControlId
 from snipelead.types import LogIndex
 from snipelead.types import ReleaseNumber
+from snipelead.types import ServiceName
 from snipelead.types import Term
 from snipelead.types import ZoneName
 
 __all__ = [
+    'AdvanceRollout',
     'AppendReply',
     'AppendRequest',
     'BarrierReply',
@@ -40,6 +44,7 @@
     'ProposeResult',
     'Replace',
     'Settle',
+    'StartRollout',
     'Submit',
     'VoteReply',
     'VoteRequest',
@@ -148,7 +153,55 @@
     delta: Delta | None = None
 
 
-Command = Submit | Claim | Settle | Replace
+class StartRollout(Struct, frozen=True, tag=5, array_like=True):
+    """Command that starts a rollout.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service whose traffic moves.
+    version : str
+        Version that the traffic moves to.
+    duration_ms : int
+        Time in which the rollout has to end, in ms.
+    approved : tuple of str
+        Other versions in service; used by the first order of a service.
+    """
+
+    service: ServiceName
+    version: str
+    duration_ms: int
+    approved: tuple[str, ...] = ()
+
+
+class AdvanceRollout(Struct, frozen=True, tag=6, array_like=True):
+    """Command that records exposure, evidence and phase of a rollout.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service of the rollout.
+    order : LogIndex
+        Order that the decision is about.
+    phase : RolloutPhase
+        Phase from now on.
+    reserved : int
+        Requests to the new version that may be granted in total.
+    total : int
+        Requests to the service as far as reported.
+    counts : tuple of RouteCounts
+        Responses as far as reported; empty leaves them unchanged.
+    """
+
+    service: ServiceName
+    order: LogIndex
+    phase: RolloutPhase
+    reserved: int
+    total: int
+    counts: tuple[RouteCounts, ...] = ()
+
+
+Command = Submit | Claim | Settle | Replace | StartRollout | AdvanceRollout
 
 encode_command = msgspec.msgpack.Encoder().encode
 decode_command = msgspec.msgpack.Decoder(Command).decode
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -8,6 +8,7 @@
 from snipelead.controls.exceptions import OutcomeUnknownError
 from snipelead.exceptions import SnipeleadError
 from snipelead.messages import ClaimReply
+from snipelead.messages import OrderReply
 from snipelead.messages import SettleReply
 from snipelead.messages import SubmitReply
 from snipelead.rpc.exceptions import RpcNotSentError
@@ -21,12 +22,14 @@
 from snipelead.voters.forwarding import BUSY_RETRY_AFTER_MS
 from snipelead.voters.forwarding import MAX_WAITING_COMMANDS
 from snipelead.voters.forwarding import PendingCommand
+from snipelead.voters.messages import AdvanceRollout
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import encode_command
 from snipelead.voters.messages import ProposeReply
 from snipelead.voters.messages import ProposeResult
 from snipelead.voters.messages import Replace
 from snipelead.voters.messages import Settle
+from snipelead.voters.messages import StartRollout
 from snipelead.voters.messages import Submit
 from snipelead.voters.notifier import Notifier
 
@@ -60,6 +63,8 @@
             return ClaimReply
         case Settle():
             return SettleReply
+        case StartRollout() | AdvanceRollout():
+            return OrderReply
 
 
 class Proposals:
--- a/snipelead/voters/state.py
+++ b/snipelead/voters/state.py
@@ -11,6 +11,7 @@
 from snipelead.controls.exceptions import OutcomeForgottenError
 from snipelead.exceptions import InvariantError
 from snipelead.exceptions import SnipeleadError
+from snipelead.messages import Rollout
 from snipelead.messages import SubmitReply
 from snipelead.releases.delta import apply_delta
 from snipelead.releases.document import EMPTY_RELEASE
@@ -20,6 +21,8 @@
 from snipelead.releases.exceptions import ReleaseNumberInUseError
 from snipelead.releases.exceptions import ReleaseNumberTooLowError
 from snipelead.releases.note_application import apply_note
+from snipelead.rollouts.state import Rollouts
+from snipelead.types import LogIndex
 from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
 from snipelead.types import ReleaseNumber
@@ -28,11 +31,13 @@
 from snipelead.voters.exceptions import NoteReusedError
 from snipelead.voters.history import History
 from snipelead.voters.history import PastRelease
+from snipelead.voters.messages import AdvanceRollout
 from snipelead.voters.messages import Claim
 from snipelead.voters.messages import Configuration
 from snipelead.voters.messages import decode_command
 from snipelead.voters.messages import Replace
 from snipelead.voters.messages import Settle
+from snipelead.voters.messages import StartRollout
 from snipelead.voters.messages import Submit
 
 __all__ = ['NoteOutcome', 'State']
@@ -92,6 +97,8 @@
     forgotten_note_release: ReleaseNumber = ReleaseNumber(0)
     replacements: list[AcceptedReplacement] = []
     forgotten_replacement_release: ReleaseNumber = ReleaseNumber(0)
+    rollouts: list[Rollout] = []
+    rollouts_version: LogIndex = LogIndex(0)
 
 
 class State:
@@ -116,6 +123,8 @@
         ``MAX_REPLACEMENTS``.
     forgotten_replacement_release : ReleaseNumber
         Newest release that was dropped from ``replacements``.
+    rollouts : Rollouts
+        Newest rollout of each service.
     """
 
     def __init__(self, configuration=None):
@@ -127,6 +136,7 @@
         self.claims = Claims()
         self.replacements = OrderedDict()
         self.forgotten_replacement_release = ReleaseNumber(0)
+        self.rollouts = Rollouts()
 
     @property
     def current(self):
@@ -161,6 +171,12 @@
                 return self.claims.settle(request, self.log_time_ms)
             case Replace():
                 return self._replace(decode_command(entry.command))
+            case StartRollout() as command:
+                return self.rollouts.start(
+                    command, entry.index, self.log_time_ms
+                )
+            case AdvanceRollout() as command:
+                return self.rollouts.advance(command, entry.index)
 
     def _claim(self, request):
         try:
@@ -284,6 +300,8 @@
             self.forgotten_note_release,
             list(self.replacements.values()),
             self.forgotten_replacement_release,
+            list(self.rollouts.by_service.values()),
+            self.rollouts.version,
         )
         compressor = zstandard.ZstdCompressor(COMPRESSION_LEVEL)
         return compressor.compress(_encode(record))
@@ -307,6 +325,7 @@
         state.forgotten_replacement_release = (
             record.forgotten_replacement_release
         )
+        state.rollouts = Rollouts(record.rollouts, record.rollouts_version)
         return state
 
 
