--- a/snipelead/messages/rollouts.py
+++ b/snipelead/messages/rollouts.py
@@ -196,6 +196,9 @@
     share : float
         Share of the service's targets of the new version to use, and of the
         requests to send to them.
+    round : int
+        Which of the targets of the new version to use; increases with time,
+        so that each of them gets its turn.
     """
 
     order: LogIndex
@@ -203,6 +206,7 @@
     limit: int
     lease_ms: int
     share: float
+    round: int = 0
 
 
 class RolloutReply(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/snipelead/rollouts/tests/test_decisions.py
@@ -0,0 +1,166 @@
+"""Replays of a rollout of Lagos' ``orderdesk`` at its load, per seed."""
+
+from testtools import TestCase
+
+from snipelead.messages import RolloutPhase
+from snipelead.rollouts.evidence import Comparison
+from snipelead.rollouts.evidence import TIME_COUNT
+from snipelead.rollouts.evidence import time_index
+from snipelead.rollouts.tests.fleet import DURATION_MS
+from snipelead.rollouts.tests.fleet import good
+from snipelead.rollouts.tests.fleet import GUARANTEES
+from snipelead.rollouts.tests.fleet import make_bad
+from snipelead.rollouts.tests.fleet import make_fleet
+
+ROLLBACK_S = GUARANTEES.rollback_ms / 1_000
+
+
+class DecisionTest(TestCase):
+    def assert_bounded(self, fleet):
+        bound = GUARANTEES.exposure_share * fleet.total
+        self.assertLessEqual(
+            len(fleet.sent_at), bound + GUARANTEES.exposure_extra
+        )
+        self.assertLessEqual(
+            sum(s.count_sent()['s'] for s in fleet.selectors),
+            fleet.rollout.reserved,
+        )
+        bad_at = sorted(fleet.bad_at)
+        if len(bad_at) >= 50:
+            self.assertLess(max(fleet.sent_at), bad_at[49] + ROLLBACK_S)
+
+    def assert_rolled_back(self, respond, seed, **options):
+        fleet = make_fleet(seed, respond)
+        fleet.run(**options)
+        self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+        self.assert_bounded(fleet)
+        return fleet
+
+    def test_good_version_completes_in_time(self):
+        for seed in range(4):
+            fleet = make_fleet(seed, good)
+            fleet.run()
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+            self.assertLess(fleet.ended_at, DURATION_MS / 1_000 - 0.5)
+            # Targets of the old version stop at once.
+            self.assertEqual(0, fleet.late_old)
+
+    def test_burst_that_slows_down_both_versions_is_no_fault(self):
+        # The last step has most requests to the new version, so that a burst
+        # in it must not count against that version.
+        def respond(now, route, random, is_new, time_s):
+            in_burst = 6 <= now < 8
+            failed = in_burst and random.random() < 0.3
+            return time_s * (3 if in_burst else 1), failed, False
+
+        for seed in range(3):
+            fleet = make_fleet(seed, respond)
+            fleet.run()
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+
+    def test_version_with_failures_is_rolled_back(self):
+        for seed in range(2):
+            fleet = self.assert_rolled_back(make_bad(0.3), seed)
+            self.assertLess(len(fleet.bad_at), 50)
+
+    def test_version_with_few_failures_is_rolled_back(self):
+        self.assert_rolled_back(make_bad(0.05), 0)
+
+    def test_slow_version_is_rolled_back(self):
+        for seed in range(2):
+            self.assert_rolled_back(make_bad(0.3, slowdown=4), seed)
+
+    def test_version_that_is_slow_on_one_route_is_rolled_back(self):
+        self.assert_rolled_back(make_bad(0.5, 4, route='order'), 0)
+
+    def test_version_that_turns_bad_late_is_rolled_back(self):
+        self.assert_rolled_back(make_bad(0.3, since_s=6), 0)
+
+    def test_leader_dies_during_a_step(self):
+        for seed in range(2):
+            fleet = self.assert_rolled_back(
+                make_bad(0.1), seed, leaderless=(3, 4.2)
+            )
+            # Leases end while nobody leads.
+            self.assertEqual(
+                [], [at for at in fleet.sent_at if 4.6 < at < 5.2]
+            )
+            fleet = make_fleet(seed, good)
+            fleet.run(leaderless=(3, 4.2))
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+
+    def test_node_that_is_cut_off_stops_after_its_lease(self):
+        fleet = make_fleet(0, good)
+        fleet.run(5)
+        fleet.silent.add(0)
+        sent = fleet.selectors[0].count_sent()['s']
+        fleet.run(5 + fleet.controller.lease_ms / 1_000)
+        later = fleet.selectors[0].count_sent()['s']
+        fleet.run()
+        self.assertEqual(later, fleet.selectors[0].count_sent()['s'])
+        self.assertLessEqual(later - sent, 5)
+        # The others do not wait for it.
+        self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+
+    def test_restart_of_all_processes_keeps_exposure_and_phase(self):
+        fleet = make_fleet(0, good)
+        fleet.run(5)
+        before = fleet.rollout
+        sent = len(fleet.sent_at)
+        fleet.selectors[:] = [type(s)() for s in fleet.selectors]
+        fleet.tell()
+        fleet.events = [e for e in fleet.events if e[2] != fleet.answer]
+        fleet.take_over()
+        fleet.run(5.9)
+        # The new leader takes all reserved requests as sent.
+        self.assertEqual(before.reserved, fleet.controller.granted)
+        fleet.run(8)
+        self.assertGreater(len(fleet.sent_at), sent)
+        self.assertLessEqual(
+            len(fleet.sent_at),
+            0.1 * fleet.total + GUARANTEES.exposure_extra,
+        )
+        self.assertGreaterEqual(fleet.rollout.total, before.total)
+
+    def test_late_reports_do_not_widen_the_exposure(self):
+        fleet = make_fleet(0, make_bad(0.3))
+        fleet.silent.update(range(1, len(fleet.selectors)))
+        fleet.run(6)
+        for selector in fleet.selectors[1:]:
+            self.assertEqual(0, selector.count_sent()['s'])
+        fleet.silent.clear()
+        fleet.run()
+        self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+        self.assert_bounded(fleet)
+
+
+class ComparisonTest(TestCase):
+    def make_window(self, new, new_failures, old, old_failures, route='r'):
+        def counts(count, failures):
+            times = [0] * TIME_COUNT
+            times[time_index(0.1)] = count
+            return [failures, *times]
+
+        return {
+            (route, True): counts(new, new_failures),
+            (route, False): counts(old, old_failures),
+        }
+
+    def test_windows_are_not_mixed(self):
+        # Over both windows the new version fails in 0.46 of its responses
+        # and the old one in 0.14, but in each they fail alike.
+        comparison = Comparison()
+        comparison.add_window(self.make_window(20, 0, 1_000, 0))
+        comparison.add_window(self.make_window(300, 150, 400, 200))
+        self.assertIsNone(comparison.find_fault())
+        comparison.add_window(self.make_window(300, 90, 400, 20))
+        self.assertEqual('more failures', comparison.find_fault())
+
+    def test_routes_are_not_mixed(self):
+        # The new version gets other shares of the routes by chance.
+        comparison = Comparison()
+        comparison.add_window(
+            self.make_window(100, 50, 100, 50, 'a')
+            | self.make_window(10, 0, 1_000, 0, 'b')
+        )
+        self.assertIsNone(comparison.find_fault())
