Roll out versions of targets from the order to the nodes

Cause: operators need to move the traffic of a service to another version within a duration, with a bad version rolled back within bounds. Change: POST /rollouts and GET /rollouts/SERVICE; RolloutCoordinator at voters (orders, reports, the leader's work), phases in the replies of the long polls, RolloutReporter at nodes, VersionSelector in the balancer and the attempts, metrics. Rollouts exist only where the guarantees state a bound.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -224,10 +224,16 @@
                 ATTEMPT_CHOSEN, call, **observation.describe(started_at)
             )
         observation.begin_request(started_at)
+        tracked = self.balancer.versions.begin(observation.entry, call.route)
         try:
             response = await self._send(observation.entry, call, request)
             try:
                 self._record_response(observation, call, response, started_at)
+                if tracked is not None:
+                    tracked.record_response(
+                        trio.current_time() - started_at,
+                        response.response.is_server_error,
+                    )
                 if self._may_retry_response(
                     response.response,
                     request,
@@ -247,8 +253,15 @@
             if not isinstance(error, SendFailedError):
                 self.balancer.record_failure(observation, trio.current_time())
             raise
+        except trio.Cancelled:
+            # A response that misses the deadline is a slow one.
+            if tracked is not None and not call.caller_disconnected:
+                tracked.record_timeout(trio.current_time() - started_at)
+            raise
         finally:
             observation.end_request()
+            if tracked is not None:
+                tracked.end()
         return True
 
     def _record_response(self, observation, call, response, started_at):
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -90,6 +90,8 @@
         Statuses that targets have stated.
     ledger : CrashLedger or None
         Evidence on requests that crash targets.
+    versions : VersionSelector or None
+        Tells which versions of targets may be used; None for all.
 
     Attributes
     ----------
@@ -119,7 +121,9 @@
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
         ledger=None,
+        versions=None,
     ):
+        self.versions = versions
         self.ledger = CrashLedger() if ledger is None else ledger
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
@@ -196,6 +200,7 @@
             self.reachability,
             limits.crossing_ms_per_kb,
             self.statuses,
+            self.versions,
         )
         self.attempts = AttemptRunner(
             settings.node_id,
--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -21,6 +21,7 @@
 from snipelead.messages import SyncRequest
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.releases.packing import pack
+from snipelead.rollouts.selector import VersionSelector
 from snipelead.types import Incarnation
 from snipelead.types import MembershipSource
 from snipelead.utils.backoff import Backoff
@@ -58,6 +59,10 @@
         Targets that the node itself announces.
     rng : random.Random or None
         Source of jitter.
+    ledger : CrashLedger or None
+        Evidence on requests that crash targets.
+    versions : VersionSelector or None
+        Receives the rollouts.
 
     Attributes
     ----------
@@ -85,7 +90,9 @@
         local_targets,
         rng=None,
         ledger=None,
+        versions=None,
     ):
+        self.versions = VersionSelector() if versions is None else versions
         self.ledger = CrashLedger() if ledger is None else ledger
         links = ControlLinks(
             settings.controls, settings.zone, settings.node_id, transport, rng
@@ -175,6 +182,7 @@
             offered_release=self._make_offer(),
             controls=self._controls_digest(),
             crashes=self._make_crash_update(link),
+            rollouts=self.versions.version,
         )
 
     async def wait_request_outdated(self):
@@ -198,6 +206,8 @@
         link.reported_crashes = self._polled_crashes
         if reply.crashes is not None:
             self._merge_crashes(link, reply.crashes)
+        if reply.rollouts is not None:
+            self.versions.apply(reply.rollouts)
         if reply.needs_registration:
             link.registered_version = 0
             # The control has been restarted and has lost its records.
@@ -218,7 +228,8 @@
             return self._update_readiness(link, reply)
         if reply.retry_after_ms:
             return reply.retry_after_ms / MS_PER_S
-        empty = not changed and reply.directory is reply.crashes is None
+        news = (reply.directory, reply.crashes, reply.rollouts)
+        empty = not changed and news == (None, None, None)
         polled_for_s = trio.current_time() - self._polled_at
         ended_early = request.hold_ms and polled_for_s < EMPTY_REPLY_PAUSE_S
         return EMPTY_REPLY_PAUSE_S if empty and ended_early else 0.0
@@ -327,7 +338,7 @@
         await self.links.replace_controls(endpoints)
         log_event(
             CONTROLS_LEARNED,
-            controls=[endpoint.address for endpoint in endpoints],
+            controls=[e.address for e in endpoints],
         )
 
     def _current_facts(self):
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -78,6 +78,8 @@
         )
         self.update_builder = UpdateBuilder(source)
         self.convergence = ConvergenceRecorder(metrics, settings.preference)
+        # Set by the process if rollouts are enabled.
+        self.rollouts = None
         self.publisher = Publisher(
             settings, source, self.sessions.wake, self.convergence
         )
@@ -169,7 +171,11 @@
             self.ledger.merge(request.crashes.records)
         reply = await self._sync(request)
         if not request.is_relay:
-            reply = replace(reply, crashes=self._crash_update(request))
+            reply = replace(
+                reply,
+                crashes=self._crash_update(request),
+                rollouts=self._rollout_update(request),
+            )
         return self._attach_controls(request, reply)
 
     def _crash_update(self, request):
@@ -177,6 +183,12 @@
         known = request.crashes or _NO_CRASHES
         return self.ledger.update_since(known.epoch, known.version)
 
+    def _rollout_update(self, request):
+        """Return the rollouts if a node lacks some, or None."""
+        if self.rollouts is None:
+            return None
+        return self.rollouts.update_since(request.rollouts)
+
     async def _sync(self, request):
         """Handle a long poll, without the list of controls.
 
@@ -329,7 +341,8 @@
         """Return a reply with updates, or None if there are none."""
         reply = self._release_update(request, self.publisher.published)
         directory = self._directory_update(session, request)
-        if reply is directory is None and self._crash_update(request) is None:
+        others = (self._crash_update(request), self._rollout_update(request))
+        if reply is directory is None and others == (None, None):
             return None
         return replace(
             reply or SyncReply(),
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -5,6 +5,8 @@
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.service import ControlService
 from snipelead.metrics import ControlMetrics
+from snipelead.rollouts.coordinator import are_rollouts_enabled
+from snipelead.rollouts.coordinator import RolloutCoordinator
 from snipelead.types import ControlRole
 from snipelead.voters.voter import Voter
 
@@ -30,6 +32,9 @@
         Source of the current release, depending on the role of the control.
     service : ControlService
         Distribution of releases to nodes.
+    rollouts : RolloutCoordinator or None
+        Rollouts; None unless the settings state a bound on them and this
+        control is a voter.
     metrics : ControlMetrics
         Metrics of the process.
     """
@@ -43,6 +48,13 @@
         self.service = ControlService(
             settings, self.source, transport, metrics=self.metrics
         )
+        self.rollouts = None
+        if are_rollouts_enabled(settings) and isinstance(self.source, Voter):
+            self.rollouts = RolloutCoordinator(
+                settings, self.source, self.service
+            )
+            self.service.rollouts = self.rollouts
+            self.metrics.get_rollouts = self.rollouts.count_reserved
 
     def _make_source(self):
         match self.settings.role:
@@ -63,6 +75,8 @@
         """
         settings = self.settings
         handlers = self.source.handlers() | self.service.handlers()
+        if self.rollouts is not None:
+            handlers |= self.rollouts.handlers()
         async with trio.open_nursery() as nursery:
             await nursery.start(self.source.run)
             await nursery.start(
@@ -71,6 +85,8 @@
                 handlers,
             )
             await nursery.start(self.service.run)
+            if self.rollouts is not None:
+                nursery.start_soon(self.rollouts.run)
             async with trio.open_nursery() as frontend_nursery:
                 await frontend_nursery.start(self.frontend.run, self, stop)
                 task_status.started()
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -8,6 +8,9 @@
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
 from snipelead.quarantine.ledger import CrashLedger
+from snipelead.rollouts.coordinator import are_rollouts_enabled
+from snipelead.rollouts.reporter import RolloutReporter
+from snipelead.rollouts.selector import VersionSelector
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.leases import expire_targets
 from snipelead.targets.local import LocalTargets
@@ -46,6 +49,10 @@
         Statuses that targets have stated in their responses.
     ledger : CrashLedger
         Evidence on requests that crash targets.
+    has_rollouts : bool
+        Whether the settings state a bound on rollouts.
+    versions : VersionSelector
+        Tells which versions of targets may be used.
     sync_client : SyncClient
         Client that receives releases and targets from the controls.
     call_path : CallPath
@@ -68,6 +75,9 @@
         )
         self.statuses = TargetStatuses()
         self.ledger = CrashLedger()
+        self.has_rollouts = are_rollouts_enabled(settings)
+        self.versions = VersionSelector()
+        self.metrics.get_rollout_requests = self.versions.count_sent
         self.sync_client = SyncClient(
             settings,
             transport,
@@ -75,6 +85,7 @@
             self.directory,
             self.local_targets,
             ledger=self.ledger,
+            versions=self.versions,
         )
         self.call_path = CallPath(
             settings,
@@ -86,6 +97,7 @@
             protocols=frontend.protocols,
             statuses=self.statuses,
             ledger=self.ledger,
+            versions=self.versions if self.has_rollouts else None,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
@@ -139,6 +151,14 @@
             await nursery.start(self.call_path.run)
             await nursery.start(self.frontend.run, self)
             await nursery.start(self.sync_client.run)
+            if self.has_rollouts:
+                reporter = RolloutReporter(
+                    settings.node_id,
+                    self.versions,
+                    self.sync_client.links,
+                    self.local_targets,
+                )
+                nursery.start_soon(reporter.run)
             task_status.started()
             await stop.wait()
             self.stopping = True
--- a/snipelead/messages/sync.py
+++ b/snipelead/messages/sync.py
@@ -6,6 +6,7 @@
 
 from snipelead.messages.quarantine import CrashUpdate
 from snipelead.messages.registry import register_reply
+from snipelead.messages.rollouts import RolloutUpdate
 from snipelead.messages.targets import DirectoryUpdate
 from snipelead.messages.targets import TargetEntry
 from snipelead.releases.delta import Delta
@@ -13,6 +14,7 @@
 from snipelead.types import Address
 from snipelead.types import ControlId
 from snipelead.types import Incarnation
+from snipelead.types import LogIndex
 from snipelead.types import NodeId
 from snipelead.types import ServiceName
 from snipelead.types import ZoneName
@@ -135,6 +137,8 @@
         Epoch and version of the control process's crash records that the
         sender has, and records that the control process may lack; None if
         neither has any.
+    rollouts : LogIndex
+        Version of the rollouts that the sender knows; 0 if it knows none.
     """
 
     node_id: NodeId
@@ -152,6 +156,7 @@
     offered_release: Snapshot | None = None
     controls: int | None = None
     crashes: CrashUpdate | None = None
+    rollouts: LogIndex = LogIndex(0)
 
 
 class SyncReply(Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -192,6 +197,8 @@
         All control processes; empty if the sender's digest matches.
     crashes : CrashUpdate or None
         Crash records that changed since the sender's version.
+    rollouts : RolloutUpdate or None
+        Rollouts, if the sender's version is older.
     """
 
     delta: Delta | None = None
@@ -207,6 +214,7 @@
     possibly_stale: bool = False
     controls: tuple[ControlEndpoint, ...] = ()
     crashes: CrashUpdate | None = None
+    rollouts: RolloutUpdate | None = None
 
 
 def digest_controls(controls):
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -122,6 +122,11 @@
     get_quarantine_counts : callable
         Returns the values of these three: two integers and a dictionary from
         each verdict to an integer.
+    rollout_requests : Gauge
+        Requests sent to the new version of each service, as long as this
+        node has been running.
+    get_rollout_requests : callable
+        Returns the values of ``rollout_requests`` by service.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -183,6 +188,12 @@
             registry=self.registry,
         )
         self.get_quarantine_counts = lambda: (0, 0, {})
+        self.rollout_requests = Gauge(
+            'snipelead_rollout_requests',
+            'Requests sent to the new version since the order.',
+            registry=self.registry,
+        )
+        self.get_rollout_requests = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -231,6 +242,8 @@
             self.rate_limits.set({'target': target_id}, rate_limit)
         crash_count, refusal_count, watched = self.get_quarantine_counts()
         self.target_crashes.set({}, crash_count)
+        for service, count in self.get_rollout_requests().items():
+            self.rollout_requests.set({'service': service}, count)
         self.quarantine_refusals.set({}, refusal_count)
         for verdict, count in watched.items():
             self.watched_requests.set({'verdict': verdict.value}, count)
@@ -261,6 +274,11 @@
     convergence : Histogram
         Time from the acceptance of a release until a node confirmed it, in
         seconds, by preference of the deployment.
+    rollout_reserved : Gauge
+        Requests to the new version that may be granted, by service and phase
+        of its newest rollout.
+    get_rollouts : callable
+        Returns the values of ``rollout_reserved`` by service and phase.
     """
 
     def __init__(self):
@@ -271,6 +289,20 @@
             registry=self.registry,
             buckets=CONVERGENCE_BUCKETS_S,
         )
+        self.rollout_reserved = Gauge(
+            'snipelead_rollout_reserved',
+            'Requests to the new version that may be granted.',
+            registry=self.registry,
+        )
+        self.get_rollouts = dict
+
+    def render(self, accept=()):
+        """Return the exposition of all metrics; see the base class."""
+        self.rollout_reserved.values.clear()
+        for (service, phase), count in self.get_rollouts().items():
+            labels = {'service': service, 'phase': phase}
+            self.rollout_reserved.set(labels, count)
+        return super().render(accept)
 
     def observe_convergence(self, preference, seconds):
         """Record the confirmation of a release by a node.
--- a/snipelead/platform/frontend.py
+++ b/snipelead/platform/frontend.py
@@ -19,6 +19,8 @@
 from snipelead.platform.heartbeats import decode_heartbeat
 from snipelead.platform.protocols import PlatformCallerProtocol
 from snipelead.platform.protocols import PlatformTargetProtocol
+from snipelead.platform.rollouts import handle_rollouts
+from snipelead.platform.rollouts import ROLLOUTS_PATH
 from snipelead.platform.server import HttpResponse
 from snipelead.platform.server import serve_interface
 from snipelead.releases.exceptions import BaseNotCurrentError
@@ -232,6 +234,9 @@
 
     async def handle(self, method, path, body):
         """Respond to a request of an operator."""
+        rollouts = self.daemon.rollouts
+        if rollouts is not None and path.startswith(ROLLOUTS_PATH):
+            return await handle_rollouts(rollouts, method, path, body)
         if path != _CONFIGURATION_PATH:
             return _NOT_FOUND
         if method == b'PUT':
--- a/snipelead/rollouts/selector.py
+++ b/snipelead/rollouts/selector.py
@@ -89,18 +89,19 @@
         Route of the request.
     """
 
-    __slots__ = ('is_new', 'is_old', 'route', 'state')
+    __slots__ = ('has_response', 'is_new', 'is_old', 'route', 'state')
 
     def __init__(self, state, entry, route):
         self.state = state
         self.route = route
+        self.has_response = False
         self.is_new = entry.version == state.rollout.version
         self.is_old = state.is_old(entry.version)
         state.old_in_flight += self.is_old
         state.sent += self.is_new
 
     def record_response(self, elapsed_s, is_failure):
-        """Record the response to the request, or that it came too late.
+        """Record the response to the request.
 
         Parameters
         ----------
@@ -109,6 +110,7 @@
         is_failure : bool
             Whether the response is a server error.
         """
+        self.has_response = True
         self.state.total += 1
         if not (self.is_new or self.is_old):
             return
@@ -120,6 +122,11 @@
         counts[0] += is_failure
         counts[1 + time_index(elapsed_s)] += 1
 
+    def record_timeout(self, elapsed_s):
+        """Record that no response came in time, unless one has begun."""
+        if not self.has_response:
+            self.record_response(elapsed_s, False)
+
     def end(self):
         """Record that the request is no longer in flight."""
         self.state.old_in_flight -= self.is_old
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -16,6 +16,7 @@
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.logs import log_event
 from snipelead.releases.document import MAX_TRACKED_ROUTES
+from snipelead.rollouts.selector import VersionSelector
 from snipelead.routing.budget import RetryBudget
 from snipelead.routing.observations import TargetObservation
 from snipelead.routing.policies import POLICIES
@@ -74,6 +75,8 @@
         ``own_zone_load``.
     statuses : TargetStatuses or None
         Statuses that targets have stated.
+    versions : VersionSelector or None
+        Tells which versions of targets may be used.
 
     Attributes
     ----------
@@ -98,7 +101,9 @@
         reachability=None,
         crossing_ms_per_kb=None,
         statuses=None,
+        versions=None,
     ):
+        self.versions = versions or VersionSelector()
         self.statuses = statuses or TargetStatuses()
         self.crossing_ms_per_kb = crossing_ms_per_kb
         self.mean_response_bytes = BoundedDict(MAX_TRACKED_ROUTES)
@@ -197,6 +202,10 @@
         """
         now = trio.current_time()
         usable = self._find_usable(service, tried, now)
+        listed = self.directory.get_targets(service)
+        usable = self.versions.select(
+            service, usable, listed, now, self.random
+        )
         if not usable:
             raise self._make_no_target_error(service, now)
         ready = [o for o in usable if o.backoff_until <= now]
@@ -218,14 +227,10 @@
         spread the load.
         """
         utilisation = self.mean_utilisation.get(service, 0.0)
-        return min(
-            1.0,
-            max(
-                0.0,
-                (SATURATED_UTILISATION - utilisation)
-                / (SATURATED_UTILISATION - RELAXED_UTILISATION),
-            ),
+        weight = (SATURATED_UTILISATION - utilisation) / (
+            SATURATED_UTILISATION - RELAXED_UTILISATION
         )
+        return min(1.0, max(0.0, weight))
 
     def record_utilisation(self, service, load):
         """Record the load that a target of a service has reported."""
@@ -256,12 +261,8 @@
         response_bytes = self.mean_response_bytes.get(
             route, INITIAL_RESPONSE_BYTES
         )
-        return (
-            self.crossing_ms_per_kb
-            * response_bytes
-            / _BYTES_PER_KB
-            / _MS_PER_S
-        )
+        response_kb = response_bytes / _BYTES_PER_KB
+        return self.crossing_ms_per_kb * response_kb / _MS_PER_S
 
     def record_service_time(self, observation, route, load):
         """Record the service time of a successful request.
@@ -321,7 +322,10 @@
 
     def has_untried_target(self, service, tried):
         """Return whether the service has a usable target not tried yet."""
-        return bool(self._find_usable(service, tried, trio.current_time()))
+        now = trio.current_time()
+        usable = self._find_usable(service, tried, now)
+        listed = self.directory.get_targets(service)
+        return bool(self.versions.list_permitted(service, usable, listed, now))
 
     def _make_no_target_error(self, service, now):
         observations = self.get_observations(service)
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -64,11 +64,13 @@
                 2,
                 {Verdict.SUSPECT: 3},
             )
+            metrics.get_rollout_requests = lambda: {'s': 1}
             return metrics
 
         self.check('Node', trio.run(main))
 
     def test_control_metrics_match_the_page(self):
         metrics = ControlMetrics()
+        metrics.get_rollouts = lambda: {('s', 'running'): 1}
         metrics.observe_convergence(Preference.CONVERGENCE.value, 0.1)
         self.check('Control', metrics)
