--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -19,6 +19,7 @@
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 from specs.replace_race import ReplaceRace
+from specs.rollout import RolloutGrants
 from specs.stated_limit import StatedLimit
 
 MODELS = (
@@ -38,6 +39,7 @@
     StatedLimit(),
     Quarantine(),
     EarlyResponse(),
+    RolloutGrants(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
