--- a/snipelead/rollouts/plan.py
+++ b/snipelead/rollouts/plan.py
@@ -15,11 +15,13 @@
 PROMOTION_PART = 0.8
 MIN_PROMOTION_PART = 0.5
 TIME_FOR_MOVING_MS = 4_000
-COMPLETION_PART = 0.85
+COMPLETION_PART = 0.8
 TIME_AFTER_COMPLETION_MS = 2_500
-# Nodes that have not confirmed by then are out of touch.
-FORCED_PART = 0.9
-TIME_AFTER_FORCED_MS = 1_000
+# Nodes that have not confirmed by then are out of touch or wait for a few
+# slow responses. The rest of the time is for a change of leader, during which
+# log time stands still for about a second.
+FORCED_PART = 0.85
+TIME_AFTER_FORCED_MS = 1_800
 # Nodes that do not know of the order yet send without grants, and some
 # requests may be counted at nodes but not by targets. This part of the bounds
 # is kept for them.
