--- a/snipelead/rollouts/evidence.py
+++ b/snipelead/rollouts/evidence.py
@@ -30,7 +30,7 @@
 SLOW_BOUNDS = 3
 # The comparison is repeated for seconds over several routes and bounds; a
 # lower threshold would reject good versions by chance.
-MIN_Z = 4.0
+MIN_Z = 3.5
 MIN_EXCESS_FAILURES = 8
 MIN_FAILURE_SHARE = 0.02
 MIN_EXCESS_SLOW = 12
--- a/snipelead/rollouts/plan.py
+++ b/snipelead/rollouts/plan.py
@@ -14,7 +14,7 @@
 # for moving, and a change of leader takes one.
 PROMOTION_PART = 0.8
 MIN_PROMOTION_PART = 0.5
-TIME_FOR_MOVING_MS = 4_000
+TIME_FOR_MOVING_MS = 3_500
 COMPLETION_PART = 0.8
 TIME_AFTER_COMPLETION_MS = 2_500
 # Nodes that have not confirmed by then are out of touch or wait for a few
