--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -93,6 +93,8 @@
         Evidence on requests that crash targets.
     authenticator : Authenticator or None
         Identifies customers; None creates one without leases.
+    versions : VersionSelector or None
+        Tells which versions of targets may be used; None for all.
 
     Attributes
     ----------
@@ -123,7 +125,9 @@
         statuses=None,
         ledger=None,
         authenticator=None,
+        versions=None,
     ):
+        self.versions = versions
         self.ledger = CrashLedger() if ledger is None else ledger
         self.authenticator = authenticator or Authenticator(holder)
         self.protocols = protocols
@@ -201,6 +205,7 @@
             self.reachability,
             limits.crossing_ms_per_kb,
             self.statuses,
+            self.versions,
         )
         self.attempts = AttemptRunner(
             settings.node_id,
