Bound the use of revoked API keys by leases

A node that is cut off, suspended or behind a control that is cut off kept accepting keys that a later release had removed.

With revocation_ms, a node accepts keys only under a lease. It asks a control, which answers with the newest release after a certification that started after the request arrived; requests within 100 ms share one. The lease covers that release and later ones and ends 0.96 of the bound after the node asked, on the clock that counts suspensions. Each request is checked again after waits, also at the node beside the target: the call metadata names the release in which the key was found, and that node compares it with its own lease and with the removals that it has seen, which needs no common clock and no time left that a frozen node would count wrongly. Without a lease: 503 SL3032, not run, to be retried after 500 ms. The balancer backs off from nodes without a lease.

--- a/snipelead/authentication/authenticator.py
+++ b/snipelead/authentication/authenticator.py
@@ -1,11 +1,24 @@
 """Authentication of requests at the node where they enter the system."""
 
+from collections import Counter
+
+import trio
+
+from snipelead.authentication.exceptions import AuthenticationOutdatedError
 from snipelead.authentication.exceptions import MissingApiKeyError
+from snipelead.authentication.exceptions import NoLeaseError
 from snipelead.authentication.exceptions import UnknownApiKeyError
+from snipelead.authentication.history import ReleaseHistory
 from snipelead.authentication.keys import CustomerKeys
+from snipelead.authentication.leases import RevocationLeases
 
 __all__ = ['Authenticator', 'Authorization']
 
+# A node without a lease asks for one again within this time.
+NO_LEASE_RETRY_AFTER_MS = 500
+# Nodes that can reach the controls hold the newest release within this time.
+OUTDATED_RETRY_AFTER_MS = 500
+
 
 class Authorization:
     """Permission of one request to be run for a customer.
@@ -45,16 +58,32 @@
     ----------
     holder : ReleaseHolder
         Holds the release with the customers.
+    revocation_ms : int
+        Bound on the revocation of keys, in milliseconds; 0 if it is not
+        bounded, so that no leases are needed.
 
     Attributes
     ----------
     keys : CustomerKeys
         Customers of the current release.
+    leases : RevocationLeases or None
+        Leases under which keys are accepted; None if none are needed.
+    history : ReleaseHistory
+        Releases that the node has held.
+    refusals : Counter
+        Number of refusals by error code.
     """
 
-    def __init__(self, holder):
+    def __init__(self, holder, revocation_ms=0):
         self.holder = holder
         self.keys = CustomerKeys(holder.current)
+        self.leases = (
+            RevocationLeases(revocation_ms) if revocation_ms else None
+        )
+        self.history = ReleaseHistory(holder.current)
+        self.refusals = Counter()
+        if revocation_ms:
+            holder.observers.append(self.history.observe)
 
     @property
     def is_required(self):
@@ -89,6 +118,8 @@
         ------
         MissingApiKeyError, UnknownApiKeyError
             If the request does not identify a customer.
+        NoLeaseError
+            If the node cannot tell.
         """
         if not self.is_required:
             return None
@@ -96,11 +127,20 @@
         if route.public:
             return None
         if options.api_key is None or key_count != 1:
-            raise MissingApiKeyError('the request must carry one API key')
+            raise self._count(
+                MissingApiKeyError('the request must carry one API key')
+            )
+        number = self.holder.current.number
+        # Without a lease, the key may have been added meanwhile.
+        self._check_lease(number)
         customer = self.keys.find(options.api_key)
-        if customer is None:
-            raise UnknownApiKeyError('the API key belongs to no customer')
-        return customer
+        if customer is not None:
+            return customer
+        if self.leases is not None and self.leases.newest_release > number:
+            raise self._count(_make_outdated_error())
+        raise self._count(
+            UnknownApiKeyError('the API key belongs to no customer')
+        )
 
     def authorize(self, customer):
         """Return the authorization of a request of a customer.
@@ -138,4 +178,58 @@
         return Authorization(self, customer, release)
 
     def check(self, authorization):
-        """Check that an authorized request may still be sent on."""
+        """Check that an authorized request may still be sent on.
+
+        Parameters
+        ----------
+        authorization : Authorization
+            Authorization of the request.
+
+        Raises
+        ------
+        NoLeaseError
+            If the node has no lease.
+        AuthenticationOutdatedError
+            If the customer may have lost the request's key.
+        """
+        if self.leases is None:
+            return
+        release = authorization.release
+        self._check_lease(max(release, self.holder.current.number))
+        if not self.history.is_current(authorization.customer, release):
+            raise self._count(_make_outdated_error())
+
+    def lease_remaining_s(self):
+        """Return the time left of the lease in seconds.
+
+        Returns
+        -------
+        float or None
+            At least 0; None if no leases are needed.
+        """
+        if self.leases is None:
+            return None
+        end = self.leases.find_end(self.holder.current.number)
+        return max(0.0, end - trio.current_time())
+
+    def _check_lease(self, release):
+        if self.leases is None:
+            return
+        if self.leases.find_end(release) <= trio.current_time():
+            raise self._count(
+                NoLeaseError(
+                    'the node cannot tell whether API keys were revoked',
+                    retry_after_ms=NO_LEASE_RETRY_AFTER_MS,
+                )
+            )
+
+    def _count(self, error):
+        self.refusals[error.code] += 1
+        return error
+
+
+def _make_outdated_error():
+    return AuthenticationOutdatedError(
+        'the API keys have changed in another release',
+        retry_after_ms=OUTDATED_RETRY_AFTER_MS,
+    )
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -91,11 +91,11 @@
         Statuses that targets have stated.
     ledger : CrashLedger or None
         Evidence on requests that crash targets.
-    authenticator : Authenticator or None
-        Identifies customers; None creates one without leases.
 
     Attributes
     ----------
+    authenticator : Authenticator
+        Identifies the customers of requests.
     caller_address : Address
         Address for callers; the bound one once listening.
     address : Address
@@ -122,10 +122,11 @@
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
         ledger=None,
-        authenticator=None,
     ):
         self.ledger = CrashLedger() if ledger is None else ledger
-        self.authenticator = authenticator or Authenticator(holder)
+        self.authenticator = Authenticator(
+            holder, settings.guarantees.revocation_ms
+        )
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -190,6 +191,7 @@
         )
         self.metrics.get_rate_limits = self.limiters.rate_limits
         self.metrics.get_quarantine_counts = self._count_quarantine
+        self.metrics.authenticator = self.authenticator
         self.balancer = Balancer(
             settings.zone,
             self.directory,
--- a/snipelead/controls/certification.py
+++ b/snipelead/controls/certification.py
@@ -1,5 +1,7 @@
 """Coalescing of concurrent certification requests into shared rounds."""
 
+from math import inf
+
 import trio
 
 from snipelead.exceptions import InvariantError
@@ -27,6 +29,9 @@
     ----------
     source : ReleaseSource
         Source whose ``certify`` method is called once per round.
+    interval_s : float
+        Minimum time from the start of a round to that of the next, in
+        seconds.
 
     Attributes
     ----------
@@ -34,8 +39,9 @@
         Number of rounds started so far.
     """
 
-    def __init__(self, source):
+    def __init__(self, source, interval_s=0.0):
         self.source = source
+        self.interval_s = interval_s
         self.rounds = 0
         self._pending_round = None
         self._round_requested = trio.Event()
@@ -43,8 +49,12 @@
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Run a round whenever requests are waiting, until cancelled."""
         task_status.started()
+        next_round_at = -inf
         while True:
             await self._round_requested.wait()
+            if self.interval_s:
+                await trio.sleep_until(next_round_at)
+                next_round_at = trio.current_time() + self.interval_s
             self._round_requested = trio.Event()
             active, self._pending_round = self._pending_round, None
             self.rounds += 1
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 import trio
 
+from snipelead.authentication.granter import LeaseGranter
 from snipelead.controls.convergence import ConvergenceRecorder
 from snipelead.controls.directory import ControlDirectory
 from snipelead.controls.events import CONTROL_WARM
@@ -28,6 +29,7 @@
 from snipelead.messages import FleetRequest
 from snipelead.messages import FreshnessReply
 from snipelead.messages import FreshnessRequest
+from snipelead.messages import LeaseRequest
 from snipelead.messages import LiftReply
 from snipelead.messages import LiftRequest
 from snipelead.messages import SyncReply
@@ -81,6 +83,7 @@
         self.publisher = Publisher(
             settings, source, self.sessions.wake, self.convergence
         )
+        self.lease_granter = LeaseGranter(self.publisher, metrics)
         peers = tuple(
             peer
             for peer in settings.peers
@@ -108,6 +111,7 @@
             FreshnessRequest: self.handle_freshness,
             WatchedRequest: self.handle_watched,
             LiftRequest: self.handle_lift,
+            LeaseRequest: self.lease_granter.grant,
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -115,6 +119,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self.publisher.run)
+                await nursery.start(self.lease_granter.certification.run)
                 nursery.start_soon(self.leases.expire_leases)
                 nursery.start_soon(self._warm_up)
                 for link in self.links.links:
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.authentication.client import LeaseClient
 from snipelead.callers.call_path import CallPath
 from snipelead.controls.client import SyncClient
 from snipelead.metrics import NodeMetrics
@@ -139,6 +140,8 @@
             await nursery.start(self.call_path.run)
             await nursery.start(self.frontend.run, self)
             await nursery.start(self.sync_client.run)
+            if self.call_path.authenticator.leases is not None:
+                nursery.start_soon(self._make_lease_client().run)
             task_status.started()
             await stop.wait()
             self.stopping = True
@@ -146,6 +149,13 @@
             await self._shut_down()
             nursery.cancel_scope.cancel()
 
+    def _make_lease_client(self):
+        return LeaseClient(
+            self.sync_client.links,
+            self.call_path.authenticator.leases,
+            self.settings.guarantees.revocation_ms,
+        )
+
     async def _shut_down(self):
         self.heartbeat_tracker.mark_leaving()
         # The node still receives releases meanwhile.
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -6,6 +6,8 @@
 :func:`register_reply`.
 """
 
+from snipelead.messages.authentication import LeaseReply
+from snipelead.messages.authentication import LeaseRequest
 from snipelead.messages.claims import ClaimReply
 from snipelead.messages.claims import ClaimRequest
 from snipelead.messages.claims import SettleReply
@@ -57,6 +59,8 @@
     'FleetRequest',
     'FreshnessReply',
     'FreshnessRequest',
+    'LeaseReply',
+    'LeaseRequest',
     'LiftReply',
     'LiftRequest',
     'NodeStatus',
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -122,6 +122,13 @@
     get_quarantine_counts : callable
         Returns the values of these three: two integers and a dictionary from
         each verdict to an integer.
+    api_key_refusals : Counter
+        Requests refused for their API key or for want of a lease, by code.
+    revocation_lease : Gauge
+        Time left of the lease under which API keys are accepted, in seconds;
+        without a value if revocation is not bounded.
+    authenticator : Authenticator or None
+        Gives the values of these two.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -183,6 +190,17 @@
             registry=self.registry,
         )
         self.get_quarantine_counts = lambda: (0, 0, {})
+        self.api_key_refusals = Counter(
+            'snipelead_api_key_refusals_total',
+            'Requests refused for their API key or for want of a lease.',
+            registry=self.registry,
+        )
+        self.revocation_lease = Gauge(
+            'snipelead_revocation_lease_seconds',
+            'Time left of the lease under which API keys are accepted.',
+            registry=self.registry,
+        )
+        self.authenticator = None
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -234,8 +252,17 @@
         self.quarantine_refusals.set({}, refusal_count)
         for verdict, count in watched.items():
             self.watched_requests.set({'verdict': verdict.value}, count)
+        if self.authenticator is not None:
+            self._set_authentication_values()
         return super().render(accept)
 
+    def _set_authentication_values(self):
+        for code, count in self.authenticator.refusals.items():
+            self.api_key_refusals.set({'code': code}, count)
+        remaining_s = self.authenticator.lease_remaining_s()
+        if remaining_s is not None:
+            self.revocation_lease.set({}, remaining_s)
+
     def _add_labelled_buckets(self, key):
         tenant, request_class = key
         if (
@@ -261,6 +288,8 @@
     convergence : Histogram
         Time from the acceptance of a release until a node confirmed it, in
         seconds, by preference of the deployment.
+    leases : Counter
+        Answers to nodes that asked for a lease, by whether it was granted.
     """
 
     def __init__(self):
@@ -271,6 +300,15 @@
             registry=self.registry,
             buckets=CONVERGENCE_BUCKETS_S,
         )
+        self.leases = Counter(
+            'snipelead_revocation_leases_total',
+            'Answers to nodes that asked for a lease on API keys.',
+            registry=self.registry,
+        )
+
+    def count_lease(self, granted):
+        """Count an answer to a node that asked for a lease."""
+        self.leases.inc({'granted': 'yes' if granted else 'no'})
 
     def observe_convergence(self, preference, seconds):
         """Record the confirmation of a release by a node.
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.authentication.exceptions import NoLeaseError
 from snipelead.callers.events import TARGET_EJECTED
 from snipelead.callers.exceptions import MisdirectedRequestError
 from snipelead.callers.exceptions import NodeStoppingError
@@ -346,7 +347,7 @@
                 self.record_failure(observation, now)
             case TargetBusyError() | MisdirectedRequestError():
                 observation.record_rejection(now)
-            case OverloadedError():
+            case OverloadedError() | NoLeaseError():
                 retry_after_ms = error.retry_after_ms or 0
                 observation.back_off(
                     now, max(MIN_BACKOFF_S, retry_after_ms / _MS_PER_S)
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -5,9 +5,11 @@
 import trio
 
 import snipelead
+from snipelead.authentication.authenticator import Authenticator
 from snipelead.callers.call import Call
 from snipelead.metrics import ControlMetrics
 from snipelead.metrics import NodeMetrics
+from snipelead.nodes.holder import ReleaseHolder
 from snipelead.quarantine.ledger import Verdict
 from snipelead.types import Preference
 from snipelead.types import Ran
@@ -64,11 +66,18 @@
                 2,
                 {Verdict.SUSPECT: 3},
             )
+            holder = ReleaseHolder()
+            metrics.authenticator = Authenticator(holder, revocation_ms=5_000)
+            metrics.authenticator.refusals['SL3030'] += 1
             return metrics
 
-        self.check('Node', trio.run(main))
+        async def check():
+            self.check('Node', await main())
+
+        trio.run(check)
 
     def test_control_metrics_match_the_page(self):
         metrics = ControlMetrics()
         metrics.observe_convergence(Preference.CONVERGENCE.value, 0.1)
+        metrics.count_lease(granted=True)
         self.check('Control', metrics)
