--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -19,6 +19,7 @@
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 from specs.replace_race import ReplaceRace
+from specs.revocation import Revocation
 from specs.stated_limit import StatedLimit
 
 MODELS = (
@@ -38,6 +39,7 @@
     StatedLimit(),
     Quarantine(),
     EarlyResponse(),
+    Revocation(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
@@ -52,6 +54,7 @@
     Drain(requests=6),
     StatedLimit(max_periods=2),
     Quarantine(max_restarts=2),
+    Revocation(max_time=4),
 )
 
 
