--- a/snipelead/settings/reference.py
+++ b/snipelead/settings/reference.py
@@ -8,6 +8,7 @@
 from snipelead.settings.constraints import FIELD_CONSTRAINTS
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import ControlTimings
+from snipelead.settings.schema import Guarantees
 from snipelead.settings.schema import LogSettings
 from snipelead.settings.schema import NodeLimits
 from snipelead.settings.schema import NodeSettings
@@ -26,6 +27,7 @@
     ('Node (`kind: node`)', NodeSettings),
     ('Node: `timings`, in milliseconds', NodeTimings),
     ('Node: `limits`', NodeLimits),
+    ('Control and node: `guarantees`', Guarantees),
     ('Emulated target (`kind: target`)', TargetSettings),
     ('All: `log`', LogSettings),
 )
