--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.authentication.client import LeaseClient
 from snipelead.callers.call_path import CallPath
 from snipelead.controls.client import SyncClient
 from snipelead.metrics import NodeMetrics
@@ -159,6 +160,8 @@
                     self.local_targets,
                 )
                 nursery.start_soon(reporter.run)
+            if self.call_path.authenticator.leases is not None:
+                nursery.start_soon(self._make_lease_client().run)
             task_status.started()
             await stop.wait()
             self.stopping = True
@@ -166,6 +169,13 @@
             await self._shut_down()
             nursery.cancel_scope.cancel()
 
+    def _make_lease_client(self):
+        return LeaseClient(
+            self.sync_client.links,
+            self.call_path.authenticator.leases,
+            self.settings.guarantees.revocation_ms,
+        )
+
     async def _shut_down(self):
         self.heartbeat_tracker.mark_leaving()
         # The node still receives releases meanwhile.
