Refuse requests without a hop when targets refuse most of them

Cause: past the capacity of a service, a request was refused by up to three targets before its caller was told, and a refusal carried no load.

Refusals carry the load of the target, which the balancer learns from. A request that was refused is not sent to a second target while all are known to be full.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -2,12 +2,15 @@
 
 import trio
 
+from snipelead.admission.early_refusal import EarlyRefusal
 from snipelead.callers.events import ATTEMPT_CHOSEN
 from snipelead.callers.events import ATTEMPT_FAILED
 from snipelead.callers.events import CALL_ANSWERED
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.exceptions import NoTargetError
+from snipelead.callers.exceptions import OverloadedError
+from snipelead.callers.exceptions import TargetBusyError
 from snipelead.callers.exceptions import TargetCrashedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.callers.exceptions import WrongIncarnationError
@@ -38,6 +41,8 @@
     NodeStoppingError,
     WrongIncarnationError,
 )
+# A target had no room for the request and did not execute it.
+_REFUSALS = (OverloadedError, TargetBusyError)
 # A request that was running when this many targets crashed is not sent to
 # another one at once. One crash alone rarely tells which request caused it.
 MAX_CRASHES_FOR_RETRY = 1
@@ -72,6 +77,8 @@
         Number of attempts made; part of their ids.
     splits : TrafficSplitter
         Traffic splits of the routes.
+    early_refusal : EarlyRefusal
+        Refuses requests that no target is expected to answer in time.
     """
 
     def __init__(
@@ -86,6 +93,7 @@
         self.subscribed_at = {}
         self.attempt_count = 0
         self.splits = TrafficSplitter()
+        self.early_refusal = EarlyRefusal(balancer)
 
     def make_attempt_id(self):
         """Return an attempt id that is unique across all nodes."""
@@ -128,6 +136,8 @@
             request.rewind()
             check_quarantine(self.ledger, call, request)
             observation = self._choose_target(call, service, tried, failure)
+            if failure is None or isinstance(failure, _REFUSALS):
+                self.early_refusal.check(call, observation, tried)
             tried.add(observation.entry.target_id)
             try:
                 if await self._attempt(
@@ -242,6 +252,7 @@
                 response.close()
         except CallError as error:
             self.balancer.record_error(observation, error)
+            self.early_refusal.record_error(call, observation, error)
             raise
         except INCOMPLETE_MESSAGE_ERRORS as error:
             if not isinstance(error, SendFailedError):
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -205,6 +205,8 @@
             self.balancer,
             self.ledger,
         )
+        self.early_refusal = self.attempts.early_refusal
+        self.metrics.early_refusal_counts = self.early_refusal.refusal_counts
         self.claim_manager = ClaimManager(self.claims, self._make_claim_id)
         self.dispatcher = Dispatcher(
             self.holder,
@@ -264,6 +266,7 @@
                 self.sender.pool.close_expired()
                 self.forwarder.pool.close_expired()
                 self.balancer.drop_removed_targets()
+                self.early_refusal.tick(now)
 
     @property
     def in_flight(self):
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -65,6 +65,8 @@
     retry_on_other_target: ClassVar[bool] = False
     # Whether the request reached a target.
     reached_target: ClassVar[bool] = False
+    # Load of the target that refused the request, if its node reports it.
+    load = None
 
     def __init__(self, message, ran=Ran.NO, retry_after_ms=None, **details):
         super().__init__(message, retry_after_ms, **details)
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -122,6 +122,10 @@
     get_quarantine_counts : callable
         Returns the values of these three: two integers and a dictionary from
         each verdict to an integer.
+    early_refusals : Counter
+        Requests refused without forwarding them, by route.
+    early_refusal_counts : dict of RouteName to int
+        Values of ``early_refusals``.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -183,6 +187,13 @@
             registry=self.registry,
         )
         self.get_quarantine_counts = lambda: (0, 0, {})
+        self.early_refusals = Counter(
+            'snipelead_early_refusals_total',
+            'Requests refused without forwarding them, since the service is'
+            ' full.',
+            registry=self.registry,
+        )
+        self.early_refusal_counts = {}
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -232,6 +243,8 @@
         crash_count, refusal_count, watched = self.get_quarantine_counts()
         self.target_crashes.set({}, crash_count)
         self.quarantine_refusals.set({}, refusal_count)
+        for route, count in self.early_refusal_counts.items():
+            self.early_refusals.set({'route': route}, count)
         for verdict, count in watched.items():
             self.watched_requests.set({'verdict': verdict.value}, count)
         return super().render(accept)
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -18,7 +18,9 @@
     'FenceRequest',
     'Load',
     'StatusMessage',
+    'attach_load',
     'decode_status',
+    'detach_load',
     'make_status_message',
 ]
 
@@ -149,6 +151,27 @@
         return None
 
 
+# Name of the detail of a refusal that holds the load of the target.
+_LOAD_DETAIL = 'load'
+_load_decoder = msgspec.json.Decoder(Load)
+
+
+def attach_load(error):
+    """Add the load of the target to the details of a refusal."""
+    error.details[_LOAD_DETAIL] = _encode(error.load).decode()
+
+
+def detach_load(error):
+    """Move the load from the details of a received refusal to ``load``."""
+    value = error.details.pop(_LOAD_DETAIL, None)
+    if value is None:
+        return
+    try:
+        error.load = _load_decoder.decode(value)
+    except msgspec.DecodeError:
+        error.load = None
+
+
 def encode_field(name, value):
     """Return a header field that holds a message encoded as JSON."""
     return b'%b: %b' % (name, _encode(value))
--- a/snipelead/nodes/peer_responses.py
+++ b/snipelead/nodes/peer_responses.py
@@ -4,6 +4,7 @@
 
 from snipelead.exceptions import error_from_info
 from snipelead.exceptions import ErrorInfo
+from snipelead.nodes.peer_messages import detach_load
 from snipelead.nodes.peer_messages import FenceReply
 from snipelead.nodes.peer_messages import Load
 from snipelead.nodes.peer_messages import LOAD_FIELD
@@ -95,4 +96,5 @@
     )
     error = error_from_info(info)
     error.ran = Ran(response.fields[b'x-snipelead-ran'].decode())
+    detach_load(error)
     return error
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -5,11 +5,13 @@
 from snipelead.callers.call import Call
 from snipelead.callers.call import CallMetadata
 from snipelead.callers.exceptions import BadRequestError
+from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.execution import run_call
 from snipelead.callers.relay import relay_response
 from snipelead.callers.request_log import is_sampled
 from snipelead.http.writing import encode_head
+from snipelead.nodes.peer_messages import attach_load
 from snipelead.nodes.peer_messages import CALL_FIELD
 from snipelead.nodes.peer_messages import decode_status
 from snipelead.nodes.peer_messages import encode_field
@@ -73,9 +75,14 @@
         status = decode_status(request)
         if status is not None:
             limiter.status.adopt(status)
-        response = await limiter.send(
-            call, request, call_info.attempt_id, call_info.incarnation
-        )
+        try:
+            response = await limiter.send(
+                call, request, call_info.attempt_id, call_info.incarnation
+            )
+        except CallError as error:
+            if error.load is not None:
+                attach_load(error)
+            raise
         try:
             lines = [encode_field(LOAD_FIELD, response.load)]
             status = limiter.status.make_message()
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -99,6 +99,7 @@
         try:
             await self.admit(call)
         except OverloadedError as error:
+            error.load = self.report_load(call)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             log_failure(
                 CALL_NOT_ADMITTED,
@@ -210,6 +211,7 @@
                 self.attempts.mark_sent(attempt_id)
             response = await self._send_tracked(reader, call, request, target)
         except TargetBusyError as error:
+            error.load = self.report_load(call)
             self.sender.release(address, reader, error.response)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             raise
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -341,6 +341,9 @@
     def record_error(self, observation, error):
         """Record the failure of an attempt."""
         now = trio.current_time()
+        if error.load is not None:
+            observation.record_load(error.load, now)
+            self.record_utilisation(observation.entry.service, error.load)
         match error:
             case ResponseLostError() | TargetUnreachableError():
                 self.record_failure(observation, now)
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -370,7 +370,7 @@
         if not is_error:
             self._record_latency(latency_s, load, now)
         if load is not None:
-            self._record_load(load, now)
+            self.record_load(load, now)
 
     def _record_latency(self, latency_s, load, now):
         weight = LATENCY_EWMA_WEIGHT
@@ -401,7 +401,8 @@
         self.latency_s += weight * (latency_s - self.latency_s)
         self.latency_updated_at = now
 
-    def _record_load(self, load, now):
+    def record_load(self, load, now):
+        """Record the load reported with a response or a refusal."""
         self.reported_load = load.in_flight + load.queued
         self.load_reported_at = now
         self.baseline_load += BASELINE_LOAD_EWMA_WEIGHT * (
