Shed requests beyond the usual rate of a customer first

Cause: while one to three customers send four to eight times their usual rate, the requests of all customers were refused alike.

--- a/snipelead/admission/acceptance.py
+++ b/snipelead/admission/acceptance.py
@@ -41,16 +41,20 @@
     ----------
     wanted, accepted : DecayingCount
         Attempts that were wanted, and those that were sent and not refused.
+    beyond, requests : DecayingCount
+        Requests beyond the usual rates of their customers, and all requests.
     rank : int
         Urgency of the route; the lowest is the most urgent.
     """
 
-    __slots__ = ('accepted', 'rank', 'wanted')
+    __slots__ = ('accepted', 'beyond', 'rank', 'requests', 'wanted')
 
     def __init__(self):
         self.rank = 0
         self.wanted = DecayingCount(HALF_LIFE_S)
         self.accepted = DecayingCount(HALF_LIFE_S)
+        self.beyond = DecayingCount(HALF_LIFE_S)
+        self.requests = DecayingCount(HALF_LIFE_S)
 
     def record_withheld(self, now):
         """Record an attempt that is not sent."""
@@ -81,14 +85,10 @@
     ----------
     estimators : dict of tuple to AcceptanceEstimator
         Attempts by route and by whether work in progress made them.
-    beyond, total : DecayingCount
-        Requests beyond the usual rates of their customers, and all requests.
     """
 
     def __init__(self):
         self.estimators = BoundedDict(MAX_TRACKED_ROUTES)
-        self.beyond = DecayingCount(HALF_LIFE_S)
-        self.total = DecayingCount(HALF_LIFE_S)
 
     def get(self, call):
         """Return the estimator for a call."""
@@ -101,9 +101,10 @@
 
     def record_request(self, call, now):
         """Record the first attempt of a request."""
-        self.total.add(now)
+        estimator = self.get(call)
+        estimator.requests.add(now)
         if call.standing.beyond_usual:
-            self.beyond.add(now)
+            estimator.beyond.add(now)
 
     def _is_starving(self, own, now):
         """Return whether a route is accepted far less often than others."""
@@ -130,7 +131,7 @@
                 if estimator.rank < own.rank
             )
             share = max((share, *urgent))
-        beyond_share = self.beyond.get(now) / max(1.0, self.total.get(now))
+        beyond_share = own.beyond.get(now) / max(1.0, own.requests.get(now))
         if not share or not beyond_share:
             return share
         if call.standing.beyond_usual:
--- a/snipelead/admission/route_shares.py
+++ b/snipelead/admission/route_shares.py
@@ -104,8 +104,6 @@
         recent = [
             c for c in self.counts.values() if c.offered.get(now) > MIN_OFFERED
         ]
-        if call.standing.beyond_usual:
-            return any(c.share(now) < FULL_SHARE for c in recent)
         own = self.counts.get((call.route, call.standing.from_work))
         if own is None or self._is_starving(own, now):
             return False
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -162,8 +162,8 @@
         return (
             not standing.from_work,
             self.latest_start < now,
-            standing.beyond_usual,
             self.priority,
+            standing.beyond_usual,
             self.latest_start,
         )
 
