Send a target no more than it takes, learned from refusals and resets

Cause: a target that states more slots than it has refuses what is beyond, or resets the connection, after which the outcome of the request is unknown. A cancelled request freed its slot before the target had noticed.

Change: a refusal, or a reset within 0.1 s of sending, lowers the limit below the requests then in flight, after resets to no less than half of the stated slots. It rises by one after 2 s without either, and ever later if that fails. The slot of a cancelled request is kept for 0.05 s, and for up to 0.8 s if refusals follow cancellations.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -183,6 +183,7 @@
             self.statuses,
             self.crash_detector,
         )
+        self.metrics.get_target_slots = self.limiters.target_slots
         self.metrics.get_rate_limits = self.limiters.rate_limits
         self.metrics.get_quarantine_counts = self._count_quarantine
         self.balancer = Balancer(
--- a/snipelead/callers/tests/test_limiter.py
+++ b/snipelead/callers/tests/test_limiter.py
@@ -52,6 +52,39 @@
 
         self.run_nodes(test, self.node)
 
+    def test_target_that_resets_when_full_gets_as_many_as_it_takes(self):
+        """Guards against resets of a target that states too many slots."""
+        target = self.node.target
+        resets = []
+        original = target.handle
+
+        async def handle(connection, request):
+            if target.running >= 2:
+                resets.append(request.url)
+                connection.abort()
+                return
+            await original(connection, request)
+
+        target.handle = handle
+
+        async def test(nursery):
+            release = self.delay_responses()
+            callers = await self.send_all('/reads/1', 2)
+            await wait_until(lambda: target.running == 2)
+            response, _ = await (await self.open()).call('/orders/1', 'POST')
+            self.assertEqual(502, response.status)
+            callers += await self.send_all('/reads/2', 2)
+            limiter = self.node.limiter
+            await wait_until(lambda: len(limiter.fair_queue) == 2)
+            release.set()
+            for caller in callers:
+                response, _ = await caller.receive()
+                self.assertEqual(200, response.status)
+            self.assertEqual([b'/orders/1'], resets)
+            self.assertEqual(2, limiter.slots)
+
+        self.run_nodes(test, self.node)
+
     def test_exceeding_the_slot_limit_raises_an_error(self):
         async def test(nursery):
             for _ in range(4):
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -126,6 +126,10 @@
         Requests refused without forwarding them, by route.
     early_refusal_counts : dict of RouteName to int
         Values of ``early_refusals``.
+    target_slots : Gauge
+        Requests that local targets get at a time, by target.
+    get_target_slots : callable
+        Returns the values of ``target_slots`` by target id.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -194,6 +198,12 @@
             registry=self.registry,
         )
         self.early_refusal_counts = {}
+        self.target_slots = Gauge(
+            'snipelead_target_slots',
+            'Requests that a local target gets at a time.',
+            registry=self.registry,
+        )
+        self.get_target_slots = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -243,6 +253,9 @@
         crash_count, refusal_count, watched = self.get_quarantine_counts()
         self.target_crashes.set({}, crash_count)
         self.quarantine_refusals.set({}, refusal_count)
+        self.target_slots.values.clear()
+        for target_id, slots in self.get_target_slots().items():
+            self.target_slots.set({'target': target_id}, slots)
         for route, count in self.early_refusal_counts.items():
             self.early_refusals.set({'route': route}, count)
         for verdict, count in watched.items():
--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -5,11 +5,14 @@
 
 import trio
 
+from snipelead.admission.events import TARGET_CAPACITY_RESTORED
 from snipelead.admission.route_shares import RouteShares
+from snipelead.admission.target_capacity import TargetCapacity
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.exceptions import InvariantError
+from snipelead.logs import log_event
 from snipelead.nodes.fair_queue import FairQueue
 from snipelead.nodes.fair_queue import Waiter
 from snipelead.nodes.latency_queue import choose_retry_after_s
@@ -57,6 +60,8 @@
         Waiting requests with a latency objective.
     slot_start_sum_s : float
         Sum of the times at which the requests in flight took their slots.
+    capacity : TargetCapacity
+        Learns how many of its stated slots the target really has.
     route_shares : RouteShares
         Requests with a latency objective, and which were accepted.
     status : LocalTargetStatus
@@ -81,13 +86,14 @@
         self.fair_queue = FairQueue()
         self.latency_queue = LatencyQueue()
         self.route_shares = RouteShares()
+        self.capacity = TargetCapacity()
         self.slot_start_sum_s = 0.0
 
     @property
     def slots(self):
         """Concurrent requests that the target accepts; 0 if it is gone."""
         target = self.local_targets.targets.get(self.target_id)
-        return target.entry.slots if target else 0
+        return self.capacity.limit(target.entry) if target else 0
 
     @property
     def waiting(self):
@@ -144,6 +150,16 @@
         self.batch_in_flight -= call.request_class is RequestClass.BATCH
         self.start_queued()
 
+    def _update_capacity(self, now):
+        for call in self.capacity.pop_held(now):
+            self.release_slot(call)
+        target = self.local_targets.targets.get(self.target_id)
+        if target is None or not self.capacity.grow(target.entry.slots, now):
+            return
+        if not self.capacity.is_lowered:
+            log_event(TARGET_CAPACITY_RESTORED, target_id=self.target_id)
+        self.start_queued()
+
     def start_queued(self):
         """Give free slots to waiting requests."""
         now = trio.current_time()
@@ -259,6 +275,7 @@
 
     def tick(self, now):
         """Start waiting requests that may be sent; evict infeasible ones."""
+        self._update_capacity(now)
         if self.waiting and self.status.is_leaving():
             self._evict_all()
             return
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelead.admission.events import TARGET_CAPACITY_LOWERED
 from snipelead.callers.events import CALL_ADMITTED
 from snipelead.callers.events import CALL_NOT_ADMITTED
 from snipelead.callers.exceptions import DuplicateAttemptError
@@ -13,6 +14,8 @@
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.callers.request_log import log_decision
 from snipelead.callers.request_log import log_failure
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.logs import log_event
 from snipelead.nodes.admission import TargetAdmission
 from snipelead.nodes.attempts import AttemptState
 from snipelead.nodes.local_response import LocalResponse
@@ -21,6 +24,7 @@
 from snipelead.quarantine.admission import make_crash_error
 from snipelead.quarantine.detector import CrashDetector
 from snipelead.quarantine.ledger import CrashLedger
+from snipelead.types import Ran
 
 __all__ = ['TargetLimiter']
 
@@ -117,6 +121,13 @@
             return await self.send_admitted(
                 call, request, attempt_id, incarnation
             )
+        except trio.Cancelled:
+            if call.ran is Ran.NO:
+                self.release_slot(call)
+            else:
+                # The target runs the request until it notices.
+                self.capacity.hold(call, trio.current_time())
+            raise
         except BaseException:
             self.release_slot(call)
             raise
@@ -211,6 +222,11 @@
                 self.attempts.mark_sent(attempt_id)
             response = await self._send_tracked(reader, call, request, target)
         except TargetBusyError as error:
+            self._log_capacity(
+                self.capacity.record_refusal(
+                    self.in_flight, trio.current_time()
+                )
+            )
             error.load = self.report_load(call)
             self.sender.release(address, reader, error.response)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
@@ -235,6 +251,7 @@
     async def _send_tracked(self, reader, call, request, target):
         """Send a request; find out whether the target crashes meanwhile."""
         detector = self.crash_detector
+        sent_at = trio.current_time()
         with detector.track(self.target_id, call, request):
             try:
                 response = await self.sender.send_request(
@@ -242,11 +259,15 @@
                 )
             except ResponseLostError as error:
                 lost_at = trio.current_time()
+                in_flight = self.in_flight
                 reader.connection.close()
                 crash = await detector.find_crash(
                     target, lost_at, self.status.is_leaving()
                 )
                 if crash is None:
+                    self._record_reset(
+                        error, target, in_flight, (sent_at, lost_at)
+                    )
                     raise
                 raise make_crash_error(
                     detector.ledger, crash, call, request, error.ran
@@ -254,6 +275,24 @@
             detector.record_completion(call, request)
             return response
 
+    def _record_reset(self, error, target, in_flight, times):
+        """Learn from a connection that the target closed when full."""
+        is_reset = isinstance(error.__cause__, ConnectionLostError)
+        if is_reset and error.ran is Ran.UNKNOWN:
+            self._log_capacity(
+                self.capacity.record_reset(
+                    in_flight, target.entry.slots, *times
+                )
+            )
+
+    def _log_capacity(self, was_lowered):
+        if was_lowered:
+            log_event(
+                TARGET_CAPACITY_LOWERED,
+                target_id=self.target_id,
+                slots=self.slots,
+            )
+
     def report_load(self, call):
         """Return the load of the target to report with a response."""
         return Load(
--- a/snipelead/nodes/target_limiters.py
+++ b/snipelead/nodes/target_limiters.py
@@ -78,6 +78,13 @@
         """Number of requests that run at local targets."""
         return sum(limiter.in_flight for limiter in self.by_target.values())
 
+    def target_slots(self):
+        """Return the requests that each target gets at a time, by id."""
+        return {
+            target_id: limiter.slots
+            for target_id, limiter in self.by_target.items()
+        }
+
     def rate_limits(self):
         """Return the limits that targets of this node state, by id."""
         limits = {}
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -64,6 +64,7 @@
                 2,
                 {Verdict.SUSPECT: 3},
             )
+            metrics.get_target_slots = lambda: {'t': 6}
             metrics.early_refusal_counts = {'reads': 1}
             return metrics
 
