--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -193,6 +193,7 @@
             self.statuses,
             self.crash_detector,
         )
+        self.metrics.get_target_slots = self.limiters.target_slots
         self.metrics.get_rate_limits = self.limiters.rate_limits
         self.metrics.get_quarantine_counts = self._count_quarantine
         self.metrics.authenticator = self.authenticator
@@ -217,6 +218,8 @@
             self.balancer,
             self.ledger,
         )
+        self.early_refusal = self.attempts.early_refusal
+        self.metrics.early_refusal_counts = self.early_refusal.refusal_counts
         self.claim_manager = ClaimManager(self.claims, self._make_claim_id)
         self.dispatcher = Dispatcher(
             self.holder,
@@ -277,6 +280,7 @@
                 self.sender.pool.close_expired()
                 self.forwarder.pool.close_expired()
                 self.balancer.drop_removed_targets()
+                self.early_refusal.tick(now)
 
     @property
     def in_flight(self):
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -134,6 +134,14 @@
         without a value if revocation is not bounded.
     authenticator : Authenticator or None
         Gives the values of these two.
+    early_refusals : Counter
+        Requests refused without forwarding them, by route.
+    early_refusal_counts : dict of RouteName to int
+        Values of ``early_refusals``.
+    target_slots : Gauge
+        Requests that local targets get at a time, by target.
+    get_target_slots : callable
+        Returns the values of ``target_slots`` by target id.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -212,6 +220,19 @@
             registry=self.registry,
         )
         self.authenticator = None
+        self.early_refusals = Counter(
+            'snipelead_early_refusals_total',
+            'Requests refused without forwarding them, since the service is'
+            ' full.',
+            registry=self.registry,
+        )
+        self.early_refusal_counts = {}
+        self.target_slots = Gauge(
+            'snipelead_target_slots',
+            'Requests that a local target gets at a time.',
+            registry=self.registry,
+        )
+        self.get_target_slots = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -263,6 +284,11 @@
         for service, count in self.get_rollout_requests().items():
             self.rollout_requests.set({'service': service}, count)
         self.quarantine_refusals.set({}, refusal_count)
+        self.target_slots.values.clear()
+        for target_id, slots in self.get_target_slots().items():
+            self.target_slots.set({'target': target_id}, slots)
+        for route, count in self.early_refusal_counts.items():
+            self.early_refusals.set({'route': route}, count)
         for verdict, count in watched.items():
             self.watched_requests.set({'verdict': verdict.value}, count)
         if self.authenticator is not None:
--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -5,10 +5,14 @@
 
 import trio
 
+from snipelead.admission.events import TARGET_CAPACITY_RESTORED
+from snipelead.admission.route_shares import RouteShares
+from snipelead.admission.target_capacity import TargetCapacity
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import RateLimitedError
 from snipelead.callers.exceptions import TargetLeavingError
 from snipelead.exceptions import InvariantError
+from snipelead.logs import log_event
 from snipelead.nodes.fair_queue import FairQueue
 from snipelead.nodes.fair_queue import Waiter
 from snipelead.nodes.latency_queue import choose_retry_after_s
@@ -56,6 +60,10 @@
         Waiting requests with a latency objective.
     slot_start_sum_s : float
         Sum of the times at which the requests in flight took their slots.
+    capacity : TargetCapacity
+        Learns how many of its stated slots the target really has.
+    route_shares : RouteShares
+        Requests with a latency objective, and which were accepted.
     status : LocalTargetStatus
         What the target states about itself, with its rate limiter.
     statistics : ServiceStatistics
@@ -77,13 +85,15 @@
         self.random = Random()
         self.fair_queue = FairQueue()
         self.latency_queue = LatencyQueue()
+        self.route_shares = RouteShares()
+        self.capacity = TargetCapacity()
         self.slot_start_sum_s = 0.0
 
     @property
     def slots(self):
         """Concurrent requests that the target accepts; 0 if it is gone."""
         target = self.local_targets.targets.get(self.target_id)
-        return target.entry.slots if target else 0
+        return self.capacity.limit(target.entry) if target else 0
 
     @property
     def waiting(self):
@@ -140,6 +150,16 @@
         self.batch_in_flight -= call.request_class is RequestClass.BATCH
         self.start_queued()
 
+    def _update_capacity(self, now):
+        for call in self.capacity.pop_held(now):
+            self.release_slot(call)
+        target = self.local_targets.targets.get(self.target_id)
+        if target is None or not self.capacity.grow(target.entry.slots, now):
+            return
+        if not self.capacity.is_lowered:
+            log_event(TARGET_CAPACITY_RESTORED, target_id=self.target_id)
+        self.start_queued()
+
     def start_queued(self):
         """Give free slots to waiting requests."""
         now = trio.current_time()
@@ -183,6 +203,7 @@
             and self.status.rate_limiter.try_take(now)
         ):
             call.slot_acquired_at = self.acquire_slot(call.request_class)
+            self._record_admission(call, True, now)
             return
         if call.latency_deadline is None:
             max_wait_s = self.limits.queue_wait_ms / 1_000
@@ -200,6 +221,7 @@
         call.queue_wait_s += trio.current_time() - wait_started_at
         if not waiter.granted:
             self.remove_waiter(waiter)
+            self.route_shares.record_loss(call, trio.current_time())
             if self.status.is_leaving():
                 raise self.make_leaving_error()
             raise self.make_overloaded_error(call)
@@ -220,6 +242,7 @@
             call.latency_deadline,
             call.deadline,
             call.request_class,
+            call.standing,
         )
         slots = max(1, self.slots)
         queue_wait_s = max(
@@ -228,14 +251,23 @@
                 self.latency_queue.count_ahead(waiter, now), now
             ),
         )
-        if not waiter.may_wait(
+        yields = self.in_flight >= slots and self.route_shares.must_yield(
+            call, now
+        )
+        may_wait = not yields and waiter.may_wait(
             queue_wait_s, self.statistics.mean_service_s / slots, now
-        ):
+        )
+        self._record_admission(call, may_wait, now)
+        if not may_wait:
             raise self.make_overloaded_error(call)
         self.latency_queue.push(waiter)
         self.start_queued()
         return waiter
 
+    def _record_admission(self, call, accepted, now):
+        if call.latency_deadline is not None:
+            self.route_shares.record(call, accepted, now)
+
     def estimate_call_service_s(self, call):
         """Return the expected service time of a call, in seconds."""
         latency_s = call.latency_deadline - trio.current_time()
@@ -243,6 +275,7 @@
 
     def tick(self, now):
         """Start waiting requests that may be sent; evict infeasible ones."""
+        self._update_capacity(now)
         if self.waiting and self.status.is_leaving():
             self._evict_all()
             return
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -2,14 +2,17 @@
 
 import msgspec
 
+from snipelead.admission.standing import RequestStanding
 from snipelead.callers.call import AuthenticatedCallMetadata
 from snipelead.callers.call import Call
 from snipelead.callers.exceptions import BadRequestError
+from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.execution import run_call
 from snipelead.callers.relay import relay_response
 from snipelead.callers.request_log import is_sampled
 from snipelead.http.writing import encode_head
+from snipelead.nodes.peer_messages import attach_load
 from snipelead.nodes.peer_messages import CALL_FIELD
 from snipelead.nodes.peer_messages import decode_status
 from snipelead.nodes.peer_messages import encode_field
@@ -67,6 +70,7 @@
         call.request_id = call_info.request_id
         call.is_sampled = is_sampled(call_info.request_id)
         call.priority = call_info.priority
+        call.standing = RequestStanding.decode(call_info.standing)
         call.set_latency_deadline(call_info.latency_remaining_ms)
         call.authorization = self.authenticator.adopt(
             call_info.tenant, call_info.authenticated_in
@@ -81,9 +85,14 @@
         status = decode_status(request)
         if status is not None:
             limiter.status.adopt(status)
-        response = await limiter.send(
-            call, request, call_info.attempt_id, call_info.incarnation
-        )
+        try:
+            response = await limiter.send(
+                call, request, call_info.attempt_id, call_info.incarnation
+            )
+        except CallError as error:
+            if error.load is not None:
+                attach_load(error)
+            raise
         try:
             lines = [encode_field(LOAD_FIELD, response.load)]
             status = limiter.status.make_message()
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -70,6 +70,8 @@
             holder = ReleaseHolder()
             metrics.authenticator = Authenticator(holder, revocation_ms=5_000)
             metrics.authenticator.refusals['SL3030'] += 1
+            metrics.get_target_slots = lambda: {'t': 6}
+            metrics.early_refusal_counts = {'reads': 1}
             return metrics
 
         async def check():
