Place requests by expected cost and shared loads of targets

Each node judged the targets of a service by its own few responses. At 24 targets it hears of each every few seconds, so that it sees neither what waits there nor a slowdown of less than a second, and sends requests across zones in vain.

Nodes share the recent occupancy and speed of their targets through the controls, and the new policy draws one target in the own zone and one elsewhere by speed and room and takes the one that is less likely to answer late. It is off unless the settings name it.

--- a/snipelead/bench/cluster.py
+++ b/snipelead/bench/cluster.py
@@ -154,7 +154,10 @@
             address=address,
             admin_address=admin_address,
             controls=(),
-            limits=NodeLimits(retry_ratio=self.policy.retry_ratio),
+            limits=NodeLimits(
+                retry_ratio=self.policy.retry_ratio,
+                policy=self.policy.choice,
+            ),
         )
         target = EmulatedTarget(
             self._make_target_settings(service, name, admin_address, changes),
@@ -201,7 +204,6 @@
             node.local_targets,
             self.claims,
             NodeMetrics(),
-            self.policy.choice,
             self.seed,
         )
 
--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -160,7 +160,11 @@
     def _choose_target(self, call, service, tried, failure):
         try:
             return self.balancer.choose(
-                service, tried, call.at_most_once, call.route
+                service,
+                tried,
+                call.at_most_once,
+                call.route,
+                call.latency_remaining_s(),
             )
         except NoTargetError:
             if failure is None:
--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -319,6 +319,18 @@
         if remaining_ms is not None:
             self.latency_deadline = trio.current_time() + remaining_ms / 1_000
 
+    def latency_remaining_s(self):
+        """Return the time left to meet the latency objective, in seconds.
+
+        Returns
+        -------
+        float or None
+            None if there is no latency objective.
+        """
+        if self.latency_deadline is None:
+            return None
+        return self.latency_deadline - trio.current_time()
+
     def _latency_remaining_ms(self):
         if self.latency_deadline is None:
             return None
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -27,7 +27,6 @@
 from snipelead.quarantine.detector import CrashDetector
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.routing.balancer import Balancer
-from snipelead.routing.policies import Policy
 from snipelead.targets.protocol import DEFAULT_TARGET_PROTOCOL
 from snipelead.targets.protocol import TargetProtocol
 from snipelead.targets.sender import TargetSender
@@ -81,8 +80,6 @@
         Client with the coroutine methods ``claim`` and ``settle``.
     metrics : NodeMetrics
         Metrics of calls.
-    policy : Policy
-        Load balancing policy.
     seed : int or None
         Seed of the random choices.
     protocols : Protocols
@@ -117,7 +114,6 @@
         local_targets,
         claims,
         metrics,
-        policy=Policy.OBSERVED,
         seed=None,
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
@@ -134,7 +130,6 @@
         self.local_targets = local_targets
         self.claims = claims
         self.metrics = metrics
-        self.policy = policy
         self.seed = seed
         self.caller_address = settings.caller_address
         self.address = settings.address
@@ -194,7 +189,7 @@
             settings.zone,
             self.directory,
             limits.retry_ratio,
-            self.policy,
+            limits.policy,
             self.seed,
             limits.retry_extra,
             limits.own_zone_load,
--- a/snipelead/controls/service.py
+++ b/snipelead/controls/service.py
@@ -14,6 +14,7 @@
 from snipelead.controls.fleet import merge_fleet
 from snipelead.controls.leases import NodeLeases
 from snipelead.controls.links import ControlLinks
+from snipelead.controls.loads import LoadService
 from snipelead.controls.polling import MS_PER_S
 from snipelead.controls.publisher import Publisher
 from snipelead.controls.sessions import NodeSessions
@@ -70,6 +71,7 @@
         self.sessions = NodeSessions()
         self.directory = ControlDirectory(self.sessions.wake)
         self.ledger = CrashLedger(self.sessions.wake)
+        self.loads = LoadService(settings.control_id)
         self.leases = NodeLeases(
             settings.timings, self.sessions, self.directory
         )
@@ -108,6 +110,7 @@
             FreshnessRequest: self.handle_freshness,
             WatchedRequest: self.handle_watched,
             LiftRequest: self.handle_lift,
+            **self.loads.handlers(),
         }
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -135,6 +138,7 @@
             self.ledger,
         )
         nursery.start_soon(exchange.run)
+        nursery.start_soon(self.loads.poll_peer, link)
 
     async def _track_controls(self, nursery):
         """Update the links whenever the source learns of other controls."""
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -7,6 +7,7 @@
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
+from snipelead.nodes.load_reporter import LoadReporter
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.leases import expire_targets
@@ -139,6 +140,7 @@
             await nursery.start(self.call_path.run)
             await nursery.start(self.frontend.run, self)
             await nursery.start(self.sync_client.run)
+            nursery.start_soon(self._make_load_reporter().run)
             task_status.started()
             await stop.wait()
             self.stopping = True
@@ -146,6 +148,15 @@
             await self._shut_down()
             nursery.cancel_scope.cancel()
 
+    def _make_load_reporter(self):
+        return LoadReporter(
+            self.settings.node_id,
+            self.call_path.limiters,
+            self.sync_client.links,
+            self.call_path.balancer,
+            self.settings.limits.load_interval_ms,
+        )
+
     async def _shut_down(self):
         self.heartbeat_tracker.mark_leaving()
         # The node still receives releases meanwhile.
--- /dev/null
+++ b/snipelead/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests by expected cost and by the work left at targets."""
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -15,6 +15,7 @@
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.callers.exceptions import WrongIncarnationError
 from snipelead.logs import log_event
+from snipelead.placement.distribution import ServiceTimeDistribution
 from snipelead.releases.document import MAX_TRACKED_ROUTES
 from snipelead.routing.budget import RetryBudget
 from snipelead.routing.observations import TargetObservation
@@ -34,6 +35,9 @@
 # Directory updates reach a node within this time.
 NO_TARGET_RETRY_AFTER_MS = 500
 INITIAL_RESPONSE_BYTES = 2_000
+# Heads of a forwarded request and its response, with the metadata of nodes.
+# The observed policy, which deployments are tuned to, does not count them.
+MESSAGE_HEAD_BYTES = 1_100
 RESPONSE_SIZE_EWMA_WEIGHT = 0.05
 SERVICE_TIME_EWMA_WEIGHT = 0.02
 UTILISATION_EWMA_WEIGHT = 0.1
@@ -81,6 +85,9 @@
         Moving averages of the response sizes.
     mean_service_s : dict of RouteName to float
         Moving averages of the service times over all targets, in seconds.
+    shapes : dict of RouteName to ServiceTimeDistribution
+        Distributions of the service times in proportion to their mean at
+        each target; empty unless the policy needs them.
     mean_relative_times : dict of ServiceName to tuple
         Directory entries of each service, and the mean of their published
         relative service times.
@@ -103,6 +110,7 @@
         self.crossing_ms_per_kb = crossing_ms_per_kb
         self.mean_response_bytes = BoundedDict(MAX_TRACKED_ROUTES)
         self.mean_service_s = BoundedDict(MAX_TRACKED_ROUTES)
+        self.shapes = BoundedDict(MAX_TRACKED_ROUTES)
         self.reachability = reachability
         if reachability is not None:
             reachability.on_reachable = self.clear_failures
@@ -171,7 +179,14 @@
             observation.update_entry(entry)
         return observation
 
-    def choose(self, service, tried=(), at_most_once=False, route=None):
+    def choose(
+        self,
+        service,
+        tried=(),
+        at_most_once=False,
+        route=None,
+        remaining_s=None,
+    ):
         """Choose a target.
 
         Parameters
@@ -185,6 +200,9 @@
         route : RouteName or None
             Route of the request; gives its expected service time and response
             size.
+        remaining_s : float or None
+            Time left to meet the latency objective, in seconds; None if there
+            is none.
 
         Returns
         -------
@@ -207,6 +225,8 @@
             route,
             self._mean_relative_service_time(service),
             self._published_weight(service),
+            remaining_s,
+            self._get_shape(route),
         )
         return POLICIES[self.policy](self, ready or usable, now, profile)
 
@@ -227,6 +247,27 @@
             ),
         )
 
+    def _get_shape(self, route):
+        if self.policy is not Policy.EXPECTED_COMPLETION:
+            return None
+        shape = self.shapes.get(route)
+        if shape is None:
+            shape = self.shapes[route] = ServiceTimeDistribution(1.0)
+        return shape
+
+    def record_shared_loads(self, loads):
+        """Record loads that the nodes of targets have shared.
+
+        Parameters
+        ----------
+        loads : iterable of ReceivedLoad
+            Loads of targets that this node may know or not.
+        """
+        for received in loads:
+            observation = self.observations.get(received.load.target_id)
+            if observation is not None:
+                observation.record_shared_load(received)
+
     def record_utilisation(self, service, load):
         """Record the load that a target of a service has reported."""
         utilisation = (load.in_flight + load.queued) / max(1, load.slots)
@@ -256,6 +297,8 @@
         response_bytes = self.mean_response_bytes.get(
             route, INITIAL_RESPONSE_BYTES
         )
+        if self.policy is Policy.EXPECTED_COMPLETION:
+            response_bytes += MESSAGE_HEAD_BYTES
         return (
             self.crossing_ms_per_kb
             * response_bytes
@@ -288,6 +331,9 @@
         observation.record_service_time(
             route, load, mean_s, trio.current_time()
         )
+        shape = self._get_shape(route)
+        if shape is not None and load.route_service_us:
+            shape.record(load.target_us / load.route_service_us)
 
     def record_response_size(self, route, response_bytes):
         """Record the size of a response, in bytes."""
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -1,5 +1,7 @@
 """Latency, load and failures of each target as observed by a node."""
 
+from math import inf
+
 import trio
 
 from snipelead.types import TargetState
@@ -118,6 +120,10 @@
         The target was at its limit; other targets are preferred until then.
     probe_in_flight : bool
         Whether the single probe after an ejection is in flight.
+    shared_occupancy, shared_relative_time, shared_load_at : float
+        Mean number of requests at the target and its relative service time
+        as shared by its node through the controls, and when they were
+        measured.
     leaving_version : tuple of (Incarnation, int) or None
         Incarnation and sequence of the directory entry under which the target
         refused new requests because it is leaving.
@@ -147,6 +153,9 @@
         self.ejected_until = 0.0
         self.backoff_until = 0.0
         self.probe_in_flight = False
+        self.shared_occupancy = 0.0
+        self.shared_relative_time = 0.0
+        self.shared_load_at = -inf
         self.leaving_version = None
 
     def update_entry(self, entry):
@@ -266,6 +275,44 @@
         age_s = max(0.0, now - self.service_ratio_updated_at)
         return 1.0 + (ratio - 1.0) * 0.5 ** (age_s / half_life_s)
 
+    def record_shared_load(self, received):
+        """Record a load that the target's node has shared.
+
+        Parameters
+        ----------
+        received : ReceivedLoad
+            The load and when it was measured.
+        """
+        load = received.load
+        if received.measured_at <= self.shared_load_at:
+            return
+        self.shared_occupancy = load.occupancy_percent / 100
+        self.shared_relative_time = load.relative_permille / 1_000
+        self.shared_load_at = received.measured_at
+
+    def service_time_s(self, now, profile):
+        """Return the expected service time for the route of a request."""
+        half_life_s = _half_life_s(profile)
+        return (
+            self.route_latency_s(now, profile, half_life_s) - self.round_trip_s
+        )
+
+    def error_share(self, now, profile):
+        """Return the expected share of server errors, fading with time."""
+        if not self.error_rate:
+            return 0.0
+        age_s = now - self.error_rate_updated_at
+        return self.error_rate * 0.5 ** (age_s / _half_life_s(profile))
+
+    def slow_start_share(self, now):
+        """Return the share of its usual requests that the target gets."""
+        return min(
+            1.0,
+            max(
+                MIN_SLOW_START_SHARE, (now - self.slow_start_at) / SLOW_START_S
+            ),
+        )
+
     def expected_latency_s(self, now, profile):
         """Return the expected time to a response, penalised for errors.
 
@@ -276,11 +323,7 @@
         profile : RequestProfile
             Properties of the request.
         """
-        half_life_s = (
-            AT_MOST_ONCE_HALF_LIFE_S
-            if profile.at_most_once
-            else OBSERVATION_HALF_LIFE_S
-        )
+        half_life_s = _half_life_s(profile)
         if profile.mean_service_s is not None:
             latency_s = self.route_latency_s(now, profile, half_life_s)
         else:
@@ -290,23 +333,15 @@
                 else 0.0
             )
             latency_s = self.latency_s * 0.5 ** (age_s / half_life_s)
-        if not self.error_rate:
+        error_rate = self.error_share(now, profile)
+        if not error_rate:
             return latency_s
-        error_rate = self.error_rate * 0.5 ** (
-            (now - self.error_rate_updated_at) / half_life_s
-        )
         return max(latency_s, MIN_LATENCY_S) * (
             1 + ERROR_COST_FACTOR * error_rate
         )
 
     def cost(self, now, profile):
         """Return the cost of sending one more request; lower is better."""
-        slow_start_share = min(
-            1.0,
-            max(
-                MIN_SLOW_START_SHARE, (now - self.slow_start_at) / SLOW_START_S
-            ),
-        )
         utilisation = (self.load(now) + 1) / max(1, self.entry.slots)
         # With many slots, requests rarely queue before most are in use.
         queueing_cost = QUEUEING_COST_FACTOR * max(
@@ -315,7 +350,7 @@
         return (
             self.expected_latency_s(now, profile)
             * (1.0 + utilisation + queueing_cost)
-            / slow_start_share
+            / self.slow_start_share(now)
         )
 
     def describe(self, now):
@@ -461,3 +496,10 @@
         """Exclude the target until the directory has a newer entry."""
         self.leaving_version = (self.entry.incarnation, self.entry.sequence)
         self.probe_in_flight = False
+
+
+def _half_life_s(profile):
+    """Return the half-life of what was observed, for a request."""
+    if profile.at_most_once:
+        return AT_MOST_ONCE_HALF_LIFE_S
+    return OBSERVATION_HALF_LIFE_S
--- a/snipelead/routing/policies.py
+++ b/snipelead/routing/policies.py
@@ -1,12 +1,14 @@
 """Load balancing policies.
 
-Only :func:`choose_observed` is used in production. The others are baselines
-for benchmarks.
+A node uses one of the first two, as its settings tell. The others are
+baselines for benchmarks.
 """
 
 from enum import Enum
 from typing import NamedTuple
 
+from snipelead.placement.choice import choose_by_expected_cost
+from snipelead.placement.distribution import ServiceTimeDistribution
 from snipelead.types import RouteName
 
 __all__ = ['POLICIES', 'Policy', 'RequestProfile']
@@ -25,6 +27,7 @@
     """Load balancing policy."""
 
     OBSERVED = 'observed'
+    EXPECTED_COMPLETION = 'expected-completion'
     RANDOM = 'random'
     ROUND_ROBIN = 'round-robin'
     LEAST_CONNECTIONS = 'least-connections'
@@ -51,6 +54,12 @@
     published_weight : float
         Weight of the published relative service times against what this node
         has observed, from 0.0 to 1.0.
+    remaining_s : float or None
+        Time left to meet the latency objective, in seconds; None if there is
+        none.
+    shape : ServiceTimeDistribution or None
+        Distribution of the service times of the route in proportion to their
+        mean at each target.
     """
 
     at_most_once: bool = False
@@ -59,6 +68,8 @@
     route: RouteName | None = None
     mean_relative_service_time: float = 0.0
     published_weight: float = 1.0
+    remaining_s: float | None = None
+    shape: ServiceTimeDistribution | None = None
 
 
 def _choose_of_two(balancer, observations, now, profile):
@@ -135,6 +146,18 @@
     return local
 
 
+def choose_expected_completion(balancer, observations, now, profile):
+    """Return a target that is expected to answer in time.
+
+    Without recent loads of the targets, or for a request without a latency
+    objective, the choice is that of :func:`choose_observed`.
+    """
+    chosen = choose_by_expected_cost(balancer, observations, now, profile)
+    if chosen is None:
+        return choose_observed(balancer, observations, now, profile)
+    return chosen
+
+
 def choose_random(balancer, observations, now, profile):
     """Return a random target."""
     return balancer.random.choice(observations)
@@ -153,6 +176,7 @@
 
 POLICIES = {
     Policy.OBSERVED: choose_observed,
+    Policy.EXPECTED_COMPLETION: choose_expected_completion,
     Policy.RANDOM: choose_random,
     Policy.ROUND_ROBIN: choose_round_robin,
     Policy.LEAST_CONNECTIONS: choose_least_connections,
--- a/snipelead/routing/tests/test_load_balancing.py
+++ b/snipelead/routing/tests/test_load_balancing.py
@@ -83,6 +83,9 @@
         Whether targets publish their relative service times.
     """
 
+    response_bytes = RESPONSE_BYTES
+    variation = SERVICE_TIME_VARIATION
+
     def __init__(self, policy, utilisation, size=MEDIUM_FLEET, publishes=True):
         self.size = size
         self.publishes = publishes
@@ -108,7 +111,7 @@
         for number in range(size.targets):
             name = f't{number}'
             zone = f'z{number * size.zones // size.targets}'
-            self.targets[name] = _SimulatedTarget(SPEEDS[number % len(SPEEDS)])
+            self.targets[name] = _SimulatedTarget(self.make_speed(number))
             directory.merge(
                 TargetEntry(
                     name,
@@ -151,8 +154,10 @@
             self.schedule(
                 now + self.random.expovariate(self.rate), self.send_request
             )
-        balancer = self.random.choice(self.balancers)
-        observation = balancer.choose('s', route='r')
+        balancer = self.choose_balancer(now)
+        observation = balancer.choose(
+            's', route='r', remaining_s=self.size.latency_objective_s
+        )
         observation.begin_request(trio.current_time())
         self.schedule(
             now + ONE_WAY_DELAY_S,
@@ -160,6 +165,9 @@
             _SimulatedRequest(balancer, observation, now),
         )
 
+    def choose_balancer(self, now):
+        return self.random.choice(self.balancers)
+
     def arrive_at_target(self, now, request):
         target = self.targets[request.observation.entry.target_id]
         target.queue.append(request)
@@ -169,14 +177,20 @@
         while target.queue and target.slots_in_use < self.size.slots:
             request = target.queue.popleft()
             target.slots_in_use += 1
-            variance = math.log(1 + SERVICE_TIME_VARIATION**2)
-            mean = math.log(self.size.mean_service_s) - variance / 2
-            service_s = self.random.lognormvariate(mean, math.sqrt(variance))
-            request.service_s = service_s / target.speed
+            request.service_s = self.draw_service_s(target)
             self.schedule(
                 now + request.service_s, self.finish_request, target, request
             )
 
+    def make_speed(self, number):
+        return SPEEDS[number % len(SPEEDS)]
+
+    def draw_service_s(self, target):
+        variance = math.log(1 + self.variation**2)
+        mean = math.log(self.size.mean_service_s) - variance / 2
+        service_s = self.random.lognormvariate(mean, math.sqrt(variance))
+        return service_s / target.speed
+
     def finish_request(self, now, target, request):
         target.slots_in_use -= 1
         target.mean_service_s = target.mean_service_s or request.service_s
@@ -228,7 +242,7 @@
             latency_s, False, load, trio.current_time()
         )
         balancer.record_service_time(observation, 'r', load)
-        balancer.record_response_size('r', RESPONSE_BYTES)
+        balancer.record_response_size('r', self.response_bytes)
         if request.sent_at < WARM_UP_S:
             return
         self.counts['all'] += 1
--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -103,6 +103,7 @@
         'own_zone_load': [Interval(float, 0, 100)],
         'crossing_ms_per_kb': [Interval(float, 0, MAX_COUNT), None],
         'pipeline_depth': [_COUNT],
+        'load_interval_ms': [_NON_NEGATIVE_TIME_MS],
     },
     NodeSettings: {
         'node_id': [is_name],
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from snipelead.logs import LogFormat
+from snipelead.routing.policies import Policy
 from snipelead.types import Address
 from snipelead.types import ControlId
 from snipelead.types import ControlRole
@@ -280,6 +281,12 @@
         Cost of transferring a kilobyte of response between zones, in
         milliseconds of latency; if null, targets in the zone of the node are
         preferred as set by ``own_zone_load``.
+    policy : Policy
+        Load balancing policy. ``expected-completion`` needs the loads that
+        nodes share if ``load_interval_ms`` is set.
+    load_interval_ms : int
+        Interval at which the node shares the load of its targets with the
+        other nodes, through the controls; 0 disables that.
     pipeline_depth : int
         Maximum number of pipelined requests per caller connection that are
         processed concurrently.
@@ -295,6 +302,8 @@
     own_zone_load: float = 0.75
     crossing_ms_per_kb: float | None = None
     pipeline_depth: int = 16
+    policy: Policy = Policy.OBSERVED
+    load_interval_ms: int = 0
 
 
 class NodeSettings(_StrictStruct, tag_field='kind', tag='node'):
