--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -8,6 +8,7 @@
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
+from snipelead.nodes.load_reporter import LoadReporter
 from snipelead.quarantine.ledger import CrashLedger
 from snipelead.rollouts.coordinator import are_rollouts_enabled
 from snipelead.rollouts.reporter import RolloutReporter
@@ -162,6 +163,7 @@
                 nursery.start_soon(reporter.run)
             if self.call_path.authenticator.leases is not None:
                 nursery.start_soon(self._make_lease_client().run)
+            nursery.start_soon(self._make_load_reporter().run)
             task_status.started()
             await stop.wait()
             self.stopping = True
@@ -176,6 +178,15 @@
             self.settings.guarantees.revocation_ms,
         )
 
+    def _make_load_reporter(self):
+        return LoadReporter(
+            self.settings.node_id,
+            self.call_path.limiters,
+            self.sync_client.links,
+            self.call_path.balancer,
+            self.settings.limits.load_interval_ms,
+        )
+
     async def _shut_down(self):
         self.heartbeat_tracker.mark_leaving()
         # The node still receives releases meanwhile.
