Show how many targets a node knows the shared load of

Without it an operator cannot see whether loads are shared. The tests of metrics and of load sharing pass.

--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -179,13 +179,15 @@
         )
 
     def _make_load_reporter(self):
-        return LoadReporter(
+        reporter = LoadReporter(
             self.settings.node_id,
             self.call_path.limiters,
             self.sync_client.links,
             self.call_path.balancer,
             self.settings.limits.load_interval_ms,
         )
+        self.metrics.get_shared_load_count = reporter.count_loads
+        return reporter
 
     async def _shut_down(self):
         self.heartbeat_tracker.mark_leaving()
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -134,6 +134,10 @@
         without a value if revocation is not bounded.
     authenticator : Authenticator or None
         Gives the values of these two.
+    shared_loads : Gauge
+        Targets whose recent load the node knows from other nodes.
+    get_shared_load_count : callable
+        Returns the value of ``shared_loads``.
     early_refusals : Counter
         Requests refused without forwarding them, by route.
     early_refusal_counts : dict of RouteName to int
@@ -220,6 +224,12 @@
             registry=self.registry,
         )
         self.authenticator = None
+        self.shared_loads = Gauge(
+            'snipelead_shared_loads',
+            'Targets whose recent load is known from other nodes.',
+            registry=self.registry,
+        )
+        self.get_shared_load_count = int
         self.early_refusals = Counter(
             'snipelead_early_refusals_total',
             'Requests refused without forwarding them, since the service is'
@@ -284,6 +294,7 @@
         for service, count in self.get_rollout_requests().items():
             self.rollout_requests.set({'service': service}, count)
         self.quarantine_refusals.set({}, refusal_count)
+        self.shared_loads.set({}, self.get_shared_load_count())
         self.target_slots.values.clear()
         for target_id, slots in self.get_target_slots().items():
             self.target_slots.set({'target': target_id}, slots)
--- a/snipelead/nodes/load_reporter.py
+++ b/snipelead/nodes/load_reporter.py
@@ -59,6 +59,10 @@
         self.received = LoadTable()
         self.random = random.Random()
 
+    def count_loads(self):
+        """Return the number of targets whose recent load is known."""
+        return len(self.received.by_target)
+
     async def run(self):
         """Sample and report until cancelled; return at once if disabled."""
         if not self.interval_ms:
