Enforce rate limits of customers over the fleet

Cause: customers have a rate and a burst in releases, but nothing enforces them, and a share for each node would serve no customer whose callers are at few nodes.

Change: the leader of the voters keeps a token bucket for each customer and grants tokens to nodes in batches. A token exists in the bucket or at one node until it can no longer lead to a run, and the bucket creates new ones only for the room that is left. Nodes admit by tokens in hand and wait for a grant otherwise. A new leader grants little until the tokens of the one before it have lapsed; a voter without a leader grants from a small reserve.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -127,6 +127,7 @@
         while True:
             request.rewind()
             check_quarantine(self.ledger, call, request)
+            await self._check_admission(call)
             observation = self._choose_target(call, service, tried, failure)
             tried.add(observation.entry.target_id)
             try:
@@ -156,6 +157,28 @@
                     raise
                 failure = error
 
+    async def _check_admission(self, call):
+        """Admit the call again if it is too late for its token."""
+        admission = call.admission
+        if admission is not None and not admission.is_valid(
+            trio.current_time()
+        ):
+            call.admission = await admission.readmit()
+
+    def _renew_admission(self, call):
+        """Return whether a further attempt is within the rate limit.
+
+        Each run of a request counts, so an attempt after one that may have
+        run needs a token of its own.
+        """
+        if call.admission is None or call.outcome is Ran.NO:
+            return True
+        try:
+            call.admission = call.admission.renew()
+        except CallError:
+            return False
+        return True
+
     def _choose_target(self, call, service, tried, failure):
         try:
             return self.balancer.choose(
@@ -182,12 +205,14 @@
         if not allowed:
             return False
         if isinstance(error, _UNBUDGETED_RETRY_ERRORS):
-            return True
+            return self._renew_admission(call)
         if call.attempts >= max(MAX_REFUSED_ATTEMPTS, route.max_attempts):
             return False
         # A retry costs a token only if an attempt may have reached a target;
         # otherwise it adds no load to the service.
-        return not call.sent_attempts or self._spend_retry_token(call, budget)
+        return (
+            not call.sent_attempts or self._spend_retry_token(call, budget)
+        ) and self._renew_admission(call)
 
     def _spend_retry_token(self, call, budget):
         is_batch = call.request_class is RequestClass.BATCH
@@ -205,6 +230,7 @@
             and call.sent_attempts < call.max_attempts
             and self.balancer.has_untried_target(service, tried)
             and self._spend_retry_token(call, budget)
+            and self._renew_admission(call)
         )
 
     async def _attempt(
--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -117,6 +117,8 @@
         Time until which the response meets the route's latency objective.
     status : int
         HTTP status of the response; 0 before there is one.
+    admission : Admission or None
+        Token of the customer's rate limit; None if it is not limited.
     slot_acquired_at : float
         Time at which the call acquired a slot of the target; 0 without one.
     queue_wait_s : float
@@ -126,6 +128,7 @@
     """
 
     __slots__ = (
+        'admission',
         'at_most_once',
         'attempts',
         'caller_disconnected',
@@ -170,6 +173,7 @@
         self.is_sampled = False
         self.priority = 0
         self.latency_deadline = None
+        self.admission = None
         self.attempts = 0
         self.queue_wait_s = 0.0
         self.target_time_s = 0.0
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -90,6 +90,8 @@
         Statuses that targets have stated.
     ledger : CrashLedger or None
         Evidence on requests that crash targets.
+    quotas : QuotaManager or None
+        Rate limits of customers.
 
     Attributes
     ----------
@@ -119,8 +121,10 @@
         protocols=DEFAULT_PROTOCOLS,
         statuses=None,
         ledger=None,
+        quotas=None,
     ):
         self.ledger = CrashLedger() if ledger is None else ledger
+        self.quotas = quotas
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -212,6 +216,7 @@
             self.claim_manager,
             self.metrics,
             self.protocols.caller,
+            self.quotas,
         )
         self.servers = self._make_servers(limits)
         self.watcher = CallWatcher(
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -51,6 +51,8 @@
         Metrics of calls.
     protocol : CallerProtocol
         Interprets the header fields of requests.
+    quotas : QuotaManager or None
+        Enforces the rate limits of customers; None for no limits.
 
     Attributes
     ----------
@@ -72,8 +74,10 @@
         claim_manager,
         metrics,
         protocol=DEFAULT_CALLER_PROTOCOL,
+        quotas=None,
     ):
         self.protocol = protocol
+        self.quotas = quotas
         self.holder = holder
         self.attempts = attempts
         self.claim_manager = claim_manager
@@ -113,7 +117,7 @@
         )
         try:
             await run_call(
-                connection, request, call, self._run, route, options.key
+                connection, request, call, self._admit, route, options.key
             )
         finally:
             self.metrics.observe_call(call)
@@ -189,6 +193,19 @@
                 'the node stops before the deadline of the request'
             )
 
+    async def _admit(self, connection, request, call, route, key):
+        """Run a call within the rate limit of its customer."""
+        customer = self.holder.current.customers.get(call.tenant)
+        if self.quotas is None or not self.quotas.is_limited(customer):
+            await self._run(connection, request, call, route, key)
+            return
+        call.admission = await self.quotas.admit(customer)
+        try:
+            await self._run(connection, request, call, route, key)
+        finally:
+            if call.outcome is Ran.NO:
+                self.quotas.refund(call.admission)
+
     async def _run(self, connection, request, call, route, key):
         if not request.complete and not _exceeds_buffer(request):
             await request.receive_body(MAX_BUFFERED_BODY_BYTES)
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -5,6 +5,7 @@
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.service import ControlService
 from snipelead.metrics import ControlMetrics
+from snipelead.quotas.service import QuotaService
 from snipelead.types import ControlRole
 from snipelead.voters.voter import Voter
 
@@ -30,6 +31,8 @@
         Source of the current release, depending on the role of the control.
     service : ControlService
         Distribution of releases to nodes.
+    quotas : QuotaService
+        Grants of the rate limits of customers.
     metrics : ControlMetrics
         Metrics of the process.
     """
@@ -43,6 +46,8 @@
         self.service = ControlService(
             settings, self.source, transport, metrics=self.metrics
         )
+        self.quotas = QuotaService(settings, self.source, transport)
+        self.metrics.get_quota_counts = self.quotas.counts
 
     def _make_source(self):
         match self.settings.role:
@@ -62,7 +67,11 @@
             Notified once the control accepts requests.
         """
         settings = self.settings
-        handlers = self.source.handlers() | self.service.handlers()
+        handlers = (
+            self.source.handlers()
+            | self.service.handlers()
+            | self.quotas.handlers()
+        )
         async with trio.open_nursery() as nursery:
             await nursery.start(self.source.run)
             await nursery.start(
@@ -71,6 +80,7 @@
                 handlers,
             )
             await nursery.start(self.service.run)
+            nursery.start_soon(self.quotas.run)
             async with trio.open_nursery() as frontend_nursery:
                 await frontend_nursery.start(self.frontend.run, self, stop)
                 task_status.started()
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -8,6 +8,7 @@
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
 from snipelead.quarantine.ledger import CrashLedger
+from snipelead.quotas.manager import QuotaManager
 from snipelead.targets.heartbeats import HeartbeatTracker
 from snipelead.targets.leases import expire_targets
 from snipelead.targets.local import LocalTargets
@@ -48,6 +49,8 @@
         Evidence on requests that crash targets.
     sync_client : SyncClient
         Client that receives releases and targets from the controls.
+    quotas : QuotaManager
+        Rate limits of customers.
     call_path : CallPath
         Handling of requests from callers and other nodes.
     heartbeat_tracker : HeartbeatTracker
@@ -76,6 +79,12 @@
             self.local_targets,
             ledger=self.ledger,
         )
+        self.quotas = QuotaManager(
+            settings,
+            self.sync_client.links,
+            lambda: self.local_targets.incarnation,
+        )
+        self.metrics.get_quota_counts = self.quotas.counts
         self.call_path = CallPath(
             settings,
             self.holder,
@@ -86,6 +95,7 @@
             protocols=frontend.protocols,
             statuses=self.statuses,
             ledger=self.ledger,
+            quotas=self.quotas,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
@@ -139,6 +149,7 @@
             await nursery.start(self.call_path.run)
             await nursery.start(self.frontend.run, self)
             await nursery.start(self.sync_client.run)
+            nursery.start_soon(self.quotas.run)
             task_status.started()
             await stop.wait()
             self.stopping = True
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -27,6 +27,11 @@
 from snipelead.messages.quarantine import TargetCrash
 from snipelead.messages.quarantine import WatchedReply
 from snipelead.messages.quarantine import WatchedRequest
+from snipelead.messages.quotas import ForwardedQuotaRequest
+from snipelead.messages.quotas import QuotaDemand
+from snipelead.messages.quotas import QuotaGrant
+from snipelead.messages.quotas import QuotaReply
+from snipelead.messages.quotas import QuotaRequest
 from snipelead.messages.registry import register_reply
 from snipelead.messages.registry import REPLY_TYPES
 from snipelead.messages.sync import ControlEndpoint
@@ -55,6 +60,7 @@
     'ExchangeRequest',
     'FleetReply',
     'FleetRequest',
+    'ForwardedQuotaRequest',
     'FreshnessReply',
     'FreshnessRequest',
     'LiftReply',
@@ -62,6 +68,10 @@
     'NodeStatus',
     'OutcomesReply',
     'OutcomesRequest',
+    'QuotaDemand',
+    'QuotaGrant',
+    'QuotaReply',
+    'QuotaRequest',
     'REPLY_TYPES',
     'Registration',
     'ReplaceRequest',
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -97,6 +97,16 @@
     )
 
 
+def _make_quota_counter(registry, name, description):
+    return Counter(name, description, registry=registry)
+
+
+def _copy_quota_counts(counter, counts):
+    """Copy counts by customer and result to the library's counter."""
+    for (customer, result), count in counts.items():
+        counter.set({'customer': customer, 'result': result}, count)
+
+
 class NodeMetrics(_Metrics):
     """Metrics of a node.
 
@@ -122,6 +132,10 @@
     get_quarantine_counts : callable
         Returns the values of these three: two integers and a dictionary from
         each verdict to an integer.
+    quota_requests : Counter
+        Requests of customers with a rate limit, by customer and result.
+    get_quota_counts : callable
+        Returns the values of ``quota_requests`` by customer and result.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -183,6 +197,12 @@
             registry=self.registry,
         )
         self.get_quarantine_counts = lambda: (0, 0, {})
+        self.quota_requests = _make_quota_counter(
+            self.registry,
+            'snipelead_quota_requests_total',
+            'Requests of customers with a rate limit, by result.',
+        )
+        self.get_quota_counts = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -234,6 +254,7 @@
         self.quarantine_refusals.set({}, refusal_count)
         for verdict, count in watched.items():
             self.watched_requests.set({'verdict': verdict.value}, count)
+        _copy_quota_counts(self.quota_requests, self.get_quota_counts())
         return super().render(accept)
 
     def _add_labelled_buckets(self, key):
@@ -261,6 +282,10 @@
     convergence : Histogram
         Time from the acceptance of a release until a node confirmed it, in
         seconds, by preference of the deployment.
+    quota_tokens : Counter
+        Tokens of rate limits granted and denied by this control, by customer.
+    get_quota_counts : callable
+        Returns the values of ``quota_tokens`` by customer and result.
     """
 
     def __init__(self):
@@ -271,6 +296,17 @@
             registry=self.registry,
             buckets=CONVERGENCE_BUCKETS_S,
         )
+        self.quota_tokens = _make_quota_counter(
+            self.registry,
+            'snipelead_quota_tokens_total',
+            'Tokens of rate limits granted and denied to nodes.',
+        )
+        self.get_quota_counts = dict
+
+    def render(self, accept=()):
+        """Return the exposition of all metrics; see the base class."""
+        _copy_quota_counts(self.quota_tokens, self.get_quota_counts())
+        return super().render(accept)
 
     def observe_convergence(self, preference, seconds):
         """Record the confirmation of a release by a node.
--- /dev/null
+++ b/snipelead/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of customers over all nodes."""
