--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -16,6 +16,7 @@
 from specs.node_floor import NodeFloor
 from specs.node_restart import NodeRestart
 from specs.quarantine import Quarantine
+from specs.quota import Quota
 from specs.read_barrier import ReadBarrier
 from specs.release_race import ReleaseRace
 from specs.replace_race import ReplaceRace
@@ -38,6 +39,7 @@
     StatedLimit(),
     Quarantine(),
     EarlyResponse(),
+    Quota(),
 )
 LARGE_MODELS = (
     LogAgreement(max_term=3, max_entries=2),
