Test the bound of rate limits against its worst cases

Dropping lapsed grants took a pass over all grants of a customer for each message.

Change: a test for each of these cases; lapsed grants are dropped from a queue in their order.

--- a/snipelead/quotas/account.py
+++ b/snipelead/quotas/account.py
@@ -1,5 +1,6 @@
 """Token bucket of one customer whose tokens are partly held by nodes."""
 
+from collections import deque
 from math import ceil
 from math import inf
 
@@ -23,6 +24,7 @@
 class _Lot(Struct):
     """Tokens of one grant that may still lead to requests being run."""
 
+    holder: object
     number: int
     amount: int
     lapses_at: float
@@ -62,6 +64,8 @@
         self.level = level
         self.outstanding = 0
         self.denied = 0.0
+        # Both in the order of the grants, which is that of the lapses.
+        self.lots = deque()
         self.lots_by_holder = {}
 
     @property
@@ -92,15 +96,10 @@
             return
         elapsed_s = now - self.updated_at
         self.denied *= max(0.0, 1 - elapsed_s / DENIED_MEMORY_S)
-        lapses = sorted(
-            lot.lapses_at
-            for lots in self.lots_by_holder.values()
-            for lot in lots
-            if lot.lapses_at <= now
-        )
-        for lapses_at in lapses:
-            self._create_until(lapses_at)
-            self._drop_lapsed(lapses_at)
+        while self.lots and self.lots[0].lapses_at <= now:
+            lot = self.lots.popleft()
+            self._create_until(lot.lapses_at)
+            self._drop(lot)
         self._create_until(now)
 
     def report(self, holder, received, held, returned, now):
@@ -165,9 +164,9 @@
         if amount:
             self.level -= amount
             self.outstanding += amount
-            self.lots_by_holder.setdefault(holder, []).append(
-                _Lot(number, amount, now + LAPSE_S)
-            )
+            lot = _Lot(holder, number, amount, now + LAPSE_S)
+            self.lots.append(lot)
+            self.lots_by_holder.setdefault(holder, deque()).append(lot)
         self.denied += max(0, waiting - amount)
         return amount
 
@@ -194,13 +193,10 @@
         self.level = min(room, self.level + created)
         self.updated_at = time
 
-    def _drop_lapsed(self, time):
-        for holder, lots in list(self.lots_by_holder.items()):
-            kept = [lot for lot in lots if lot.lapses_at > time]
-            self.outstanding -= sum(
-                lot.amount for lot in lots if lot.lapses_at <= time
-            )
-            if kept:
-                self.lots_by_holder[holder] = kept
-            else:
-                del self.lots_by_holder[holder]
+    def _drop(self, lot):
+        """Stop counting the oldest lot."""
+        self.outstanding -= lot.amount
+        holder_lots = self.lots_by_holder[lot.holder]
+        holder_lots.popleft()
+        if not holder_lots:
+            del self.lots_by_holder[lot.holder]
--- a/snipelead/quotas/tests/test_bound.py
+++ b/snipelead/quotas/tests/test_bound.py
@@ -10,6 +10,7 @@
 
 from snipelead.messages import QuotaRequest
 from snipelead.quotas.budget import CONFIRMED_S
+from snipelead.quotas.budget import HOLD_S
 from snipelead.quotas.budget import LAPSE_S
 from snipelead.quotas.budget import QuotaBudget
 from snipelead.quotas.budget import SETTLE_S
@@ -187,6 +188,53 @@
         worst = fleet.check(self)
         self.assertGreaterEqual(worst, 5 * 40 + 40)
 
+    def test_worst_change_of_leader(self):
+        # Guards against a new leader that grants at the full rate while the
+        # tokens of the one before it can still be used.
+        fleet = Fleet(400.0, 400.0)
+        old, *others = fleet.nodes
+        fleet.exchange(old, CONTROLS + 1, 1, 0, 0.0)
+        fleet.change_leader()
+        fleet.now += CONFIRMED_S
+        fleet.exchange(old, CONTROLS, 10_000, 0, 0.0)
+        start = fleet.now
+        fleet.now += HOLD_S * 0.99
+        fleet.use(old, 10_000, SETTLE_S * 0.99, 0)
+        fleet.now = start + (HOLD_S + SETTLE_S) * 0.98
+        for _ in range(100):
+            for node in others:
+                fleet.exchange(node, CONTROLS + 1, 10_000, 0, 0.0)
+                fleet.use(node, 10_000, 0.01, 0)
+            fleet.now += 0.05
+        fleet.check(self)
+
+
+class ReportTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet(40.0, 40.0)
+        self.node = self.fleet.nodes[0]
+
+    def test_admitted_requests_count_until_they_cannot_be_refunded(self):
+        # Guards against a refunded token that was created a second time.
+        self.fleet.exchange(self.node, CONTROLS + 1, 1, 0, 0.01)
+        self.assertIsNotNone(self.node.hand.take(self.fleet.now))
+        self.fleet.exchange(self.node, CONTROLS + 1, 0, 0, 0.01)
+        account = self.fleet.leaders[0].accounts['c']
+        self.assertGreaterEqual(account.outstanding, 1)
+
+    def test_numbers_of_another_granter_mean_nothing(self):
+        # Guards against a lost grant that counts as used, because the node
+        # has got replies with higher numbers from another granter.
+        for _ in range(5):
+            self.fleet.exchange(self.node, CONTROLS + 1, 1, 0, 1.0)
+        self.fleet.change_leader()
+        self.fleet.now += 3.0
+        self.fleet.exchange(self.node, CONTROLS + 1, 2, 2, 0.0)
+        self.fleet.exchange(self.node, CONTROLS + 1, 0, 2, 0.0)
+        account = self.fleet.leaders[-1].accounts['c']
+        self.assertGreaterEqual(account.outstanding, 2)
+
 
 class LapseTest(TestCase):
     def test_late_reply_gives_no_usable_tokens(self):
