--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -8,7 +8,6 @@
 from bisect import bisect_right
 from collections import Counter
 from collections import defaultdict
-from math import inf
 import random
 
 from msgspec import Struct
@@ -349,9 +348,10 @@
 
 
 def _print_row(name, way, outcome, hot):
+    hot_share = f'{outcome.wrongly_refused(hot):.4f}' if hot else '-'
     print(
         f'| {name} | {way} | {outcome.wrongly_refused():.4f} |'
-        f' {outcome.wrongly_refused(hot) if hot else inf:.4f} |'
+        f' {hot_share} |'
         f' {outcome.worst:.3f} | {outcome.messages_per_s:.2f} |'
         f' {outcome.wait_quantile(0.5) * 1e3:.0f} /'
         f' {outcome.wait_quantile(0.99) * 1e3:.0f} |',
--- a/snipelead/quotas/hand.py
+++ b/snipelead/quotas/hand.py
@@ -100,6 +100,9 @@
         Tokens that the granter was last told of or has granted since.
     blocked_until : float
         Time until which requests without a token are refused at once.
+    is_limit_reached : bool
+        Whether that is because the customer has reached its limit, not because
+        a reserve is used up.
     """
 
     def __init__(self, customer, manager=None):
@@ -111,6 +114,7 @@
         self.returned = 0
         self.reported = 0
         self.blocked_until = -inf
+        self.is_limit_reached = False
         self.rate_per_s = 0.0
         self.rate_updated_at = -inf
 
--- a/snipelead/quotas/manager.py
+++ b/snipelead/quotas/manager.py
@@ -164,9 +164,9 @@
         # Requests that wait already come first.
         admission = None if hand.waiting else hand.take(now)
         if admission is None:
-            if now < hand.blocked_until:
+            if now < hand.blocked_until and hand.is_limit_reached:
                 raise self._refuse(hand, now)
-            if now < self._unavailable_until:
+            if now < max(hand.blocked_until, self._unavailable_until):
                 raise self._refuse_unavailable(hand.customer)
             admission = await self._wait_for_grant(hand)
         return admission
@@ -280,7 +280,8 @@
         refusal = None
         if grant.retry_after_ms:
             hand.blocked_until = now + grant.retry_after_ms / MS_PER_S
-            refusal = Refusal(not reply.is_reserve)
+            hand.is_limit_reached = not reply.is_reserve
+            refusal = Refusal(hand.is_limit_reached)
         self._resolve(hand, now, refusal)
 
     def _resolve(self, hand, now, refusal):
--- a/snipelead/quotas/tests/test_manager.py
+++ b/snipelead/quotas/tests/test_manager.py
@@ -161,6 +161,19 @@
 
         self.run_manager(check)
 
+    def test_used_up_reserve_is_not_a_429(self):
+        # Guards against blaming the customer for a control that is cut off.
+        async def check(manager, control):
+            control.granter = QuotaGranter(
+                '2', manager.budget, trio.current_time(), is_reserve=True
+            )
+            for _ in range(2):
+                with self.assertRaises(QuotaUnavailableError):
+                    await manager.admit(CUSTOMER)
+            self.assertEqual(1, len(control.requests))
+
+        self.run_manager(check)
+
     def test_refunded_token_admits_another_request(self):
         # Guards against credit lost for requests refused for other reasons.
         async def check(manager, control):
