--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -90,6 +90,8 @@
         Evidence on requests that crash targets.
     versions : VersionSelector or None
         Tells which versions of targets may be used; None for all.
+    quotas : QuotaManager or None
+        Rate limits of customers.
 
     Attributes
     ----------
@@ -121,12 +123,14 @@
         statuses=None,
         ledger=None,
         versions=None,
+        quotas=None,
     ):
         self.versions = versions
         self.ledger = CrashLedger() if ledger is None else ledger
         self.authenticator = Authenticator(
             holder, settings.guarantees.revocation_ms
         )
+        self.quotas = quotas
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -223,6 +227,7 @@
             self.metrics,
             self.protocols.caller,
             self.authenticator,
+            self.quotas,
         )
         self.servers = self._make_servers(limits)
         self.watcher = CallWatcher(
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -54,6 +54,8 @@
         Interprets the header fields of requests.
     authenticator : Authenticator or None
         Identifies customers; None creates one.
+    quotas : QuotaManager or None
+        Enforces the rate limits of customers; None for no limits.
 
     Attributes
     ----------
@@ -76,9 +78,11 @@
         metrics,
         protocol=DEFAULT_CALLER_PROTOCOL,
         authenticator=None,
+        quotas=None,
     ):
         self.authenticator = authenticator or Authenticator(holder)
         self.protocol = protocol
+        self.quotas = quotas
         self.holder = holder
         self.attempts = attempts
         self.claim_manager = claim_manager
@@ -121,7 +125,7 @@
         )
         try:
             await run_call(
-                connection, request, call, self._run, route, options.key
+                connection, request, call, self._admit, route, options.key
             )
         finally:
             self.metrics.observe_call(call)
@@ -208,6 +212,27 @@
                 'the node stops before the deadline of the request'
             )
 
+    async def _admit(self, connection, request, call, route, key):
+        """Run a call within the rate limit of its customer."""
+        customer = self._find_customer(call)
+        if self.quotas is None or not self.quotas.is_limited(customer):
+            await self._run(connection, request, call, route, key)
+            return
+        call.admission = await self.quotas.admit(customer)
+        try:
+            await self._run(connection, request, call, route, key)
+        finally:
+            if call.outcome is Ran.NO:
+                self.quotas.refund(call.admission)
+
+    def _find_customer(self, call):
+        """Return the customer whose rate limit a call counts towards."""
+        if call.authorization is None and self.authenticator.is_required:
+            # The default tenant of a public route may have the name of a
+            # customer.
+            return None
+        return self.holder.current.customers.get(call.tenant)
+
     async def _run(self, connection, request, call, route, key):
         if not request.complete and not _exceeds_buffer(request):
             await request.receive_body(MAX_BUFFERED_BODY_BYTES)
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -5,6 +5,7 @@
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.service import ControlService
 from snipelead.metrics import ControlMetrics
+from snipelead.quotas.service import QuotaService
 from snipelead.rollouts.coordinator import are_rollouts_enabled
 from snipelead.rollouts.coordinator import RolloutCoordinator
 from snipelead.types import ControlRole
@@ -35,6 +36,8 @@
     rollouts : RolloutCoordinator or None
         Rollouts; None unless the settings state a bound on them and this
         control is a voter.
+    quotas : QuotaService
+        Grants of the rate limits of customers.
     metrics : ControlMetrics
         Metrics of the process.
     """
@@ -55,6 +58,8 @@
             )
             self.service.rollouts = self.rollouts
             self.metrics.get_rollouts = self.rollouts.count_reserved
+        self.quotas = QuotaService(settings, self.source, transport)
+        self.metrics.get_quota_counts = self.quotas.counts
 
     def _make_source(self):
         match self.settings.role:
@@ -74,7 +79,11 @@
             Notified once the control accepts requests.
         """
         settings = self.settings
-        handlers = self.source.handlers() | self.service.handlers()
+        handlers = (
+            self.source.handlers()
+            | self.service.handlers()
+            | self.quotas.handlers()
+        )
         if self.rollouts is not None:
             handlers |= self.rollouts.handlers()
         async with trio.open_nursery() as nursery:
@@ -87,6 +96,7 @@
             await nursery.start(self.service.run)
             if self.rollouts is not None:
                 nursery.start_soon(self.rollouts.run)
+            nursery.start_soon(self.quotas.run)
             async with trio.open_nursery() as frontend_nursery:
                 await frontend_nursery.start(self.frontend.run, self, stop)
                 task_status.started()
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -10,6 +10,7 @@
 from snipelead.nodes.holder import ReleaseHolder
 from snipelead.nodes.load_reporter import LoadReporter
 from snipelead.quarantine.ledger import CrashLedger
+from snipelead.quotas.manager import QuotaManager
 from snipelead.rollouts.coordinator import are_rollouts_enabled
 from snipelead.rollouts.reporter import RolloutReporter
 from snipelead.rollouts.selector import VersionSelector
@@ -57,6 +58,8 @@
         Tells which versions of targets may be used.
     sync_client : SyncClient
         Client that receives releases and targets from the controls.
+    quotas : QuotaManager
+        Rate limits of customers.
     call_path : CallPath
         Handling of requests from callers and other nodes.
     heartbeat_tracker : HeartbeatTracker
@@ -89,6 +92,12 @@
             ledger=self.ledger,
             versions=self.versions,
         )
+        self.quotas = QuotaManager(
+            settings,
+            self.sync_client.links,
+            lambda: self.local_targets.incarnation,
+        )
+        self.metrics.get_quota_counts = self.quotas.counts
         self.call_path = CallPath(
             settings,
             self.holder,
@@ -100,6 +109,7 @@
             statuses=self.statuses,
             ledger=self.ledger,
             versions=self.versions if self.has_rollouts else None,
+            quotas=self.quotas,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
@@ -164,6 +174,7 @@
             if self.call_path.authenticator.leases is not None:
                 nursery.start_soon(self._make_lease_client().run)
             nursery.start_soon(self._make_load_reporter().run)
+            nursery.start_soon(self.quotas.run)
             task_status.started()
             await stop.wait()
             self.stopping = True
--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -29,6 +29,11 @@
 from snipelead.messages.quarantine import TargetCrash
 from snipelead.messages.quarantine import WatchedReply
 from snipelead.messages.quarantine import WatchedRequest
+from snipelead.messages.quotas import ForwardedQuotaRequest
+from snipelead.messages.quotas import QuotaDemand
+from snipelead.messages.quotas import QuotaGrant
+from snipelead.messages.quotas import QuotaReply
+from snipelead.messages.quotas import QuotaRequest
 from snipelead.messages.registry import register_reply
 from snipelead.messages.registry import REPLY_TYPES
 from snipelead.messages.rollouts import Grant
@@ -66,6 +71,7 @@
     'ExchangeRequest',
     'FleetReply',
     'FleetRequest',
+    'ForwardedQuotaRequest',
     'FreshnessReply',
     'FreshnessRequest',
     'Grant',
@@ -77,6 +83,10 @@
     'OrderReply',
     'OutcomesReply',
     'OutcomesRequest',
+    'QuotaDemand',
+    'QuotaGrant',
+    'QuotaReply',
+    'QuotaRequest',
     'REPLY_TYPES',
     'Registration',
     'ReplaceRequest',
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -97,6 +97,16 @@
     )
 
 
+def _make_quota_counter(registry, name, description):
+    return Counter(name, description, registry=registry)
+
+
+def _copy_quota_counts(counter, counts):
+    """Copy counts by customer and result to the library's counter."""
+    for (customer, result), count in counts.items():
+        counter.set({'customer': customer, 'result': result}, count)
+
+
 class NodeMetrics(_Metrics):
     """Metrics of a node.
 
@@ -146,6 +156,10 @@
         Requests that local targets get at a time, by target.
     get_target_slots : callable
         Returns the values of ``target_slots`` by target id.
+    quota_requests : Counter
+        Requests of customers with a rate limit, by customer and result.
+    get_quota_counts : callable
+        Returns the values of ``quota_requests`` by customer and result.
     buckets_by_key : dict of tuple to _LabelledBuckets
         Buckets by tenant and request class.
     call_counts : Counter
@@ -243,6 +257,12 @@
             registry=self.registry,
         )
         self.get_target_slots = dict
+        self.quota_requests = _make_quota_counter(
+            self.registry,
+            'snipelead_quota_requests_total',
+            'Requests of customers with a rate limit, by result.',
+        )
+        self.get_quota_counts = dict
         self.buckets_by_key = {}
         # Counted here and copied to the library's counter on rendering,
         # since that counter encodes its labels on each update.
@@ -304,6 +324,7 @@
             self.watched_requests.set({'verdict': verdict.value}, count)
         if self.authenticator is not None:
             self._set_authentication_values()
+        _copy_quota_counts(self.quota_requests, self.get_quota_counts())
         return super().render(accept)
 
     def _set_authentication_values(self):
@@ -345,6 +366,10 @@
         Returns the values of ``rollout_reserved`` by service and phase.
     leases : Counter
         Answers to nodes that asked for a lease, by whether it was granted.
+    quota_tokens : Counter
+        Tokens of rate limits granted and denied by this control, by customer.
+    get_quota_counts : callable
+        Returns the values of ``quota_tokens`` by customer and result.
     """
 
     def __init__(self):
@@ -366,6 +391,12 @@
             'Answers to nodes that asked for a lease on API keys.',
             registry=self.registry,
         )
+        self.quota_tokens = _make_quota_counter(
+            self.registry,
+            'snipelead_quota_tokens_total',
+            'Tokens of rate limits granted and denied to nodes.',
+        )
+        self.get_quota_counts = dict
 
     def render(self, accept=()):
         """Return the exposition of all metrics; see the base class."""
@@ -373,6 +404,7 @@
         for (service, phase), count in self.get_rollouts().items():
             labels = {'service': service, 'phase': phase}
             self.rollout_reserved.set(labels, count)
+        _copy_quota_counts(self.quota_tokens, self.get_quota_counts())
         return super().render(accept)
 
     def count_lease(self, granted):
