Keep the metadata of ordinary requests and check the metrics of quotas

The page test did not fill in the counts of the rate limits. The tests of metrics and authentication pass.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -15,7 +15,12 @@
 from snipelead.types import TargetId
 from snipelead.types import TenantName
 
-__all__ = ['AuthenticatedCallMetadata', 'Call', 'CallMetadata']
+__all__ = [
+    'AuthenticatedCallMetadata',
+    'Call',
+    'CallMetadata',
+    'JudgedCallMetadata',
+]
 
 # Deadlines up to this long are set on the cancel scope at once. It is twice
 # the interval at which the watcher sets longer ones.
@@ -51,8 +56,6 @@
     latency_remaining_ms : int or None
         Time left to meet the route's latency objective, in milliseconds; None
         if the route has no latency objective.
-    standing : int
-        Encoded :class:`~snipelead.admission.standing.RequestStanding`.
     """
 
     target_id: TargetId
@@ -66,10 +69,25 @@
     request_id: str = ''
     priority: int = 0
     latency_remaining_ms: int | None = None
+
+
+class JudgedCallMetadata(CallMetadata, frozen=True, array_like=True):
+    """Metadata of a request that does not have the usual standing.
+
+    A type of its own, since the metadata of other requests must not grow.
+
+    Parameters
+    ----------
+    standing : int
+        Encoded :class:`~snipelead.admission.standing.RequestStanding`.
+    """
+
     standing: int = 0
 
 
-class AuthenticatedCallMetadata(CallMetadata, frozen=True, array_like=True):
+class AuthenticatedCallMetadata(
+    JudgedCallMetadata, frozen=True, array_like=True
+):
     """Metadata of a request that a customer may have authenticated.
 
     A type of its own, since the metadata of other requests must not grow.
@@ -315,11 +333,15 @@
             self.request_id,
             self.priority,
             self._latency_remaining_ms(),
-            self.standing.encode(),
         )
-        if self.authorization is None:
-            return CallMetadata(*values)
-        return AuthenticatedCallMetadata(*values, self.authorization.release)
+        standing = self.standing.encode()
+        if self.authorization is not None:
+            return AuthenticatedCallMetadata(
+                *values, standing, self.authorization.release
+            )
+        if standing:
+            return JudgedCallMetadata(*values, standing)
+        return CallMetadata(*values)
 
     def set_latency_deadline(self, remaining_ms):
         """Set the time left to meet the latency objective.
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -72,6 +72,7 @@
             metrics.authenticator.refusals['SL3030'] += 1
             metrics.get_target_slots = lambda: {'t': 6}
             metrics.early_refusal_counts = {'reads': 1}
+            metrics.get_quota_counts = lambda: {('c', 'admitted'): 1}
             return metrics
 
         async def check():
@@ -84,4 +85,5 @@
         metrics.get_rollouts = lambda: {('s', 'running'): 1}
         metrics.observe_convergence(Preference.CONVERGENCE.value, 0.1)
         metrics.count_lease(granted=True)
+        metrics.get_quota_counts = lambda: {('c', 'granted'): 1}
         self.check('Control', metrics)
