Test a node's rate limits with real voters

Cause: the manager of a node and the service of the controls were tested apart from each other only.

Change: a test of a node that is served before and after its leader is cut off and another one takes over.

--- a/snipelead/quotas/tests/test_service.py
+++ b/snipelead/quotas/tests/test_service.py
@@ -5,16 +5,19 @@
 
 from snipelead.controls.exceptions import NoQuorumError
 from snipelead.controls.exceptions import OutcomeUnknownError
+from snipelead.controls.links import ControlLinks
 from snipelead.controls.tests.mesh import make_peers
 from snipelead.controls.tests.mesh import run_mesh
 from snipelead.messages import QuotaDemand
 from snipelead.messages import QuotaRequest
 from snipelead.quotas.budget import TAKEOVER_S
+from snipelead.quotas.manager import QuotaManager
 from snipelead.quotas.service import QuotaService
 from snipelead.releases.note import load_note
 from snipelead.settings.schema import ControlSettings
 from snipelead.settings.schema import ControlTimings
 from snipelead.settings.schema import Guarantees
+from snipelead.settings.schema import NodeSettings
 from snipelead.testing.disk import MemoryDisk
 from snipelead.testing.disk import MemoryFiles
 from snipelead.testing.network import MemoryNetwork
@@ -141,6 +144,43 @@
 
         self.run_deployment(check)
 
+    def test_node_is_served_through_a_cut_and_a_change_of_leader(self):
+        # Guards against a manager and controls that do not find each other,
+        # and against a node that stays without tokens after a fault.
+        async def check(deployment):
+            customer = deployment.voters[0].current.customers['c']
+            settings = NodeSettings(
+                node_id='n',
+                zone='a',
+                caller_address='10.0.0.1:1',
+                address='10.0.0.1:2',
+                admin_address='10.0.0.1:3',
+                controls=PEERS,
+                guarantees=GUARANTEES,
+            )
+            transport = deployment.network.transport(settings.address)
+            links = ControlLinks(PEERS, 'a', 'n', transport)
+            manager = QuotaManager(settings, links, lambda: 1)
+            await trio.sleep(5)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(manager.run)
+                for _ in range(20):
+                    await manager.admit(customer)
+                self.assertEqual(0, manager.refused['c'])
+                old = deployment.leader()
+                others = [a for i, a in enumerate(ADDRESSES) if i != old]
+                deployment.network.isolate(ADDRESSES[old], others)
+                while deployment.leader(exclude=old) is None:
+                    await trio.sleep(0.05)
+                deployment.network.heal()
+                await trio.sleep(TAKEOVER_S + 1)
+                for _ in range(20):
+                    await manager.admit(customer)
+                self.assertTrue(manager.is_available)
+                nursery.cancel_scope.cancel()
+
+        self.run_deployment(check)
+
     def test_nothing_is_served_without_the_guarantee(self):
         service = Deployment(Guarantees()).services[0]
         self.assertEqual({}, service.handlers())
