--- a/snipelead/admission/acceptance.py
+++ b/snipelead/admission/acceptance.py
@@ -6,9 +6,11 @@
 attempts that were accepted tells how full the service is.
 """
 
+from math import inf
+
 from snipelead.admission.decaying import DecayingCount
+from snipelead.admission.route_shares import MAX_ROUTES_PER_SERVICE
 from snipelead.admission.route_shares import MIN_SHARE_OF_MEAN
-from snipelead.releases.document import MAX_TRACKED_ROUTES
 from snipelead.utils.bounded_dict import BoundedDict
 
 __all__ = ['AcceptanceEstimator', 'ServiceAcceptance']
@@ -23,6 +25,8 @@
 # Time in which an attempt loses half of its weight. It is as short as the
 # number of attempts of a node allows, since bursts last a few seconds.
 HALF_LIFE_S = 0.7
+# A service without refusals for this time is not full.
+FORGOTTEN_AFTER_S = 10 * HALF_LIFE_S
 # Largest share of the attempts beyond the usual rate of a customer that are
 # not sent, so that no customer is served less than a quarter as often as all.
 MAX_BEYOND_REFUSAL = 0.85
@@ -85,10 +89,13 @@
     ----------
     estimators : dict of tuple to AcceptanceEstimator
         Attempts by route and by whether work in progress made them.
+    refused_at : float
+        Time in seconds of the last refusal.
     """
 
     def __init__(self):
-        self.estimators = BoundedDict(MAX_TRACKED_ROUTES)
+        self.estimators = BoundedDict(MAX_ROUTES_PER_SERVICE)
+        self.refused_at = -inf
 
     def get(self, call):
         """Return the estimator for a call."""
@@ -115,6 +122,11 @@
             MIN_SHARE_OF_MEAN * accepted * own.wanted.get(now)
         )
 
+    def record_refused(self, call, now):
+        """Record that an attempt that was sent has been refused."""
+        self.refused_at = now
+        self.get(call).record_refused(now)
+
     def refusal_share(self, call, now):
         """Return the share of attempts like this one that are not sent.
 
@@ -122,6 +134,8 @@
         is starving. What
         customers send beyond their usual rates is refused first.
         """
+        if now > self.refused_at + FORGOTTEN_AFTER_S:
+            return 0.0
         own = self.get(call)
         share = own.refusal_share(now)
         if not self._is_starving(own, now):
--- a/snipelead/admission/early_refusal.py
+++ b/snipelead/admission/early_refusal.py
@@ -15,6 +15,7 @@
 from snipelead.admission.events import EARLY_REFUSALS_STARTED
 from snipelead.admission.exceptions import NoCapacityError
 from snipelead.admission.retry_after import choose_spread_retry_s
+from snipelead.admission.retry_after import estimate_backoff_s
 from snipelead.callers.exceptions import OverloadedError
 from snipelead.callers.exceptions import TargetBusyError
 from snipelead.logs import log_event
@@ -187,11 +188,10 @@
             return
         state = self._get_state(call, observation.entry.service)
         acceptance = self._get_acceptance(observation.entry.service)
-        acceptance.get(call).record_refused(trio.current_time())
-        if error.retry_after_ms is not None:
-            state.capacity_in_s += CAPACITY_EWMA_WEIGHT * (
-                error.retry_after_ms / _MS_PER_S - state.capacity_in_s
-            )
+        acceptance.record_refused(call, trio.current_time())
+        state.capacity_in_s += CAPACITY_EWMA_WEIGHT * (
+            estimate_backoff_s(error) - state.capacity_in_s
+        )
 
     def _count_refusal(self, state, call, service, now):
         self.refusal_counts[call.route] = (
--- a/snipelead/admission/retry_after.py
+++ b/snipelead/admission/retry_after.py
@@ -1,11 +1,19 @@
 """Retry delays of requests that are refused for want of capacity."""
 
-__all__ = ['choose_spread_retry_s']
+from snipelead.callers.exceptions import RateLimitedError
+
+__all__ = ['choose_spread_retry_s', 'estimate_backoff_s']
 
 # Shortest delay; an earlier retry would find the same targets as full.
 MIN_DELAY_S = 0.02
+# The same for callers that can only be answered late; others go first.
+MIN_LATE_DELAY_S = 0.1
 # Callers rarely wait for longer than this share of their remaining time.
 MAX_SHARE_OF_TIME_LEFT = 1 / 3
+# Longest time for which a refusal keeps a node away from a target. A node that
+# stays away for longer does not notice that a rate limit has changed.
+MAX_BACKOFF_S = 0.5
+_MS_PER_S = 1_000
 
 
 def choose_spread_retry_s(capacity_in_s, slack_s, time_left_s, random_share):
@@ -32,4 +40,27 @@
     latest_s = MAX_SHARE_OF_TIME_LEFT * time_left_s
     if slack_s > earliest_s:
         latest_s = min(latest_s, slack_s)
+    else:
+        earliest_s = max(MIN_LATE_DELAY_S, earliest_s)
     return earliest_s + max(0.0, latest_s - earliest_s) * random_share
+
+
+def estimate_backoff_s(error):
+    """Return the time until a target that refused may accept, in seconds.
+
+    The retry delay of the refusal is longer, since it is spread over the time
+    that the caller has.
+
+    Parameters
+    ----------
+    error : OverloadedError
+        Refusal of the target.
+    """
+    retry_after_s = (error.retry_after_ms or 0) / _MS_PER_S
+    if error.load is None:
+        return retry_after_s
+    backoff_s = min(retry_after_s, MAX_BACKOFF_S)
+    next_slot_s = error.load.next_slot_s()
+    if next_slot_s is None or isinstance(error, RateLimitedError):
+        return backoff_s
+    return min(backoff_s, next_slot_s)
--- a/snipelead/admission/route_shares.py
+++ b/snipelead/admission/route_shares.py
@@ -8,11 +8,12 @@
 from msgspec import Struct
 
 from snipelead.admission.decaying import DecayingCount
-from snipelead.releases.document import MAX_TRACKED_ROUTES
 from snipelead.utils.bounded_dict import BoundedDict
 
 __all__ = ['RouteShares']
 
+# Routes that are compared with each other, those used last.
+MAX_ROUTES_PER_SERVICE = 64
 # Time in which a request loses half of its weight. A target receives 10 to 50
 # requests a second.
 HALF_LIFE_S = 1.5
@@ -56,7 +57,7 @@
     """
 
     def __init__(self):
-        self.counts = BoundedDict(MAX_TRACKED_ROUTES)
+        self.counts = BoundedDict(MAX_ROUTES_PER_SERVICE)
 
     def record(self, call, accepted, now):
         """Record a request.
--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -6,6 +6,7 @@
 import trio
 
 from snipelead.admission.events import TARGET_CAPACITY_RESTORED
+from snipelead.admission.retry_after import choose_spread_retry_s
 from snipelead.admission.route_shares import RouteShares
 from snipelead.admission.target_capacity import TargetCapacity
 from snipelead.callers.exceptions import OverloadedError
@@ -15,7 +16,6 @@
 from snipelead.logs import log_event
 from snipelead.nodes.fair_queue import FairQueue
 from snipelead.nodes.fair_queue import Waiter
-from snipelead.nodes.latency_queue import choose_retry_after_s
 from snipelead.nodes.latency_queue import LatencyQueue
 from snipelead.nodes.latency_queue import LatencyWaiter
 from snipelead.nodes.latency_queue import SERVICE_TIME_MARGIN
@@ -375,9 +375,12 @@
             service_s / max(1, self.slots),
             self.status.rate_limiter.wait_s(len(self.latency_queue), now),
         )
-        slack_s = call.latency_deadline - now
+        slack_s = min(call.latency_deadline, call.deadline) - now
         slack_s -= SERVICE_TIME_MARGIN * self.estimate_call_service_s(call)
-        return choose_retry_after_s(drain_s, slack_s, self.random.random())
+        random_share = self.random.random()
+        return choose_spread_retry_s(
+            drain_s, slack_s, call.deadline - now, random_share
+        )
 
     def cancel_waiter(self, waiter, call):
         """Remove a cancelled call from its queue or release its slot."""
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -19,7 +19,6 @@
     'LatencyQueue',
     'LatencyWaiter',
     'ServiceTimes',
-    'choose_retry_after_s',
 ]
 
 # One in this many slots goes to the request with the earliest latest start
@@ -34,13 +33,6 @@
 # route. A larger one refuses routes with a short latency objective while
 # others may wait; see docs/design/overload.md for the values compared.
 SERVICE_TIME_MARGIN = 1.15
-# Minimum retry delay of a refused caller. A shorter one would bring it back
-# before a slot can have become free.
-MIN_RETRY_AFTER_S = 0.02
-# Minimum retry delay of a refused caller that can only be answered late.
-LATE_RETRY_AFTER_S = 0.1
-# Share of the retry delay that is random.
-RETRY_AFTER_JITTER = 0.4
 # Minimum weight of the newest service time in the exponentially weighted
 # moving average of its route.
 SERVICE_TIME_EWMA_WEIGHT = 0.1
@@ -269,30 +261,6 @@
         return sum(w.sort_key(now) <= key for w in self.waiters)
 
 
-def choose_retry_after_s(drain_s, slack_s, random_fraction):
-    """Return the time after which a refused caller should retry, in seconds.
-
-    The caller retries while it can still be answered in time, if possible.
-    The jitter spreads the retries of callers that were refused together.
-
-    Parameters
-    ----------
-    drain_s : float
-        Time until the waiting requests have been served, in seconds.
-    slack_s : float
-        Time until the latest start time of the request, in seconds; negative
-        if it has passed.
-    random_fraction : float
-        Random number from 0 to 1.
-    """
-    if slack_s > MIN_RETRY_AFTER_S:
-        max_delay_s = min(max(drain_s, MIN_RETRY_AFTER_S), slack_s)
-        return max_delay_s * (1.0 - RETRY_AFTER_JITTER * random_fraction)
-    return max(drain_s, LATE_RETRY_AFTER_S) * (
-        1.0 + RETRY_AFTER_JITTER * random_fraction
-    )
-
-
 class ServiceTimes:
     """Mean service time of each route at one target.
 
--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -68,6 +68,18 @@
     service_us: int = 0
     route_service_us: int = 0
 
+    def next_slot_s(self):
+        """Return the time until a newly queued request starts, in seconds.
+
+        Returns
+        -------
+        float or None
+            None if the service time is unknown.
+        """
+        if not self.service_us:
+            return None
+        return (self.queued + 1) * self.service_us / 1e6 / max(1, self.slots)
+
 
 class StatusMessage(Struct, frozen=True, array_like=True):
     """What a target has stated about itself; sent only if it has.
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from snipelead.admission.retry_after import estimate_backoff_s
 from snipelead.callers.events import TARGET_EJECTED
 from snipelead.callers.exceptions import MisdirectedRequestError
 from snipelead.callers.exceptions import NodeStoppingError
@@ -350,9 +351,8 @@
             case TargetBusyError() | MisdirectedRequestError():
                 observation.record_rejection(now)
             case OverloadedError():
-                retry_after_ms = error.retry_after_ms or 0
                 observation.back_off(
-                    now, max(MIN_BACKOFF_S, retry_after_ms / _MS_PER_S)
+                    now, max(MIN_BACKOFF_S, estimate_backoff_s(error))
                 )
             case (
                 TargetLeavingError()
