Parse pipelined requests one at a time

Cause: the parser was given all that was received. 64 KiB hold up to 3,600 pipelined requests, each of which takes over a kilobyte once it is parsed (1.9 MB for a connection that reads no responses). Bodies sent in chunks of a few bytes took many times their size.

Change: RequestReader keeps the bytes after the current request unparsed, and parts of a body below 4 KiB are joined. reading.py is split: message.py and request_reading.py; MessageReader is public, since two modules use it.

Result: tests of callers, http and nodes pass (195).

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -197,7 +197,7 @@
     def disable_keep_alive(self, request):
         """Close the connection after a request, unless another has arrived."""
         reader = request.reader
-        if not reader.ready_messages and reader.connection.is_idle():
+        if not reader.has_unread_requests and reader.connection.is_idle():
             request.keep_alive = False
 
     async def serve(self, connection):
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -10,8 +10,8 @@
 from snipelead.callers.protocol import DEFAULT_CALLER_PROTOCOL
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import MalformedMessageError
-from snipelead.http.reading import Message
-from snipelead.http.reading import RequestReader
+from snipelead.http.message import Message
+from snipelead.http.request_reading import RequestReader
 from snipelead.http.writing import encode_head
 
 __all__ = ['CallerReader', 'Request']
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -1,4 +1,4 @@
-"""Incremental parsing of HTTP/1.1 requests and responses."""
+"""Incremental parsing of HTTP/1.1 messages; reading of responses."""
 
 from collections import deque
 from math import inf
@@ -9,14 +9,13 @@
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import HeadTooLargeError
 from snipelead.http.exceptions import MalformedMessageError
-from snipelead.http.exceptions import UpgradeRefusedError
+from snipelead.http.message import Message
 
 __all__ = [
     'DEFAULT_FIELD_RULES',
     'FieldRules',
-    'Message',
     'INSPECTED_FIELDS',
-    'RequestReader',
+    'MessageReader',
     'ResponseReader',
 ]
 
@@ -70,147 +69,9 @@
 
 DEFAULT_FIELD_RULES = FieldRules()
 _VALID_STATUSES = range(100, 600)
-_INTERIM_STATUSES = range(100, 200)
-_MIN_SERVER_ERROR_STATUS = 500
 
 
-class Message:
-    """Request or response with a streamed body.
-
-    Parameters
-    ----------
-    reader : RequestReader or ResponseReader
-        Reader that receives the body.
-
-    Attributes
-    ----------
-    field_lines : list of bytes
-        Header fields to forward, each ``name: value``.
-    fields : dict of bytes to bytes
-        Values of the inspected header fields by lower-case name.
-    method, url : bytes
-        Method and target of a request.
-    status : int
-        Status code of a response, 0 for a request.
-    reason : bytes
-        Reason phrase of a response.
-    body_chunks : deque of bytes
-        Parts of the body that were received but not read.
-    buffered_bytes : int
-        Total size of ``body_chunks``.
-    complete : bool
-        Whether the complete body has been received.
-    keep_alive : bool
-        Whether the connection stays open after this message.
-    version : str
-        HTTP version, ``'1.0'`` or ``'1.1'``.
-    """
-
-    __slots__ = (
-        'body_chunks',
-        'buffered_bytes',
-        'complete',
-        'field_lines',
-        'fields',
-        'keep_alive',
-        'method',
-        'reader',
-        'reason',
-        'status',
-        'url',
-        'version',
-    )
-
-    def __init__(self, reader):
-        self.reader = reader
-        self.field_lines = []
-        self.fields = {}
-        self.method = b''
-        self.url = b''
-        self.status = 0
-        self.reason = b''
-        self.version = '1.1'
-        self.body_chunks = deque()
-        self.buffered_bytes = 0
-        self.complete = False
-        self.keep_alive = True
-
-    @property
-    def content_length(self):
-        """Value of the Content-Length field, None if it is absent."""
-        value = self.fields.get(b'content-length')
-        return None if value is None else int(value)
-
-    @property
-    def is_interim(self):
-        """Whether this is an interim (1xx) response."""
-        return self.status in _INTERIM_STATUSES
-
-    @property
-    def is_server_error(self):
-        """Whether the status of the response is 500 or above."""
-        return self.status >= _MIN_SERVER_ERROR_STATUS
-
-    def mark_complete(self):
-        """Mark the body as completely received."""
-        self.complete = True
-
-    def remove_connection_fields(self, field_names):
-        """Remove the header fields that a Connection field lists.
-
-        Parameters
-        ----------
-        field_names : bytes
-            Lower-case value of the Connection field.
-        """
-        prefixes = tuple(n.strip() + b':' for n in field_names.split(b','))
-        self.field_lines = [
-            line
-            for line in self.field_lines
-            if not line.lower().startswith(prefixes)
-        ]
-
-    def take_buffered_body(self):
-        """Remove and return the buffered part of the body."""
-        data = b''.join(self.body_chunks)
-        self.body_chunks.clear()
-        self.buffered_bytes = 0
-        return data
-
-    async def buffer_body(self, max_bytes):
-        """Buffer the body until it is complete or exceeds a size.
-
-        Parameters
-        ----------
-        max_bytes : int
-            Receiving stops once more than this many bytes are buffered.
-
-        Raises
-        ------
-        ConnectionLostError, MalformedMessageError
-            If the body ends before it is complete.
-        """
-        while not self.complete and self.buffered_bytes <= max_bytes:
-            await self.reader.receive()
-
-    async def read(self):
-        """Return the next part of the body, or ``b''`` at its end.
-
-        Raises
-        ------
-        ConnectionLostError, MalformedMessageError
-            If the body ends before it is complete.
-        """
-        while not self.body_chunks:
-            if self.complete:
-                return b''
-            await self.reader.receive()
-        data = self.body_chunks.popleft()
-        self.buffered_bytes -= len(data)
-        return data
-
-
-class _MessageReader:
+class MessageReader:
     """Base of the readers; implements the callbacks of httptools.
 
     Parameters
@@ -268,15 +129,18 @@
         self.error = None
 
     def make_parser(self):
+        """Return a new parser."""
         raise NotImplementedError
 
     def on_message_begin(self):
+        """Start a message."""
         self.current_message = self.message_class(self)
         self.in_head = True
         self.parsed_head_bytes = 0
         self.messages_started += 1
 
     def on_header(self, name, value):
+        """Add a header field to the current message."""
         if not self.in_head:
             # Trailer fields are dropped: the head may already have been
             # forwarded.
@@ -298,16 +162,18 @@
         message.field_lines.append(b'%b: %b' % (name, value))
 
     def on_body(self, data):
+        """Add a part of the body to the current message."""
         self.parts_received += 1
-        self.current_message.body_chunks.append(data)
-        self.current_message.buffered_bytes += len(data)
+        self.current_message.add_body_part(data)
 
     def on_message_complete(self):
+        """Complete the current message."""
         self.parts_received += 1
         message, self.current_message = self.current_message, None
         message.mark_complete()
 
     def complete_head(self):
+        """Make the current message available once its head is complete."""
         self.parts_received += 1
         self.in_head = False
         if self.parsed_head_bytes > self.max_head_bytes:
@@ -323,6 +189,7 @@
         self.ready_messages.append(message)
 
     def feed(self, data):
+        """Parse received data."""
         previous, started = self.current_message, self.messages_started
         parts_before = self.parts_received
         try:
@@ -384,45 +251,11 @@
             self.handle_eof()
 
     def handle_eof(self):
+        """Handle the end of the connection."""
         self.error = ConnectionLostError('the peer closed the connection')
 
 
-class RequestReader(_MessageReader):
-    """Reads the requests of a connection in order."""
-
-    def make_parser(self):
-        """Return a new request parser."""
-        return httptools.HttpRequestParser(self)
-
-    def on_url(self, url):
-        """Append a part of the URL."""
-        self.parsed_head_bytes += len(url)
-        self.current_message.url += url
-
-    def on_headers_complete(self):
-        """Complete the head of the current request."""
-        if self.parser.should_upgrade():
-            raise UpgradeRefusedError('protocol upgrades are not supported')
-        self.current_message.method = self.parser.get_method()
-        self.complete_head()
-
-    async def next_request(self):
-        """Return the next request, or None once the connection ended.
-
-        Raises
-        ------
-        MalformedMessageError, HeadTooLargeError, UpgradeRefusedError
-            If the received data is not an acceptable request.
-        """
-        while not self.ready_messages:
-            try:
-                await self.receive()
-            except ConnectionLostError:
-                return None
-        return self.ready_messages.popleft()
-
-
-class ResponseReader(_MessageReader):
+class ResponseReader(MessageReader):
     """Reads the responses of a connection in order.
 
     Attributes
--- a/snipelead/http/tests/test_connection_field.py
+++ b/snipelead/http/tests/test_connection_field.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from snipelead.http.reading import RequestReader
+from snipelead.http.request_reading import RequestReader
 
 
 class ConnectionFieldTest(TestCase):
--- a/snipelead/nodes/tests/test_status_message.py
+++ b/snipelead/nodes/tests/test_status_message.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from snipelead.http.reading import Message
+from snipelead.http.message import Message
 from snipelead.nodes.peer_messages import decode_status
 from snipelead.nodes.peer_messages import encode_field
 from snipelead.nodes.peer_messages import make_status_message
--- a/snipelead/platform/tests/test_extreme_numbers.py
+++ b/snipelead/platform/tests/test_extreme_numbers.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from snipelead.callers.exceptions import BadRequestError
-from snipelead.http.reading import Message
+from snipelead.http.message import Message
 from snipelead.platform.configuration import decode_configuration
 from snipelead.platform.exceptions import UnreadableConfigurationError
 from snipelead.platform.exceptions import UnreadableHeartbeatError
--- a/snipelead/platform/tests/test_target_status.py
+++ b/snipelead/platform/tests/test_target_status.py
@@ -1,7 +1,7 @@
 from testtools import TestCase
 
 from snipelead.emulator.platform_target import Misbehaviour
-from snipelead.http.reading import Message
+from snipelead.http.message import Message
 from snipelead.platform.protocols import read_target_status
 from snipelead.platform.tests.test_protocols import PlatformTestCase
 from snipelead.types import TargetState
