Limit what connections of callers use together

Cause: callers that pipeline without reading, send heads of many short fields, hold connections or announce bodies made a process use up its memory and descriptors (391 MiB with 57 at rest; no descriptor left for targets).

Change: CallerBudget charges the estimated memory of requests, bodies and responses of all accepted connections. When it is used up, the connections that use most are closed, except those whose request was passed on and whose caller makes progress; from half of it on, pipelined requests are read one at a time. Accepted connections are kept below a share of the descriptors; the longest idle ones make room. Heads that stay incomplete and responses that are not read end the connection. Bodies at the node's platform interfaces are limited to 1 MiB. Settings, events 3090 to 3093, SL3060, three metrics.

--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -11,11 +11,13 @@
 from snipelead.callers.events import CALL_PATH_LISTENING
 from snipelead.callers.events import DRAIN_ENDED
 from snipelead.callers.events import DRAIN_STARTED
+from snipelead.callers.limit_log import make_limit_logger
 from snipelead.callers.pipelining import PipeliningServer
 from snipelead.callers.protocol import CallerProtocol
 from snipelead.callers.protocol import DEFAULT_CALLER_PROTOCOL
 from snipelead.callers.watcher import CallWatcher
 from snipelead.callers.watcher import TICK_INTERVAL_S
+from snipelead.http.budget import CallerBudget
 from snipelead.http.connection import listen
 from snipelead.logs import log_event
 from snipelead.nodes.forwarding import Forwarder
@@ -101,6 +103,8 @@
         Cancelled when the call path has drained.
     servers : tuple of ConnectionServer
         Servers of callers and of other nodes, in this order.
+    budget : CallerBudget
+        Limits of all connections that the process accepts.
     stop_deadline : float or None
         When the grace period of a requested stop ends, in seconds of trio's
         clock.
@@ -136,6 +140,11 @@
         self.scope = trio.CancelScope()
         self.nursery = None
         self.servers = ()
+        self.budget = CallerBudget(
+            settings.limits.buffer_bytes, settings.limits.descriptor_share
+        )
+        self.budget.on_limit = make_limit_logger(self.budget)
+        metrics.budget = self.budget
         self.stop_deadline = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -242,10 +251,15 @@
                 CALLER_IDLE_TIMEOUT_S,
                 limits.caller_connections,
                 self.protocols.caller,
+                self.budget,
                 depth=limits.pipeline_depth,
             ),
             ConnectionServer(
-                peer_listener, peer_service.handle, limits, PEER_IDLE_TIMEOUT_S
+                peer_listener,
+                peer_service.handle,
+                limits,
+                PEER_IDLE_TIMEOUT_S,
+                budget=self.budget,
             ),
         )
 
@@ -260,6 +274,7 @@
             self.limiters.tick()
             for server in self.servers:
                 server.tick(now)
+            self.budget.tick()
             if ticks % _TICKS_PER_CLEANUP == 0:
                 self.sender.pool.close_expired()
                 self.forwarder.pool.close_expired()
--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -17,6 +17,8 @@
 from snipelead.callers.request import CallerReader
 from snipelead.callers.request import Request
 from snipelead.exceptions import InvariantError
+from snipelead.http.budget import CallerBudget
+from snipelead.http.budget import LimitKind
 from snipelead.http.connection import ACCEPT_RETRY_DELAY_S
 from snipelead.http.connection import Connection
 from snipelead.http.exceptions import HeadTooLargeError
@@ -34,6 +36,10 @@
 PAUSE_THRESHOLD_S = 1.5
 # Requests that arrived during a pause are read within this time after it.
 PAUSE_RECOVERY_S = 1.0
+# Once the limit of connections is reached, those that have been idle for this
+# time are closed in favour of new ones.
+MIN_IDLE_S = 1.0
+_MS_PER_S = 1_000
 
 
 class ConnectionServer:
@@ -57,6 +63,9 @@
         Limit of open connections; None for no limit.
     protocol : CallerProtocol
         Header fields of requests and of error responses.
+    budget : CallerBudget or None
+        Limits of all servers of the process; None for those of this server
+        alone.
 
     Attributes
     ----------
@@ -82,8 +91,10 @@
         idle_timeout_s,
         max_connections=None,
         protocol=DEFAULT_CALLER_PROTOCOL,
+        budget=None,
     ):
         self.protocol = protocol
+        self.budget = budget or CallerBudget(limits.buffer_bytes)
         self.listener = listener
         self.handle = handle
         self.limits = limits
@@ -131,7 +142,11 @@
             except OSError:
                 return False
             connection = Connection(sock)
+            if not self.budget.make_room():
+                connection.close()
+                continue
             connection.last_used_at = trio.current_time()
+            connection.account = self.budget.open_account(connection, self)
             self.connections.add(connection)
             nursery.start_soon(self.serve, connection)
 
@@ -146,7 +161,12 @@
         if self._was_paused(now):
             self.pause_ended_at = now
         self.last_tick_at = now
+        was_paused = self.pause_ended_at == now
         for connection in tuple(self.connections):
+            if connection.send_blocked_at != inf:
+                self._check_unread_response(connection, now, was_paused)
+            if connection.head_started_at != inf:
+                self._check_incomplete_head(connection, now)
             idle_s = now - connection.last_used_at
             if idle_s <= self.idle_timeout_s or self.is_busy(connection):
                 continue
@@ -155,6 +175,64 @@
             if connection.is_idle():
                 connection.close()
 
+    def _check_unread_response(self, connection, now, was_paused):
+        """Close the connection if its peer does not read a response."""
+        if was_paused:
+            connection.send_blocked_at = now
+        if connection.closed:
+            return
+        connection.note_progress(now)
+        blocked_s = now - connection.send_blocked_at
+        if blocked_s > self.limits.response_timeout_ms / _MS_PER_S:
+            connection.abort()
+            self.budget.count_closed(LimitKind.RESPONSE_TIMEOUT)
+
+    def _check_incomplete_head(self, connection, now):
+        """Close the connection if its peer does not complete a head."""
+        waited_s = now - connection.head_started_at
+        if (
+            waited_s > self.limits.head_timeout_ms / _MS_PER_S
+            and not self.is_busy(connection)
+            # Otherwise the rest may have arrived during a pause.
+            and connection.is_idle()
+        ):
+            connection.abort()
+            self.budget.count_closed(LimitKind.HEAD_TIMEOUT)
+
+    def find_protected(self, only_passed_on):
+        """Return the connections that must not be closed to make room.
+
+        A connection is protected if a request was passed on to a target and
+        the caller behaves.
+
+        Parameters
+        ----------
+        only_passed_on : bool
+            False to include connections whose requests were not passed on.
+
+        Returns
+        -------
+        set of Connection
+        """
+        now = trio.current_time()
+        protected = set()
+        for request in self.active_requests.values():
+            was_passed_on = (
+                request.call is not None and request.call.outcome is not Ran.NO
+            )
+            if (
+                was_passed_on or not only_passed_on
+            ) and not request.is_stalled(now):
+                protected.add(request.reader.connection)
+        return protected
+
+    def abandon(self, connection):
+        """Cancel the calls of a connection that was closed."""
+        for request in tuple(self.active_requests.values()):
+            call = request.call
+            if call is not None and request.reader.connection is connection:
+                call.abandon()
+
     def _was_paused(self, now):
         return now - self.last_tick_at > PAUSE_THRESHOLD_S
 
@@ -204,8 +282,10 @@
         """Serve one connection until it is closed."""
         reader = CallerReader(connection, self.limits, self.protocol)
         try:
-            with connection:
-                if self._is_over_limit():
+            with connection, connection.account:
+                if self._is_over_limit() and not self.budget.close_idle(
+                    1, self, MIN_IDLE_S
+                ):
                     error = TooManyConnectionsError(
                         'the node has reached its limit of caller connections'
                     )
@@ -261,6 +341,7 @@
     async def _finish_request(self, connection, request):
         """Close the connection unless it can be used for another request."""
         connection.last_used_at = self.last_tick_at
+        request.release_charge()
         if connection.closed:
             return False
         if not request.keep_alive or not request.complete:
--- a/snipelead/callers/events.py
+++ b/snipelead/callers/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     'ATTEMPT_CHOSEN',
     'ATTEMPT_FAILED',
+    'BUFFERS_FREED',
     'CALL_ABANDONED',
     'CALL_ADMITTED',
     'CALL_ANSWERED',
@@ -14,8 +15,11 @@
     'CALL_ROUTED',
     'CALL_FAILED',
     'CALL_PATH_LISTENING',
+    'CONNECTIONS_CLOSED',
     'DRAIN_ENDED',
     'DRAIN_STARTED',
+    'HEAD_TIMED_OUT',
+    'RESPONSE_NOT_READ',
     'SETTLEMENT_LOST',
     'TARGET_EJECTED',
 ]
@@ -130,3 +134,34 @@
     ' transfer stalled.',
     is_request_event=True,
 )
+
+# The events below are logged at most once in 10 s each; `closed` counts the
+# connections that the limit has closed since the start of the process.
+BUFFERS_FREED = Event(
+    3090,
+    'buffers_freed',
+    'warning',
+    'Requests and responses of callers used more than `buffer_bytes`; the'
+    ' connections that used most were closed.',
+)
+CONNECTIONS_CLOSED = Event(
+    3091,
+    'connections_closed',
+    'warning',
+    'The limit of connections was reached; idle connections were closed in'
+    ' favour of new ones. Look for callers that open many connections.',
+)
+HEAD_TIMED_OUT = Event(
+    3092,
+    'head_timed_out',
+    'warning',
+    'A connection was closed, since a request head remained incomplete for'
+    ' `head_timeout_ms`.',
+)
+RESPONSE_NOT_READ = Event(
+    3093,
+    'response_not_read',
+    'warning',
+    'A connection was closed, since its peer read nothing of a response for'
+    ' `response_timeout_ms`.',
+)
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -31,6 +31,7 @@
     'QuarantinedError',
     'RateLimitedError',
     'RequestHeadTooLargeError',
+    'RequestTimeoutError',
     'ResponseLostError',
     'TargetBusyError',
     'TargetCrashedError',
@@ -278,3 +279,10 @@
 
     code = 'SL3023'
     status = 500
+
+
+class RequestTimeoutError(CallError):
+    """The request was not received completely in time."""
+
+    code = 'SL3060'
+    status = 408
--- a/snipelead/callers/pipelining.py
+++ b/snipelead/callers/pipelining.py
@@ -172,10 +172,20 @@
         # keep the connection open until the drain times out.
         if not request.keep_alive or self.server.draining:
             return False
-        while self.unanswered >= self.server.depth:
+        while self.unanswered >= self.server.depth or (
+            self.unanswered and self._uses_much()
+        ):
             await self._request_finished.wait()
         return True
 
+    def _uses_much(self):
+        """Return whether no further request should be read for now."""
+        account = self.connection.account
+        return (
+            account.used_bytes > self.server.limits.connection_buffer_bytes
+            or account.budget.is_tight
+        )
+
     async def _handle_request(self, exchange, request):
         try:
             with trio.CancelScope() as exchange.cancel_scope:
@@ -187,6 +197,7 @@
             self.unanswered -= 1
             exchange.finished.set()
             exchange.previous = None
+            request.release_charge()
             request.release_reader()
             self._request_finished.set()
             self._request_finished = trio.Event()
--- a/snipelead/callers/relay.py
+++ b/snipelead/callers/relay.py
@@ -49,6 +49,8 @@
         # earlier responses on the connection.
         call.scope.deadline = inf
         response.close()
+        if message.buffered_bytes:
+            request.hold_response(message.buffered_bytes)
     await connection.wait_for_response_turn(request)
     framing = choose_framing(message, request.version == '1.1')
     field_lines = [*message.field_lines, *extra_lines]
--- a/snipelead/callers/request.py
+++ b/snipelead/callers/request.py
@@ -1,6 +1,7 @@
 """Requests received from callers and from other nodes."""
 
 from collections import deque
+from math import inf
 
 import trio
 
@@ -8,6 +9,7 @@
 from snipelead.callers.exceptions import BodyTooLargeError
 from snipelead.callers.exceptions import CallerDisconnectedError
 from snipelead.callers.protocol import DEFAULT_CALLER_PROTOCOL
+from snipelead.http.budget import CallerBudget
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.message import Message
@@ -16,8 +18,15 @@
 
 __all__ = ['CallerReader', 'Request']
 
+# Estimated memory of a request in progress, without its head and body, and of
+# a header field besides its bytes.
+REQUEST_BYTES = 8 * 1024
+FIELD_BYTES = 100
 # Size of the start of a body that is kept while the body is forwarded.
 KEPT_BODY_BYTES = 64 * 1024
+# A caller is stalled if it makes no progress for this time. Its connection may
+# be closed when memory or connections are short.
+STALL_S = 2.0
 CONTINUE_RESPONSE = encode_head(b'HTTP/1.1 100 Continue', ())
 
 
@@ -40,6 +49,14 @@
     body_start : bytearray or None
         Start of the body as far as it was read; None unless
         :meth:`keep_body_start` was called.
+    charged_bytes : int
+        Estimated memory that is charged to the connection.
+    collected_bytes : int
+        Size of the parts of the body that :meth:`receive_body` holds.
+    response_bytes : int
+        Size of the response that waits to be sent.
+    waiting_since : float
+        Since when the body is waited for; infinite if it is not.
     reader_released : trio.Event or None
         Set once the body is no longer read from the connection; None until
         :meth:`wait_reader_released` is called.
@@ -49,10 +66,14 @@
         'body_bytes_read',
         'body_start',
         'call',
+        'charged_bytes',
+        'collected_bytes',
         'continue_sent',
         'max_body_bytes',
         'reader_released',
+        'response_bytes',
         'saved_body',
+        'waiting_since',
     )
 
     def __init__(self, reader):
@@ -64,6 +85,50 @@
         self.body_start = None
         self.continue_sent = False
         self.reader_released = None
+        self.charged_bytes = 0
+        self.collected_bytes = 0
+        self.response_bytes = 0
+        self.waiting_since = inf
+
+    def update_charge(self):
+        """Charge the memory of the request to its connection."""
+        size = (
+            REQUEST_BYTES
+            + FIELD_BYTES * len(self.field_lines)
+            + self.buffered_bytes
+            + len(self.saved_body or b'')
+            + self.collected_bytes
+            + self.response_bytes
+        )
+        charged_bytes, self.charged_bytes = self.charged_bytes, size
+        self.reader.account.charge(size - charged_bytes)
+
+    def release_charge(self):
+        """Charge no more memory; the request has ended."""
+        self.reader.account.charge(-self.charged_bytes)
+        self.charged_bytes = 0
+
+    def hold_response(self, size):
+        """Charge a response that waits to be sent.
+
+        Parameters
+        ----------
+        size : int
+            Size in bytes.
+        """
+        self.response_bytes = size
+        self.update_charge()
+
+    def is_stalled(self, now):
+        """Return whether the caller neither sends the body nor reads.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        """
+        send_blocked_at = self.reader.connection.send_blocked_at
+        return now - min(self.waiting_since, send_blocked_at) > STALL_S
 
     def mark_complete(self):
         """Mark the body as received in full."""
@@ -89,6 +154,8 @@
     def take_buffered_body(self):
         """Return all received bytes of the body that were not read yet."""
         data = super().take_buffered_body()
+        if data:
+            self.update_charge()
         self.body_bytes_read += len(data)
         self._extend_body_start(data)
         return data
@@ -122,6 +189,8 @@
         """Save a body that was received in full, for further attempts."""
         if self.complete:
             self.saved_body = self.take_buffered_body()
+            if self.saved_body:
+                self.update_charge()
 
     def rewind(self):
         """Make a saved body readable from its start."""
@@ -180,11 +249,17 @@
         """
         try:
             await self.send_continue()
+            if not self.body_chunks and not self.complete:
+                self.waiting_since = trio.current_time()
             data = await super().read()
         except MalformedMessageError as error:
             raise BadRequestError(error.message) from error
         except ConnectionLostError as error:
             raise CallerDisconnectedError(error.message) from error
+        finally:
+            self.waiting_since = inf
+        if data:
+            self.update_charge()
         self.body_bytes_read += len(data)
         self._extend_body_start(data)
         if self.body_bytes_read > self.max_body_bytes:
@@ -210,9 +285,12 @@
                 break
             parts.append(data)
             size += len(data)
+            self.collected_bytes = size
+        self.collected_bytes = 0
         self.body_bytes_read = 0
         self.body_chunks.extendleft(reversed(parts))
         self.buffered_bytes += size
+        self.update_charge()
 
     async def discard(self):
         """Read and discard the rest of the body."""
@@ -231,6 +309,13 @@
         Size limits of request head and body.
     protocol : CallerProtocol
         Defines the header fields that are read and forwarded.
+
+    Attributes
+    ----------
+    account : BufferAccount
+        Buffers of the connection.
+    read_ahead_bytes : int
+        Charged size of what was received but is not part of a request yet.
     """
 
     message_class = Request
@@ -239,3 +324,64 @@
         super().__init__(connection, limits.head_bytes, protocol.rules)
         self.protocol = protocol
         self.max_body_bytes = limits.body_bytes
+        if connection.account is None:
+            connection.account = CallerBudget().open_account(connection)
+        self.account = connection.account
+        self.account.discard_buffers = self.discard
+        self.read_ahead_bytes = 0
+
+    def feed(self, data):
+        """Parse received data up to the end of one request."""
+        super().feed(data)
+        self._charge_read_ahead()
+
+    def feed_unparsed(self):
+        """Parse data that was received before up to the end of a request."""
+        super().feed_unparsed()
+        self._charge_read_ahead()
+
+    def _charge_read_ahead(self):
+        """Charge an incomplete head and what was received after a request.
+
+        The time for the head begins with its first bytes.
+        """
+        if self.error is not None:
+            self.discard()
+        size = len(self.unparsed)
+        if self.in_head and self.error is None:
+            field_count = len(self.current_message.field_lines)
+            size += self.incomplete_head_bytes + FIELD_BYTES * field_count
+        if self.in_head or (
+            self.undelivered_bytes and self.current_message is None
+        ):
+            if self.connection.head_started_at == inf:
+                self.connection.head_started_at = trio.current_time()
+        elif self.connection.head_started_at != inf:
+            self.connection.head_started_at = inf
+        if size != self.read_ahead_bytes:
+            added_bytes = size - self.read_ahead_bytes
+            self.read_ahead_bytes = size
+            self.account.charge(added_bytes)
+
+    def discard(self):
+        """Free the memory of what can no longer be completed."""
+        if self.error is None:
+            self.error = ConnectionLostError('the connection was closed')
+        self.unparsed = b''
+        if self.current_message is None:
+            return
+        if self.in_head:
+            self.current_message.field_lines.clear()
+        else:
+            # The rest of the body cannot be received either.
+            self.current_message.take_buffered_body()
+
+    def on_body(self, data):
+        """Add a part of the body to the current request."""
+        super().on_body(data)
+        self.current_message.update_charge()
+
+    def complete_head(self):
+        """Make the current request available once its head is complete."""
+        super().complete_head()
+        self.current_message.update_charge()
--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -2,8 +2,10 @@
 
 import trio
 
+from snipelead.callers.limit_log import make_limit_logger
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.service import ControlService
+from snipelead.http.budget import CallerBudget
 from snipelead.metrics import ControlMetrics
 from snipelead.types import ControlRole
 from snipelead.voters.voter import Voter
@@ -32,6 +34,8 @@
         Distribution of releases to nodes.
     metrics : ControlMetrics
         Metrics of the process.
+    budget : CallerBudget
+        Limits of all connections of operators.
     """
 
     def __init__(self, settings, transport, frontend):
@@ -39,6 +43,11 @@
         self.frontend = frontend
         self.transport = transport
         self.metrics = ControlMetrics()
+        self.budget = CallerBudget(
+            settings.buffer_bytes, settings.descriptor_share
+        )
+        self.budget.on_limit = make_limit_logger(self.budget)
+        self.metrics.budget = self.budget
         self.source = self._make_source()
         self.service = ControlService(
             settings, self.source, transport, metrics=self.metrics
--- a/snipelead/daemons/tests/test_untrusted_callers.py
+++ b/snipelead/daemons/tests/test_untrusted_callers.py
@@ -41,14 +41,6 @@
 SLOW_BODIES = Script(POST_HEAD, b'x', 512 * 1024, 300)
 
 
-def lower_limits():
-    """Return the lowered limits as far as the settings have them."""
-    known = set(NodeLimits.__struct_fields__)
-    return NodeLimits(
-        **{n: v for n, v in LOWERED_LIMITS.items() if n in known}
-    )
-
-
 class LargeBodyTest(FleetTestCase):
     """A single request within the limits must be served in calm conditions."""
 
@@ -72,7 +64,9 @@
         super().setUp()
         self.make_fleet(controls=1, services=('stock',))
         self.node, self.control = self.fleet.nodes[0], self.fleet.controls[0]
-        self.fleet.replace_settings(self.node, limits=lower_limits())
+        self.fleet.replace_settings(
+            self.node, limits=NodeLimits(**LOWERED_LIMITS)
+        )
         for process in (self.node, self.control):
             limit_descriptors(process)
         self.fleet.start()
--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -6,9 +6,12 @@
 """
 
 import errno
+import fcntl
+from math import inf
 import select
 import socket
 import struct
+import termios
 
 import trio
 
@@ -32,6 +35,7 @@
 # How long ``Connection.close_gracefully`` waits for the peer to close, so that
 # the peer can read the last response.
 LINGERING_CLOSE_S = 2.0
+_QUEUED_BYTES = struct.Struct('i')
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -63,6 +67,16 @@
         Whether the connection failed before the peer had ended its stream.
     cancel_scope : trio.CancelScope or None
         Cancel scope of the task that serves the connection.
+    account : BufferAccount or None
+        Buffers that an accepted connection uses.
+    head_started_at : float
+        When the first bytes of an incomplete request head were received;
+        infinite if there are none.
+    send_blocked_at : float
+        Since when the peer has taken no data that is being sent; infinite if
+        nothing waits to be sent.
+    queued_bytes : int
+        Bytes that the peer had not acknowledged at the last check.
     """
 
     def __init__(self, sock):
@@ -73,6 +87,10 @@
         self.closed = False
         self.was_reset = False
         self.cancel_scope = None
+        self.account = None
+        self.head_started_at = inf
+        self.send_blocked_at = inf
+        self.queued_bytes = 0
 
     def __enter__(self):
         return self
@@ -133,12 +151,39 @@
             If the connection was reset or closed locally.
         """
         sent = self.send_nowait(data)
-        while sent < len(data):
+        if sent < len(data):
+            try:
+                await self._send_rest(memoryview(data)[sent:])
+            finally:
+                self.send_blocked_at = inf
+
+    async def _send_rest(self, rest):
+        while rest:
+            self.send_blocked_at = trio.current_time()
             try:
                 await trio.lowlevel.wait_writable(self.sock)
             except (OSError, trio.ClosedResourceError) as error:
                 raise SendFailedError(str(error)) from error
-            sent += self.send_nowait(memoryview(data)[sent:])
+            rest = rest[self.send_nowait(rest) :]
+
+    def note_progress(self, now):
+        """Restart the time of a blocked send if the peer has taken data.
+
+        The socket becomes writable only after a good part of its buffer is
+        free, which takes long if the peer reads slowly.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        """
+        result = fcntl.ioctl(
+            self.sock, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size)
+        )
+        (queued_bytes,) = _QUEUED_BYTES.unpack(result)
+        if queued_bytes < self.queued_bytes:
+            self.send_blocked_at = now
+        self.queued_bytes = queued_bytes
 
     def send_nowait(self, data):
         """Send as much as possible without blocking.
--- a/snipelead/metrics.py
+++ b/snipelead/metrics.py
@@ -38,10 +38,32 @@
 
 
 class _Metrics:
-    """Metrics registry and its text exposition."""
+    """Metrics registry and its text exposition.
+
+    Attributes
+    ----------
+    budget : CallerBudget or None
+        Limits on callers whose use is exposed.
+    """
 
     def __init__(self):
         self.registry = Registry()
+        self.budget = None
+        self.limited_connections = Counter(
+            'snipelead_limited_connections_total',
+            'Accepted connections that were closed, by limit.',
+            registry=self.registry,
+        )
+        self.accepted_connections = Gauge(
+            'snipelead_accepted_connections',
+            'Open connections that the process has accepted.',
+            registry=self.registry,
+        )
+        self.buffered_bytes = Gauge(
+            'snipelead_buffered_bytes',
+            'Estimated memory of requests and responses of callers.',
+            registry=self.registry,
+        )
 
     def render(self, accept=()):
         """Return the exposition of all metrics.
@@ -56,6 +78,12 @@
         tuple of (bytes, dict)
             Body and header fields of the response.
         """
+        budget = self.budget
+        if budget is not None:
+            for kind, count in budget.closed_counts.items():
+                self.limited_connections.set({'limit': kind.value}, count)
+            self.accepted_connections.set({}, len(budget.accounts))
+            self.buffered_bytes.set({}, budget.used_bytes)
         return render(self.registry, list(accept))
 
 
--- a/snipelead/platform/frontend.py
+++ b/snipelead/platform/frontend.py
@@ -35,6 +35,8 @@
 # A health check waits this long for the first release, which names its path;
 # after that the next heartbeat of the target triggers another check.
 FIRST_RELEASE_WAIT_S = 2.0
+# Heartbeats and readiness checks are small.
+MAX_NODE_BODY_BYTES = 1024 * 1024
 _METRICS_CONTENT_TYPE = b'text/plain; version=0.0.4'
 _HEARTBEAT_PATH_PREFIX = b'/instances/'
 _CONFIGURATION_PATH = b'/config'
@@ -62,7 +64,7 @@
     return HttpResponse(status, msgspec.json.encode(error.to_info()))
 
 
-async def _serve_metrics(host, port, metrics, nursery):
+async def _serve_metrics(host, port, metrics, nursery, budget):
     if port is None:
         return
 
@@ -70,7 +72,13 @@
         text, _ = metrics.render()
         return HttpResponse(200, text, _METRICS_CONTENT_TYPE)
 
-    await nursery.start(serve_interface, f'{host}:{port}', handle)
+    await nursery.start(
+        serve_interface,
+        f'{host}:{port}',
+        handle,
+        budget,
+        MAX_NODE_BODY_BYTES,
+    )
 
 
 class PlatformNodeFrontend:
@@ -127,14 +135,26 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             await nursery.start(
-                serve_interface, settings.report_address, self.handle_heartbeat
+                serve_interface,
+                settings.report_address,
+                self.handle_heartbeat,
+                daemon.call_path.budget,
+                MAX_NODE_BODY_BYTES,
             )
             await nursery.start(
-                serve_interface, settings.ready_address, self.handle_readiness
+                serve_interface,
+                settings.ready_address,
+                self.handle_readiness,
+                daemon.call_path.budget,
+                MAX_NODE_BODY_BYTES,
             )
             host = settings.report_address.rpartition(':')[0]
             await _serve_metrics(
-                host, settings.metrics_port, daemon.metrics, nursery
+                host,
+                settings.metrics_port,
+                daemon.metrics,
+                nursery,
+                daemon.call_path.budget,
             )
             task_status.started()
 
@@ -221,10 +241,17 @@
         settings = self.settings
         async with trio.open_nursery() as nursery:
             await nursery.start(
-                serve_interface, settings.order_address, self.handle
+                serve_interface,
+                settings.order_address,
+                self.handle,
+                daemon.budget,
             )
             await _serve_metrics(
-                settings.ip, settings.metrics_port, daemon.metrics, nursery
+                settings.ip,
+                settings.metrics_port,
+                daemon.metrics,
+                nursery,
+                daemon.budget,
             )
             task_status.started()
             await stop.wait()
--- a/snipelead/platform/server.py
+++ b/snipelead/platform/server.py
@@ -8,6 +8,7 @@
 import trio
 
 from snipelead.callers.connections import ConnectionServer
+from snipelead.callers.exceptions import RequestTimeoutError
 from snipelead.http.connection import listen
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
 from snipelead.http.writing import encode_head
@@ -17,7 +18,10 @@
 __all__ = ['HttpResponse', 'serve_interface']
 
 IDLE_TIMEOUT_S = 60.0
-LIMITS = NodeLimits(body_bytes=32 * 1024 * 1024)
+# Configurations sent by operators may be large.
+DEFAULT_MAX_BODY_BYTES = 32 * 1024 * 1024
+# Generous for the largest body on a slow link.
+BODY_TIMEOUT_S = 300.0
 TICK_INTERVAL_S = 1.0
 
 
@@ -73,7 +77,12 @@
 
 
 async def serve_interface(
-    address, handle_request, *, task_status=trio.TASK_STATUS_IGNORED
+    address,
+    handle_request,
+    budget=None,
+    max_body_bytes=DEFAULT_MAX_BODY_BYTES,
+    *,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     """Serve an HTTP interface until cancelled.
 
@@ -84,12 +93,23 @@
     handle_request : callable
         Coroutine function of the method, the path without its query and the
         body, all bytes; returns an :class:`HttpResponse`.
+    budget : CallerBudget or None
+        Limits of all connections that the process accepts; None for limits of
+        this interface alone.
+    max_body_bytes : int
+        Maximum size of a request body.
     task_status : trio.TaskStatus
         Notified once the server is listening.
     """
 
     async def handle(connection, request):
-        await request.receive_body(request.max_body_bytes)
+        request.check_body_size()
+        with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+            await request.receive_body(request.max_body_bytes)
+        if scope.cancelled_caught:
+            raise RequestTimeoutError(
+                f'the request body was incomplete after {BODY_TIMEOUT_S} s'
+            )
         body = request.take_buffered_body()
         path = request.url.partition(b'?')[0]
         response = await handle_request(request.method, path, body)
@@ -97,7 +117,10 @@
             await connection.send(response.encode(request.keep_alive))
 
     listener = listen(address)
-    server = ConnectionServer(listener, handle, LIMITS, IDLE_TIMEOUT_S)
+    limits = NodeLimits(body_bytes=max_body_bytes)
+    server = ConnectionServer(
+        listener, handle, limits, IDLE_TIMEOUT_S, budget=budget
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(server.run, nursery)
         task_status.started()
--- a/snipelead/settings/constraints.py
+++ b/snipelead/settings/constraints.py
@@ -31,6 +31,8 @@
 MAX_TIME_MS = 24 * 60 * 60 * 1_000
 MAX_BYTES = 1024 * 1024 * 1024
 MAX_COUNT = 100_000
+# Below it, single requests of ordinary size would not fit.
+MIN_BUFFER_BYTES = 1024 * 1024
 VOTER_COUNTS = (1, 3, 5)
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
@@ -38,6 +40,8 @@
 _NON_NEGATIVE_TIME_MS = Interval(int, 0, MAX_TIME_MS)
 _COUNT = Interval(int, 1, MAX_COUNT)
 _SIZE_BYTES = Interval(int, 1, MAX_BYTES)
+_BUFFER_BYTES = Interval(int, MIN_BUFFER_BYTES, MAX_BYTES)
+_DESCRIPTOR_SHARE = Interval(float, 0.1, 0.95)
 
 
 def _is_path(value):
@@ -83,6 +87,8 @@
         'data_dir': [_is_path],
         'max_snapshots': [_COUNT],
         'snapshot_entries': [_COUNT],
+        'buffer_bytes': [_BUFFER_BYTES],
+        'descriptor_share': [_DESCRIPTOR_SHARE],
     },
     NodeTimings: {
         'hold_ms': [_POSITIVE_TIME_MS],
@@ -103,6 +109,11 @@
         'own_zone_load': [Interval(float, 0, 100)],
         'crossing_ms_per_kb': [Interval(float, 0, MAX_COUNT), None],
         'pipeline_depth': [_COUNT],
+        'connection_buffer_bytes': [_SIZE_BYTES],
+        'buffer_bytes': [_BUFFER_BYTES],
+        'descriptor_share': [_DESCRIPTOR_SHARE],
+        'head_timeout_ms': [_POSITIVE_TIME_MS],
+        'response_timeout_ms': [_POSITIVE_TIME_MS],
     },
     NodeSettings: {
         'node_id': [is_name],
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -199,6 +199,12 @@
         Log settings.
     guarantees : Guarantees
         Bounds that hold over the whole fleet.
+    buffer_bytes : int
+        Limit of the requests of operators that the process buffers for all
+        connections; beyond it, the connections that use most are closed.
+    descriptor_share : float
+        Share of the descriptors of the process that connections of operators
+        may use.
     """
 
     control_id: ControlId
@@ -218,6 +224,8 @@
     timings: ControlTimings = field(default_factory=ControlTimings)
     log: LogSettings = field(default_factory=LogSettings)
     guarantees: Guarantees = field(default_factory=Guarantees)
+    buffer_bytes: int = 34 * 1024 * 1024
+    descriptor_share: float = 0.8
 
 
 class NodeTimings(_StrictStruct):
@@ -283,6 +291,22 @@
     pipeline_depth : int
         Maximum number of pipelined requests per caller connection that are
         processed concurrently.
+    connection_buffer_bytes : int
+        Size of the requests and responses of one caller connection from which
+        on no further pipelined request is read.
+    buffer_bytes : int
+        Limit of the requests and responses that the process buffers for all
+        connections that it has accepted; beyond it, the connections that use
+        most are closed.
+    descriptor_share : float
+        Share of the descriptors of the process that accepted connections may
+        use.
+    head_timeout_ms : int
+        Time after which a connection is closed if a request head remains
+        incomplete.
+    response_timeout_ms : int
+        Time after which a connection is closed if its peer reads nothing of a
+        response.
     """
 
     body_bytes: int = 8 * 1024 * 1024
@@ -295,6 +319,11 @@
     own_zone_load: float = 0.75
     crossing_ms_per_kb: float | None = None
     pipeline_depth: int = 16
+    connection_buffer_bytes: int = 1024 * 1024
+    buffer_bytes: int = 32 * 1024 * 1024
+    descriptor_share: float = 0.8
+    head_timeout_ms: int = 10_000
+    response_timeout_ms: int = 30_000
 
 
 class NodeSettings(_StrictStruct, tag_field='kind', tag='node'):
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -6,6 +6,7 @@
 
 import snipelead
 from snipelead.callers.call import Call
+from snipelead.http.budget import CallerBudget
 from snipelead.metrics import ControlMetrics
 from snipelead.metrics import NodeMetrics
 from snipelead.quarantine.ledger import Verdict
@@ -58,6 +59,7 @@
             )
             call.ran, call.target_time_s = Ran.YES, 0.1
             metrics.observe_call(call)
+            metrics.budget = CallerBudget()
             metrics.get_rate_limits = lambda: {'t': 2.5}
             metrics.get_quarantine_counts = lambda: (
                 1,
@@ -70,5 +72,6 @@
 
     def test_control_metrics_match_the_page(self):
         metrics = ControlMetrics()
+        metrics.budget = CallerBudget()
         metrics.observe_convergence(Preference.CONVERGENCE.value, 0.1)
         self.check('Control', metrics)
--- a/snipelead/utils/http.py
+++ b/snipelead/utils/http.py
@@ -35,6 +35,9 @@
 
 LISTEN_BACKLOG = 512
 DEFAULT_GRACE_PERIOD_S = 3.0
+# A connection whose peer sends nothing for this time is closed, even while a
+# request is handled; requests take a few seconds at most.
+READ_TIMEOUT_S = 60
 _MS_PER_S = 1_000
 _INVARIANT_MONITOR_KEY = 'snipelead-broken-invariant'
 
@@ -190,6 +193,7 @@
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
+    config.read_timeout = READ_TIMEOUT_S
     config.graceful_timeout = grace_period_s
     # By default, Hypercorn closes a connection after 1,000 requests.
     config.keep_alive_max_requests = sys.maxsize
