--- a/snipelead/daemons/control.py
+++ b/snipelead/daemons/control.py
@@ -2,8 +2,10 @@
 
 import trio
 
+from snipelead.callers.limit_log import make_limit_logger
 from snipelead.controls.relay import RelaySource
 from snipelead.controls.service import ControlService
+from snipelead.http.budget import CallerBudget
 from snipelead.metrics import ControlMetrics
 from snipelead.quotas.service import QuotaService
 from snipelead.rollouts.coordinator import are_rollouts_enabled
@@ -40,6 +42,8 @@
         Grants of the rate limits of customers.
     metrics : ControlMetrics
         Metrics of the process.
+    budget : CallerBudget
+        Limits of all connections of operators.
     """
 
     def __init__(self, settings, transport, frontend):
@@ -47,6 +51,11 @@
         self.frontend = frontend
         self.transport = transport
         self.metrics = ControlMetrics()
+        self.budget = CallerBudget(
+            settings.buffer_bytes, settings.descriptor_share
+        )
+        self.budget.on_limit = make_limit_logger(self.budget)
+        self.metrics.budget = self.budget
         self.source = self._make_source()
         self.service = ControlService(
             settings, self.source, transport, metrics=self.metrics
--- a/snipelead/tests/test_metrics_page.py
+++ b/snipelead/tests/test_metrics_page.py
@@ -7,6 +7,7 @@
 import snipelead
 from snipelead.authentication.authenticator import Authenticator
 from snipelead.callers.call import Call
+from snipelead.http.budget import CallerBudget
 from snipelead.metrics import ControlMetrics
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.holder import ReleaseHolder
@@ -60,6 +61,7 @@
             )
             call.ran, call.target_time_s = Ran.YES, 0.1
             metrics.observe_call(call)
+            metrics.budget = CallerBudget()
             metrics.get_rate_limits = lambda: {'t': 2.5}
             metrics.get_quarantine_counts = lambda: (
                 1,
@@ -83,6 +85,7 @@
     def test_control_metrics_match_the_page(self):
         metrics = ControlMetrics()
         metrics.get_rollouts = lambda: {('s', 'running'): 1}
+        metrics.budget = CallerBudget()
         metrics.observe_convergence(Preference.CONVERGENCE.value, 0.1)
         metrics.count_lease(granted=True)
         metrics.get_quota_counts = lambda: {('c', 'granted'): 1}
