--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -109,6 +109,8 @@
         Servers of callers and of other nodes, in this order.
     budget : CallerBudget
         Limits of all connections that the process accepts.
+    tick_observers : list of callable
+        Called with the time at each tick, 20 times a second.
     stop_deadline : float or None
         When the grace period of a requested stop ends, in seconds of trio's
         clock.
@@ -155,6 +157,7 @@
         self.budget.on_limit = make_limit_logger(self.budget)
         metrics.budget = self.budget
         self.stop_deadline = None
+        self.tick_observers = []
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled or drained.
@@ -288,6 +291,8 @@
             self.watcher.tick(now)
             self.forwarder.tick(now)
             self.limiters.tick()
+            for observer in self.tick_observers:
+                observer(now)
             for server in self.servers:
                 server.tick(now)
             if ticks % _TICKS_PER_CLEANUP == 0:
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -198,6 +198,8 @@
             self.settings.limits.load_interval_ms,
         )
         self.metrics.get_shared_load_count = reporter.count_loads
+        if self.settings.limits.load_interval_ms:
+            self.call_path.tick_observers.append(reporter.sample)
         return reporter
 
     async def _shut_down(self):
--- a/snipelead/nodes/load_reporter.py
+++ b/snipelead/nodes/load_reporter.py
@@ -14,8 +14,6 @@
 __all__ = ['LoadReporter']
 
 REPLY_TIMEOUT_S = 0.5
-# Interval of samples of the occupancy of the local targets.
-SAMPLE_INTERVAL_S = 0.1
 # Part of the interval between two reports that is random, so that the nodes
 # of a zone do not report at the same time.
 INTERVAL_JITTER = 0.2
@@ -64,19 +62,9 @@
         return len(self.received.by_target)
 
     async def run(self):
-        """Sample and report until cancelled; return at once if disabled."""
+        """Report until cancelled; return at once if disabled."""
         if not self.interval_ms:
             return
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_samples)
-            nursery.start_soon(self._run_reports)
-
-    async def _run_samples(self):
-        while True:
-            self.sample(trio.current_time())
-            await trio.sleep(SAMPLE_INTERVAL_S)
-
-    async def _run_reports(self):
         while True:
             await trio.sleep(self._choose_interval_s())
             if self.averages or self.balancer.known_services:
@@ -89,7 +77,13 @@
         return factor * jitter * self.interval_ms / _MS_PER_S
 
     def sample(self, now):
-        """Sample the occupancy of the local targets."""
+        """Sample the occupancy of the local targets.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        """
         limiters = self.limiters.by_target
         for target_id, limiter in limiters.items():
             average = self.averages.get(target_id)
--- a/snipelead/placement/tests/test_load_sharing.py
+++ b/snipelead/placement/tests/test_load_sharing.py
@@ -108,8 +108,10 @@
             return SimpleNamespace(loads=(TargetLoad('t2', 's', 100),))
 
         async def main():
+            reporter = self.make_reporter(call)
+            reporter.sample(trio.current_time())
             with trio.move_on_after(2.2):
-                await self.make_reporter(call).run()
+                await reporter.run()
 
         run_simulated(main)
         self.assertEqual((TargetLoad('t', 's', 400, 250),), requests[-1].loads)
