Keep most slots of a target that refuses at any load

A refusal far below the stated slots tells nothing about them; the limit is no longer lowered below three quarters, and returns within seconds after refusals. Requests of one route with customers of unlike priorities are counted by rank.

--- a/snipelead/admission/route_shares.py
+++ b/snipelead/admission/route_shares.py
@@ -53,7 +53,9 @@
     Attributes
     ----------
     counts : dict of tuple to _RouteCounts
-        Requests by route and by whether work in progress made them.
+        Requests by route, by whether work in progress made them and by rank.
+        Requests of one route differ in rank if their customers have
+        priorities of their own.
     """
 
     def __init__(self):
@@ -73,21 +75,22 @@
         """
         if call.standing.beyond_usual:
             return
-        key = (call.route, call.standing.from_work)
+        key = _make_key(call)
         counts = self.counts.get(key)
         if counts is None:
             counts = _RouteCounts(
-                0, DecayingCount(HALF_LIFE_S), DecayingCount(HALF_LIFE_S)
+                call.standing.rank(call.priority),
+                DecayingCount(HALF_LIFE_S),
+                DecayingCount(HALF_LIFE_S),
             )
             self.counts[key] = counts
-        counts.rank = call.standing.rank(call.priority)
         counts.offered.add(now)
         if accepted:
             counts.accepted.add(now)
 
     def record_loss(self, call, now):
         """Record that a request was refused after it had been accepted."""
-        counts = self.counts.get((call.route, call.standing.from_work))
+        counts = self.counts.get(_make_key(call))
         if counts is not None and not call.standing.beyond_usual:
             accepted = counts.accepted
             accepted.add(now, -min(1.0, accepted.get(now)))
@@ -105,7 +108,7 @@
         recent = [
             c for c in self.counts.values() if c.offered.get(now) > MIN_OFFERED
         ]
-        own = self.counts.get((call.route, call.standing.from_work))
+        own = self.counts.get(_make_key(call))
         if own is None or self._is_starving(own, now):
             return False
         rank = call.standing.rank(call.priority)
@@ -123,3 +126,8 @@
         accepted = sum(c.accepted.get(now) for c in self.counts.values())
         mean = accepted / offered if offered else 1.0
         return own.share(now) < MIN_SHARE_OF_MEAN * mean
+
+
+def _make_key(call):
+    standing = call.standing
+    return (call.route, standing.from_work, standing.rank(call.priority))
--- a/snipelead/admission/target_capacity.py
+++ b/snipelead/admission/target_capacity.py
@@ -17,13 +17,17 @@
 # A full target resets a connection as soon as it reads the request. Requests
 # that were sent earlier are lost for other reasons, such as a restart.
 PROMPT_RESET_S = 0.1
-# Resets also have other causes than a full target, so they lower the limit to
-# no less than this share of the stated slots.
-MIN_SHARE_AFTER_RESETS = 0.5
+# Refusals and resets also have other causes than a full target: one that fails
+# part of its requests refuses them whatever its load. Fewer requests in flight
+# than this share of the stated slots therefore tell nothing about its limit,
+# and the limit is not lowered further.
+MIN_SHARE_OF_SLOTS = 0.75
 # After this time without a refusal the limit rises by one. The time doubles
-# with each refusal at the same limit, up to the second value.
+# with each refusal or reset at a learned limit, up to one of the others. A
+# refusal costs its caller nothing, but the outcome of a reset is unknown.
 GROWTH_INTERVAL_S = 2.0
-MAX_GROWTH_INTERVAL_S = 30.0
+MAX_INTERVAL_AFTER_REFUSALS_S = 4.0
+MAX_INTERVAL_AFTER_RESETS_S = 30.0
 # A slot whose request was cancelled stays in use for this time, in which the
 # target notices that the connection was closed. If the target refuses a
 # request shortly after a cancellation, the time doubles up to the second
@@ -87,13 +91,15 @@
         connections = max(1, entry.connections - RESERVED_CONNECTIONS)
         return int(min(entry.slots, connections, self.learned))
 
-    def record_refusal(self, in_flight, now):
+    def record_refusal(self, in_flight, slots, now):
         """Record that the target refused a request because it was full.
 
         Parameters
         ----------
         in_flight : int
             Requests in flight, including the one that was refused.
+        slots : int
+            Stated slots of the target.
         now : float
             Time in seconds.
 
@@ -102,7 +108,12 @@
         bool
             Whether the limit was lowered.
         """
-        return self._lower(max(1, in_flight - 1), now)
+        least = _least_limit(slots)
+        if in_flight <= least:
+            return False
+        return self._lower(
+            max(least, in_flight - 1), now, MAX_INTERVAL_AFTER_REFUSALS_S
+        )
 
     def record_reset(self, in_flight, slots, sent_at, now):
         """Record that the target reset a connection without a response.
@@ -121,19 +132,22 @@
         bool
             Whether the limit was lowered.
         """
-        least = max(1, int(slots * MIN_SHARE_AFTER_RESETS))
+        least = _least_limit(slots)
         if in_flight <= least or now > sent_at + PROMPT_RESET_S:
             return False
-        return self._lower(max(least, in_flight - 1), now)
+        return self._lower(
+            max(least, in_flight - 1), now, MAX_INTERVAL_AFTER_RESETS_S
+        )
 
-    def _lower(self, limit, now):
+    def _lower(self, limit, now, max_interval_s):
         is_new = now >= self.refused_at + EPISODE_S
         self.changed_at = self.refused_at = now
         if is_new and now < self.cancelled_at + CANCELLATION_MEMORY_S:
             self.hold_s = min(MAX_HOLD_S, 2 * self.hold_s)
         if is_new and self.is_lowered:
-            self.growth_interval_s = min(
-                MAX_GROWTH_INTERVAL_S, 2 * self.growth_interval_s
+            self.growth_interval_s = max(
+                self.growth_interval_s,
+                min(max_interval_s, 2 * self.growth_interval_s),
             )
         if limit >= self.learned:
             return False
@@ -170,3 +184,7 @@
         if self.learned >= slots:
             self._forget()
         return True
+
+
+def _least_limit(slots):
+    return max(1, int(slots * MIN_SHARE_OF_SLOTS))
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -224,7 +224,7 @@
         except TargetBusyError as error:
             self._log_capacity(
                 self.capacity.record_refusal(
-                    self.in_flight, trio.current_time()
+                    self.in_flight, target.entry.slots, trio.current_time()
                 )
             )
             error.load = self.report_load(call)
