Keep text of a document out of YAML errors about anchors and tags

Cause: an API key without quotes that begins with *, & or ! is read as an alias, anchor or tag, and the parser's message quotes it. Such a message reached the terminal and the response to a submission.

Change: these messages keep only their beginning and the position.

Result: test_errors_do_not_quote_the_document has four more documents; it fails without the change (found undefined alias 'k-9f') and passes with it.

--- a/snipelead/utils/documents.py
+++ b/snipelead/utils/documents.py
@@ -8,6 +8,15 @@
 
 __all__ = ['parse_yaml']
 
+# Beginnings of messages in which text of the document follows. An API key
+# without quotes that begins with *, & or ! is such a text.
+_PROBLEMS_WITH_TEXT = (
+    'found undefined alias',
+    'found duplicate anchor',
+    'found undefined tag handle',
+    'could not determine a constructor for the tag',
+)
+
 
 class _UniqueKeyLoader(yaml.SafeLoader):
     """Safe loader that rejects duplicate keys."""
@@ -61,3 +70,8 @@
         mark = getattr(error, name, None)
         if mark is not None:
             mark.buffer = None
+    for name in ('context', 'problem'):
+        message = getattr(error, name, None) or ''
+        for beginning in _PROBLEMS_WITH_TEXT:
+            if message.startswith(beginning):
+                setattr(error, name, beginning)
--- a/snipelead/utils/tests/test_documents.py
+++ b/snipelead/utils/tests/test_documents.py
@@ -28,7 +28,15 @@
 
     def test_errors_do_not_quote_the_document(self):
         """Guards against API keys of a malformed note in error messages."""
-        for text in ('keys: [k-9f, \n', 'keys: k-9f: b', b'a: [k-9f}'):
+        for text in (
+            'keys: [k-9f, \n',
+            'keys: k-9f: b',
+            b'a: [k-9f}',
+            'keys: [*k-9f]',
+            'keys: [!k-9f x]',
+            'keys: [!k-9f!x y]',
+            'keys: [&k-9f x, &k-9f y]',
+        ):
             error = self.assertRaises(DocumentError, parse_yaml, text)
             self.assertNotIn('k-9f', str(error))
             self.assertIn('line ', str(error))
