Find all errors of a release note

Cause: the checks of notes and releases raise the first error, so an operator who mends it meets the next one only on the next submission.

A mistyped field of a customer is no longer quoted, as it may be an API key.

--- a/snipelead/releases/note.py
+++ b/snipelead/releases/note.py
@@ -1,5 +1,6 @@
 """Release notes, which operators submit to create a release."""
 
+import re
 from typing import Literal
 
 import msgspec
@@ -15,11 +16,15 @@
 from snipelead.utils.documents import parse_yaml
 from snipelead.utils.exceptions import DocumentError
 
-__all__ = ['Change', 'ReleaseNote', 'load_note']
+__all__ = ['Change', 'ReleaseNote', 'find_note_errors', 'load_note']
 
 MAX_NOTE_ID_CHARS = 200
 # Largest integer that JSON parsers using doubles represent exactly.
 MAX_RELEASE_NUMBER = 2**53 - 1
+# An API key that is written in place of a field must not be quoted.
+_UNKNOWN_CUSTOMER_FIELD = re.compile(
+    r'unknown field `.*`(?= - at `\S*\.customer`$)', re.DOTALL
+)
 
 
 class Change(
@@ -85,11 +90,71 @@
         reason = error.message
         raise InvalidNoteError(f'invalid release note: {reason}') from error
     except msgspec.ValidationError as error:
-        raise InvalidNoteError(f'invalid release note: {error}') from error
+        reason = _describe_mismatch(error)
+        raise InvalidNoteError(f'invalid release note: {reason}') from error
     _check_note(note)
     return note
 
 
+def _describe_mismatch(error):
+    return _UNKNOWN_CUSTOMER_FIELD.sub('unknown field', str(error))
+
+
+def find_note_errors(text):
+    """Return all errors for which a text is not a valid release note.
+
+    :func:`load_note` raises only the first one. The fields of the note and
+    each of its changes are converted separately here.
+
+    Parameters
+    ----------
+    text : str or bytes
+        One YAML document.
+
+    Returns
+    -------
+    list of InvalidNoteError
+        Empty if the text is a valid release note.
+    """
+    try:
+        load_note(text)
+    except InvalidNoteError as error:
+        first_error = error
+    else:
+        return []
+    try:
+        document = parse_yaml(text)
+    except DocumentError:
+        return [first_error]
+    match document:
+        case {'changes': [*changes]}:
+            errors = _find_part_errors(document, changes)
+        case _:
+            errors = []
+    return errors or [first_error]
+
+
+def _find_part_errors(document, changes):
+    errors = []
+    header = document | {'changes': []}
+    parts = [('', header, ReleaseNote)]
+    parts += [
+        (f'change {number}: ', change, Change)
+        for number, change in enumerate(changes, 1)
+    ]
+    for label, part, part_type in parts:
+        try:
+            value = msgspec.convert(part, part_type)
+            if part is header:
+                _check_note(value)
+        except msgspec.ValidationError as error:
+            reason = f'{label}{_describe_mismatch(error)}'
+            errors.append(InvalidNoteError(f'invalid release note: {reason}'))
+        except InvalidNoteError as error:
+            errors.append(error)
+    return errors
+
+
 def _check_note(note):
     """Check the limits on the note id, the release number and all integers.
 
--- a/snipelead/releases/note_application.py
+++ b/snipelead/releases/note_application.py
@@ -2,7 +2,12 @@
 
 from itertools import count
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from snipelead.releases.checks import check_release
+from snipelead.releases.checks import find_errors
+from snipelead.releases.checks import Refusal
 from snipelead.releases.document import Customer
 from snipelead.releases.document import Release
 from snipelead.releases.document import Route
@@ -12,7 +17,13 @@
 from snipelead.releases.exceptions import ReleaseNumberTooLowError
 from snipelead.types import ServiceName
 
-__all__ = ['apply_note', 'validate_note']
+__all__ = [
+    'AppliedNote',
+    'apply_note',
+    'apply_note_leniently',
+    'make_assumed_release',
+    'validate_note',
+]
 
 _KINDS = ('service', 'route', 'setting', 'customer')
 
@@ -55,6 +66,24 @@
             )
 
 
+def _check_number(current, note):
+    if note.release <= current.number:
+        raise ReleaseNumberTooLowError(
+            f'release {note.release} is not greater than the current release'
+            f' {current.number}',
+            current=current.number,
+        )
+
+
+def _copy_tables(release):
+    return {
+        'service': dict(release.services),
+        'route': dict(release.routes),
+        'setting': dict(release.settings),
+        'customer': dict(release.customers),
+    }
+
+
 def apply_note(current, note):
     """Build the release that results from a release note.
 
@@ -80,18 +109,8 @@
     DanglingReferenceError
         If a route refers to a service or setting that the new release lacks.
     """
-    if note.release <= current.number:
-        raise ReleaseNumberTooLowError(
-            f'release {note.release} is not greater than the current release'
-            f' {current.number}',
-            current=current.number,
-        )
-    tables = {
-        'service': dict(current.services),
-        'route': dict(current.routes),
-        'setting': dict(current.settings),
-        'customer': dict(current.customers),
-    }
+    _check_number(current, note)
+    tables = _copy_tables(current)
     for change in note.changes:
         _apply_change(tables, change)
     release = Release(note.release, *(tables[kind] for kind in _KINDS))
@@ -99,6 +118,60 @@
     return release
 
 
+class AppliedNote(Struct, frozen=True):
+    """Result of a release note, with everything that is not allowed.
+
+    Parameters
+    ----------
+    release : Release
+        The new release; not valid if there are refusals.
+    refusals : tuple of Refusal
+        Reasons to refuse the note.
+    """
+
+    release: Release
+    refusals: tuple[Refusal, ...]
+
+
+def apply_note_leniently(current, note):
+    """Apply a release note and collect all errors.
+
+    An entry of a contradictory change replaces the one of its name, so that
+    one mistake is not reported again as a missing reference.
+
+    Parameters
+    ----------
+    current : Release
+        Release that the note is applied to.
+    note : ReleaseNote
+        Release note.
+
+    Returns
+    -------
+    AppliedNote
+    """
+    refusals = []
+    try:
+        _check_number(current, note)
+    except ReleaseNumberTooLowError as error:
+        refusals.append(Refusal((), error))
+    tables = _copy_tables(current)
+    for change in note.changes:
+        try:
+            _apply_change(tables, change)
+        except InvalidNoteError as error:
+            values = [(kind, getattr(change, kind)) for kind in _KINDS]
+            values = [(k, v) for k, v in values if v is not None]
+            entries = tuple(f'{k} {_get_name(v)!r}' for k, v in values)
+            refusals.append(Refusal(entries, error))
+            for kind, value in values:
+                if not isinstance(value, str):
+                    tables[kind][value.name] = value
+    release = Release(note.release, *(tables[kind] for kind in _KINDS))
+    refusals.extend(find_errors(release, current))
+    return AppliedNote(release, tuple(refusals))
+
+
 def _get_name(value):
     return value if isinstance(value, str) else value.name
 
@@ -148,7 +221,38 @@
         If the note would be rejected for any current release.
     """
     prerequisites = _find_prerequisites(note)
-    # Apply the note to a placeholder release that contains the prerequisites.
+    apply_note(_make_placeholder_release(note, prerequisites), note)
+    return tuple(
+        f'{kind} {name!r}'
+        for kind, names in prerequisites.items()
+        for name in names
+    )
+
+
+def make_assumed_release(note):
+    """Return a release with the entries that a note requires.
+
+    Parameters
+    ----------
+    note : ReleaseNote
+        Release note; changes without exactly one entry are ignored.
+
+    Returns
+    -------
+    Release
+        Release 0, whose entries have default values.
+    """
+    changes = tuple(c for c in note.changes if _has_one_entry(c))
+    note = replace(note, changes=changes)
+    return _make_placeholder_release(note, _find_prerequisites(note))
+
+
+def _has_one_entry(change):
+    return sum(getattr(change, kind) is not None for kind in _KINDS) == 1
+
+
+def _make_placeholder_release(note, prerequisites):
+    """Return a release that contains the prerequisites of a note."""
     services = {name: Service(name) for name in prerequisites['service']}
     placeholder = next(iter(services), _find_unused_service_name(note))
     routes = {
@@ -158,12 +262,7 @@
         services.setdefault(placeholder, Service(placeholder))
     settings = {name: Setting(name, True) for name in prerequisites['setting']}
     customers = {name: Customer(name) for name in prerequisites['customer']}
-    apply_note(Release(0, services, routes, settings, customers), note)
-    return tuple(
-        f'{kind} {name!r}'
-        for kind, names in prerequisites.items()
-        for name in names
-    )
+    return Release(0, services, routes, settings, customers)
 
 
 def _find_unused_service_name(note):
