Let operators read the entries of the current release

Cause: controls told only the number and digest of a release, so a note could not be compared with what is in force.

Change: GET /v1/releases/current returns the entries, with digests in place of API keys under a salt that is drawn for each response. A client that masks the keys of a note with this salt can compare them.

--- a/snipelead/operators/app.py
+++ b/snipelead/operators/app.py
@@ -1,5 +1,7 @@
 """HTTP API for operators: submits release notes and shows their status."""
 
+import os
+
 from quart import request
 import trio
 
@@ -12,11 +14,13 @@
 from snipelead.operators.exceptions import NotUpToDateError
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.operators.messages import NoteOutcome
+from snipelead.operators.messages import ReleaseContents
 from snipelead.operators.messages import ReleaseList
 from snipelead.operators.messages import SubmissionResult
 from snipelead.operators.status import make_fleet_report
 from snipelead.operators.status import make_release_status
 from snipelead.releases.exceptions import InvalidNoteError
+from snipelead.releases.masking import mask_customer
 from snipelead.releases.note import load_note
 from snipelead.types import NoteId
 from snipelead.types import OutcomeKind
@@ -33,6 +37,7 @@
 MAX_NOTE_BYTES = 8 * 1024 * 1024
 DEFAULT_RETRY_AFTER_MS = 1_000
 DEFAULT_LIST_LIMIT = 100
+SALT_BYTES = 16
 
 # Raised only if the note was certainly not appended to the log.
 _NOT_APPENDED_ERRORS = (NoControlError, NoQuorumError, VoterBusyError)
@@ -141,6 +146,26 @@
     )
 
 
+def _make_contents(release, certified):
+    salt = os.urandom(SALT_BYTES)
+    return ReleaseContents(
+        release.release_id,
+        certified,
+        salt.hex(),
+        tuple(release.services.values()),
+        tuple(release.routes.values()),
+        tuple(release.settings.values()),
+        tuple(mask_customer(c, salt) for c in release.customers.values()),
+    )
+
+
+async def _show_contents(source):
+    certified = await source.certify()
+    release = source.current
+    # Masking the keys of a large release must not block the event loop.
+    return await trio.to_thread.run_sync(_make_contents, release, certified)
+
+
 def _find_release(number, current, outcomes):
     for note_id, reply in outcomes.items():
         if reply.held is not None and reply.held.number == number:
@@ -203,6 +228,10 @@
     async def show_release(number):
         return json_response(await _show_release(service, source, number))
 
+    @app.get('/v1/releases/current')
+    async def show_contents():
+        return json_response(await _show_contents(source))
+
     @app.get('/v1/fleet')
     async def show_fleet():
         replies = await service.collect_fleet_replies()
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -12,6 +12,7 @@
 from snipelead.operators.exceptions import ReleaseNotFoundError
 from snipelead.operators.exceptions import UnexpectedResponseError
 from snipelead.operators.messages import FleetReport
+from snipelead.operators.messages import ReleaseContents
 from snipelead.operators.messages import ReleaseList
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmissionResult
@@ -168,6 +169,10 @@
         """Return the :class:`ReleaseList` with the most recent notes."""
         return await self._read(f'/v1/releases?limit={limit}', ReleaseList)
 
+    async def fetch_contents(self):
+        """Return the :class:`ReleaseContents` of the current release."""
+        return await self._read('/v1/releases/current', ReleaseContents)
+
     async def show_fleet(self):
         """Return the :class:`FleetReport` of the deployment."""
         return await self._read('/v1/fleet', FleetReport)
--- a/snipelead/operators/messages.py
+++ b/snipelead/operators/messages.py
@@ -7,7 +7,12 @@
 from snipelead.controls.fleet import FleetState
 from snipelead.messages import NodeStatus
 from snipelead.messages import TargetEntry
+from snipelead.releases.document import Customer
+from snipelead.releases.document import Release
 from snipelead.releases.document import ReleaseId
+from snipelead.releases.document import Route
+from snipelead.releases.document import Service
+from snipelead.releases.document import Setting
 from snipelead.types import ControlId
 from snipelead.types import NodeId
 from snipelead.types import NoteId
@@ -19,6 +24,7 @@
     'FleetReport',
     'LaggingNode',
     'NoteOutcome',
+    'ReleaseContents',
     'ReleaseList',
     'ReleaseState',
     'ReleaseStatus',
@@ -85,6 +91,39 @@
     message: str = ''
 
 
+class ReleaseContents(Struct, frozen=True):
+    """Entries of the current release, without its API keys.
+
+    Parameters
+    ----------
+    held : ReleaseId
+        Identity of the release; its digest covers the plain keys.
+    certified : bool
+        Whether a majority confirmed that this was the current release.
+    salt : str
+        Key of the digests that stand in place of API keys, in hexadecimal.
+    services, routes, settings, customers : tuple
+        Entries in the order of the release, which decides between routes of
+        the same host and prefix.
+    """
+
+    held: ReleaseId
+    certified: bool
+    salt: str
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    settings: tuple[Setting, ...] = ()
+    customers: tuple[Customer, ...] = ()
+
+    def to_release(self):
+        """Return the release with masked keys."""
+        tables = (self.services, self.routes, self.settings, self.customers)
+        return Release(
+            self.held.number,
+            *({entry.name: entry for entry in table} for table in tables),
+        )
+
+
 class ReleaseList(Struct, frozen=True):
     """Current release and outcomes of the most recent release notes.
 
--- a/snipelead/operators/tests/test_real_service.py
+++ b/snipelead/operators/tests/test_real_service.py
@@ -10,6 +10,7 @@
 from snipelead.controls.service import ControlService
 from snipelead.operators.app import make_operator_app
 from snipelead.operators.messages import FleetReport
+from snipelead.operators.messages import ReleaseContents
 from snipelead.operators.messages import ReleaseState
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.releases.note import load_note
@@ -60,6 +61,10 @@
         self.assertEqual(('c2', 'c3'), report.unreachable_controls)
         self.assertEqual(('c1',), report.warming_controls)
 
+    def test_release_contents(self):
+        contents = self.get('/v1/releases/current', ReleaseContents)
+        self.assertEqual(contents.held, contents.to_release().release_id)
+
     def test_release_status(self):
         status = self.get('/v1/releases/1', ReleaseStatus)
         self.assertEqual(ReleaseState.ACCEPTED, status.state)
