Add snipelead release check

Cause: release validate stops at the first error, does not know the release in force, and accepts entries that have no effect.

Change: release check prints all errors, warnings about entries without effect and contradictory limits, and the differences from the release in force, which comes from the controls or from notes (--against).

--- a/snipelead/cli/application.py
+++ b/snipelead/cli/application.py
@@ -17,6 +17,7 @@
 from snipelead.cli.quarantine import QuarantineLiftCommand
 from snipelead.cli.quarantine import QuarantineListCommand
 from snipelead.cli.quickstart import QuickstartCommand
+from snipelead.cli.release_check import ReleaseCheckCommand
 from snipelead.cli.releases import ReleaseListCommand
 from snipelead.cli.releases import ReleaseShowCommand
 from snipelead.cli.releases import ReleaseSubmitCommand
@@ -50,6 +51,7 @@
         TargetCommand(),
         SettingsCheckCommand(),
         ReleaseValidateCommand(),
+        ReleaseCheckCommand(),
         ReleaseSubmitCommand(),
         ReleaseShowCommand(),
         ReleaseListCommand(),
--- a/snipelead/routing/table.py
+++ b/snipelead/routing/table.py
@@ -2,10 +2,21 @@
 
 from snipelead.releases.document import Route
 
-__all__ = ['RouteTable']
+__all__ = ['RouteTable', 'strip_port']
 
 
-def _strip_port(host):
+def strip_port(host):
+    """Return a host without its port, if it has one.
+
+    Parameters
+    ----------
+    host : str
+        Value of a Host field.
+
+    Returns
+    -------
+    str
+    """
     if host.endswith(']'):
         return host
     name, colon, port = host.rpartition(':')
@@ -50,7 +61,7 @@
         method : str
             HTTP method of the request.
         """
-        host_routes = self.by_host.get(_strip_port(host.lower()), ())
+        host_routes = self.by_host.get(strip_port(host.lower()), ())
         return self._find_first(host_routes, path, method) or self._find_first(
             self.by_host.get(None, ()), path, method
         )
