Play API keys and rate limits of customers in the soak

Cause: the soak had no customers, so that revocation and rate limits were tested in processes of their own, but not under the faults of the soak.

Change: releases hold three customers, one with a rate limit and one whose keys are taken away and added in turn; two kinds of routes are public. Clients send valid, removed, unknown and no keys, at times with a customer's name of their own. Emulated targets record the values of both fields. The new rules CUSTOMER, REVOKED and QUOTA and a rule for status 401 fail a run.

--- a/snipelead/emulator/platform_client.py
+++ b/snipelead/emulator/platform_client.py
@@ -36,6 +36,8 @@
         Time that the client waits for the response, in milliseconds.
     body : bytes
         Request body.
+    fields : tuple of (str, str)
+        Names and values of further header fields.
     """
 
     attempt_id: str
@@ -44,6 +46,7 @@
     path: str
     deadline_ms: int
     body: bytes = b''
+    fields: tuple[tuple[str, str], ...] = ()
 
     def encode(self):
         """Return the encoded request."""
@@ -52,6 +55,7 @@
             f'Host: {self.host}',
             f'Attempt-Id: {self.attempt_id}',
             f'Deadline-Ms: {self.deadline_ms}',
+            *(f'{name}: {value}' for name, value in self.fields),
         ]
         if self.body:
             lines.append(f'Content-Length: {len(self.body)}')
--- a/snipelead/emulator/platform_operator.py
+++ b/snipelead/emulator/platform_operator.py
@@ -10,6 +10,7 @@
 from snipelead.emulator.exceptions import InvalidResponseError
 
 __all__ = [
+    'CustomerSpec',
     'PlatformOperator',
     'RouteSpec',
     'HeartbeatSender',
@@ -28,6 +29,32 @@
 }
 
 
+class CustomerSpec(Struct, frozen=True):
+    """Specification of a customer in a release.
+
+    Parameters
+    ----------
+    name : str
+        Name of the customer.
+    api_keys : tuple of str
+        API keys of the customer.
+    rate_per_s, burst : float
+        Rate limit in requests per second, and burst; 0 without a limit.
+    """
+
+    name: str
+    api_keys: tuple[str, ...]
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def to_tenant(self):
+        """Return the customer as an entry of ``tenants`` in the release."""
+        tenant = {'name': self.name, 'api-keys': self.api_keys}
+        if self.rate_per_s:
+            tenant |= {'rate-per-s': self.rate_per_s, 'burst': self.burst}
+        return tenant
+
+
 class RouteSpec(Struct, frozen=True):
     """Specification of a route in a release.
 
@@ -45,6 +72,8 @@
         Maximum number of targets that one request is sent to.
     split : tuple of (str, float)
         Weighted services that the requests are split among.
+    public : bool
+        Whether requests need no API key.
     """
 
     prefix: str
@@ -54,6 +83,7 @@
     target_latency_ms: int = 500
     max_attempts: int = 2
     split: tuple[tuple[str, float], ...] = ()
+    public: bool = False
 
     @property
     def services(self):
@@ -83,7 +113,9 @@
         return path
 
 
-def encode_release(number, base, host, routes, services):
+def encode_release(  # noqa: PLR0913
+    number, base, host, routes, services, customers=None
+):
     """Encode a complete release as JSON.
 
     Parameters
@@ -96,31 +128,37 @@
         Routes of the release.
     services : iterable of str
         Names of the services.
+    customers : iterable of CustomerSpec or None
+        Customers; None if requests are not authenticated.
 
     Returns
     -------
     bytes
     """
-    return msgspec.json.encode(
-        {
-            'version': f'{number:08x}',
-            'services': [
-                {
-                    'name': name,
-                    'health-path': '/health',
-                    'max-connections': 110,
-                    'protocol': 'h1',
-                    'tls': False,
-                }
-                for name in services
-            ],
-            'limits': LIMITS,
-            'base-version': f'{base:08x}',
-            'virtual-hosts': [
-                {'host': host, 'paths': [r.to_path() for r in routes]}
-            ],
-        }
-    )
+    routes = tuple(routes)
+    paths = [r.to_path() for r in routes]
+    document = {
+        'version': f'{number:08x}',
+        'services': [
+            {
+                'name': name,
+                'health-path': '/health',
+                'max-connections': 110,
+                'protocol': 'h1',
+                'tls': False,
+            }
+            for name in services
+        ],
+        'limits': LIMITS,
+        'base-version': f'{base:08x}',
+        'virtual-hosts': [{'host': host, 'paths': paths}],
+    }
+    if customers is not None:
+        document['tenants'] = [c.to_tenant() for c in customers]
+        # Operators state this of every path of a release with tenants.
+        for path, route in zip(paths, routes, strict=True):
+            path['public'] = route.public
+    return msgspec.json.encode(document)
 
 
 def parse_release_number(body):
--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -75,12 +75,16 @@
         Service whose local node the client called.
     left_ms : int
         Time left until the client's deadline, in milliseconds.
+    customers, api_keys : tuple of str
+        Values of all fields with a customer's name, and with an API key.
     """
 
     attempt_id: str
     path: str
     origin: str
     left_ms: int
+    customers: tuple[str, ...] = ()
+    api_keys: tuple[str, ...] = ()
 
 
 class _TargetProtocol(CallerProtocol):
@@ -235,6 +239,8 @@
             request.url.decode(),
             fields.get(b'caller-service', b'').decode(),
             int(fields.get(b'deadline-ms', b'0')),
+            _read_values(request, b'tenant'),
+            _read_values(request, b'credential'),
         )
         if self.on_run is not None:
             self.on_run(started)
@@ -373,6 +379,16 @@
     return body
 
 
+def _read_values(request, name):
+    """Return the values of all fields of a name."""
+    lines = (line.partition(b':') for line in request.field_lines)
+    return tuple(
+        value.strip().decode('latin-1')
+        for line_name, _, value in lines
+        if line_name.lower() == name
+    )
+
+
 def _encode_message(status, body, *field_lines):
     length = b'Content-Length: %d' % len(body)
     return encode_head(status_line(status), (length, *field_lines)) + body
--- a/snipelead/soak/checker.py
+++ b/snipelead/soak/checker.py
@@ -3,12 +3,14 @@
 from bisect import bisect_left
 from collections import Counter
 from collections import defaultdict
+from http import HTTPStatus
 from math import inf
 
 import msgspec
 
 from snipelead.emulator.platform_client import guarantees_not_run
 from snipelead.soak.crashing_requests import CrashingRequests
+from snipelead.soak.customer_checker import CustomerChecker
 from snipelead.soak.disturbances import ANY_CONTROL
 from snipelead.soak.disturbances import Disturbances
 from snipelead.soak.exceptions import GuaranteeViolationError
@@ -44,9 +46,10 @@
     requests that may be executed only once, MIXED and UNASKED for requests
     and responses that do not belong together, BUDGET for retries and
     deadlines, GONE for abandoned requests, LOST for closed connections, DRAIN
-    for leaving targets, and LIMIT for targets that limit their rate. The run
-    itself reports FAULT for processes that exit unexpectedly and RECOVER for
-    nodes that do not serve after the last fault.
+    for leaving targets, LIMIT for targets that limit their rate, and CUSTOMER,
+    REVOKED and QUOTA for API keys and limits of customers. The run itself
+    reports FAULT for processes that exit unexpectedly and RECOVER for nodes
+    that do not serve after the last fault.
 
     Parameters
     ----------
@@ -78,12 +81,15 @@
         Checks that nodes act on what targets state.
     crashing_requests : CrashingRequests
         Checks how often requests that crash targets reach them.
+    customers : CustomerChecker
+        Checks the API keys and the rate limits of customers.
     """
 
     def __init__(self, clock, get_epoch=lambda node: (0, 0)):
         self.clock = clock
         self.target_statuses = TargetStatusChecker(self, get_epoch)
         self.crashing_requests = CrashingRequests(self)
+        self.customers = CustomerChecker(self)
         self.requests = {}
         self.releases = []
         self.newest_seen = {}
@@ -332,6 +338,7 @@
         ):
             self._record_late('GONE', record, execution.at)
         self._check_route(record, execution)
+        self.customers.record_execution(target_request, record, execution)
 
     def _check_executions(self, record):
         executions = len(record.executions)
@@ -399,6 +406,9 @@
             self._record_late('CONFIG', record, record.ended_at)
 
     def _check_rejection(self, record):
+        if record.status == HTTPStatus.UNAUTHORIZED:
+            self.customers.check_denial(record)
+            return
         if 400 <= record.status < 500 and not guarantees_not_run(
             record.status
         ):
@@ -479,6 +489,7 @@
             self._check_executions(record)
         for service, execution_times in self.execution_times.items():
             self._check_budget(service, sorted(execution_times))
+        self.customers.check_end()
 
     def _check_budget(self, service, execution_times):
         send_times = sorted(self.send_times[service])
--- a/snipelead/soak/clients.py
+++ b/snipelead/soak/clients.py
@@ -9,6 +9,9 @@
 from snipelead.emulator.platform_client import ClientConnection
 from snipelead.emulator.platform_client import guarantees_not_run
 from snipelead.soak.crashing_requests import CRASHING_PREFIXES
+from snipelead.soak.customers import draw_api_key
+from snipelead.soak.customers import draw_fields
+from snipelead.soak.customers import STEADY_KEY
 from snipelead.soak.records import RequestRecord
 from snipelead.soak.routes import BODY_BYTE
 from snipelead.soak.routes import HOST
@@ -165,6 +168,10 @@
         path = path or f'{prefix}{number:x}'
         repeatable = prefix != '/orders/'
         deadline_s = self.rng.uniform(*DEADLINE_RANGE_S)
+        # All copies of a crashing request are of the same customer.
+        api_key = (
+            STEADY_KEY if path in CRASHING_PREFIXES else draw_api_key(self.rng)
+        )
         attempt = Attempt(
             f'a{number:x}',
             'GET' if repeatable else 'POST',
@@ -172,6 +179,7 @@
             path,
             int(deadline_s * 1_000),
             b'' if repeatable else self._make_body(path),
+            draw_fields(self.rng, api_key),
         )
         record = RequestRecord(
             attempt.attempt_id,
@@ -184,6 +192,7 @@
             0.0,
             deadline_s,
             ROUTES.get(prefix, MARKER_ROUTE).timeout_ms / 1_000,
+            api_key=api_key,
         )
         return attempt, record
 
--- a/snipelead/soak/deployment.py
+++ b/snipelead/soak/deployment.py
@@ -14,6 +14,7 @@
 import trio
 import yaml
 
+from snipelead.soak.customers import BOUNDS
 from snipelead.testing.processes import Process
 from snipelead.testing.relay import Relay
 from snipelead.types import Address
@@ -314,6 +315,7 @@
             'data_dir': str(self.directory / name),
             'seeds': self.seeds,
             'may_found': True,
+            'bounds': BOUNDS,
         }
         relays = tuple(
             Relay(
@@ -347,6 +349,7 @@
             'grace': GRACE,
             'retry_ratio': RETRY_RATIO,
             'retry_extra': RETRY_EXTRA,
+            'bounds': BOUNDS,
         }
         relays = (
             Relay(self._address(process_host, 3), self._address(host, 3)),
--- a/snipelead/soak/operators.py
+++ b/snipelead/soak/operators.py
@@ -10,6 +10,7 @@
 from snipelead.emulator.platform_operator import parse_release_number
 from snipelead.emulator.platform_operator import PlatformOperator
 from snipelead.emulator.platform_operator import RouteSpec
+from snipelead.soak.customers import make_customers
 from snipelead.soak.records import ReleaseRecord
 from snipelead.soak.routes import HOST
 from snipelead.soak.routes import marker_prefix
@@ -159,6 +160,7 @@
             self.rng.choice(SERVICES),
             timeout_ms=MOVING_ROUTE_TIMEOUT_MS + next(self.timeout_offsets_ms),
             split=tuple(zip(SERVICES, weights, strict=False)),
+            public=True,
         )
         marker_route = msgspec.structs.replace(
             MARKER_ROUTE, prefix=marker_prefix(number)
@@ -171,11 +173,15 @@
         ]
         if not valid:
             routes.append(RouteSpec('/dangling/', 'unknown'))
+        customers = make_customers(self.checker.clock())
         return ReleaseRecord(
             number,
             base,
-            encode_release(number, base, HOST, routes, SERVICES),
+            encode_release(number, base, HOST, routes, SERVICES, customers),
             {r.prefix: r.services for r in routes},
             self.checker.clock(),
             valid=valid,
+            holders_by_key={
+                key: c.name for c in customers for key in c.api_keys
+            },
         )
--- a/snipelead/soak/records.py
+++ b/snipelead/soak/records.py
@@ -28,6 +28,8 @@
     valid : bool
         Whether the release satisfies the rules for releases; an invalid one
         must be refused.
+    holders_by_key : dict of str to str
+        Name of the customer that holds each API key.
     """
 
     number: int
@@ -38,6 +40,7 @@
     acked_at: float = inf
     refused: bool = False
     valid: bool = True
+    holders_by_key: dict = field(default_factory=dict)
 
 
 class Execution(Struct, frozen=True):
@@ -82,6 +85,8 @@
         Whether the client stopped waiting for the response.
     executions : list of Execution
         Executions of the request by targets.
+    api_key : str or None
+        API key that the request carries.
     """
 
     attempt_id: str
@@ -98,3 +103,4 @@
     status: int = 0
     abandoned: bool = False
     executions: list = field(default_factory=list)
+    api_key: str | None = None
--- a/snipelead/soak/routes.py
+++ b/snipelead/soak/routes.py
@@ -23,11 +23,11 @@
     '/reads/': RouteSpec('/reads/', 'reads'),
     '/orders/': RouteSpec('/orders/', 'orders', repeatable=False),
     # The service of this route varies between releases.
-    '/moves/': RouteSpec('/moves/', 'reads'),
+    '/moves/': RouteSpec('/moves/', 'reads', public=True),
 }
 # Each release has a route of its own whose prefix carries the release number,
 # so that a request shows whether a node has applied that release.
-MARKER_ROUTE = RouteSpec('/marker/', 'reads')
+MARKER_ROUTE = RouteSpec('/marker/', 'reads', public=True)
 
 
 def marker_prefix(number):
--- a/snipelead/soak/tests/test_run.py
+++ b/snipelead/soak/tests/test_run.py
@@ -20,3 +20,6 @@
         self.assertTrue(run.checker.counts['status 200'] > 500)
         self.assertTrue(run.checker.counts['submit 200'] > 5)
         self.assertTrue(run.checker.counts['read'] > 20)
+        self.assertTrue(run.checker.counts['status 401'] > 20)
+        self.assertTrue(run.checker.counts['status 429'] > 20)
+        self.assertTrue(run.checker.counts['runs in a quota window'] > 20)
