--- a/snipelead/soak/customers.py
+++ b/snipelead/soak/customers.py
@@ -33,7 +33,7 @@
 STEADY_KEY = 'steady-key-1'
 LIMITED_KEY = 'limited-key-1'
 # Releases hold one of these keys after the other, each for a period. A key is
-# missing for twice as long, which is longer than the bound on revocation.
+# missing for two periods, which is longer than the bound on revocation.
 ROTATING_KEYS = ('rotating-key-1', 'rotating-key-2', 'rotating-key-3')
 ROTATION_PERIOD_S = 4.0
 # The customer keeps this key whenever another one is removed.
