--- a/snipelead/daemons/tests/test_quotas.py
+++ b/snipelead/daemons/tests/test_quotas.py
@@ -36,7 +36,11 @@
         self.wait_for_release(2)
         statuses = []
         refused = None
-        while len(statuses) < MAX_REQUESTS and statuses.count(429) < 100:
+        # A leader that has just started grants its first token after up to a
+        # second, in which a fast machine gets hundreds of refusals.
+        while len(statuses) < MAX_REQUESTS and (
+            statuses.count(429) < 100 or 200 not in statuses  # noqa: PLR2004
+        ):
             for url in fleet.caller_urls():
                 response = self.client.get(
                     f'{url}/levels/limited', headers={'X-Tenant': 'c'}
--- a/snipelead/platform/tests/test_authentication.py
+++ b/snipelead/platform/tests/test_authentication.py
@@ -1,4 +1,6 @@
+from fixtures import MonkeyPatch
 from msgspec.structs import replace
+import structlog
 from structlog.testing import capture_logs
 
 from snipelead.callers.tests.fakes import RELEASE
@@ -125,6 +127,13 @@
                 text, _ = node.metrics.render()
                 self.assertNotIn(KEY.encode(), text)
 
+        # The module's logger may have been bound before another test changed
+        # the configuration, and would then not be captured.
+        self.useFixture(
+            MonkeyPatch(
+                'snipelead.logs._logger', structlog.get_logger('snipelead')
+            )
+        )
         with capture_logs() as lines:
             self.run_with_both_paths(test)
         by_nodes = b''.join(d for c, d in sent if c not in callers)
--- a/snipelead/quarantine/tests/test_detector.py
+++ b/snipelead/quarantine/tests/test_detector.py
@@ -5,6 +5,8 @@
 
 from snipelead.callers.call import Call
 from snipelead.callers.request import Request
+from snipelead.http.budget import BufferAccount
+from snipelead.http.budget import CallerBudget
 from snipelead.http.connection import listen
 from snipelead.quarantine.detector import CrashDetector
 from snipelead.quarantine.fingerprint import fingerprint_request
@@ -17,7 +19,11 @@
 
 
 def make_request(url=b'/x', body=b'', host=b'shop'):
-    request = Request(SimpleNamespace(max_body_bytes=BODY_LIMIT))
+    reader = SimpleNamespace(
+        max_body_bytes=BODY_LIMIT,
+        account=BufferAccount(CallerBudget(), None, None),
+    )
+    request = Request(reader)
     request.method, request.url = b'POST', url
     request.fields[b'host'] = host
     if body:
