Shed load by priority only where customers compete

The setting sheds_load turns early refusals, the order by priority and customer, the learned limits of targets and spread retries on or off; the platform sets it where a quota window is stated. A reset lowers the limit of a target to half of its slots again, a refusal to three quarters.

--- a/snipelead/admission/early_refusal.py
+++ b/snipelead/admission/early_refusal.py
@@ -85,6 +85,8 @@
     ----------
     balancer : Balancer
         Observations of the targets; source of random numbers.
+    is_enabled : bool
+        Whether any request is refused.
 
     Attributes
     ----------
@@ -96,8 +98,9 @@
         Requests that were refused, by route.
     """
 
-    def __init__(self, balancer):
+    def __init__(self, balancer, is_enabled=True):
         self.balancer = balancer
+        self.is_enabled = is_enabled
         self.states = BoundedDict(MAX_TRACKED_ROUTES)
         self.services = {}
         self.refusal_counts = BoundedDict(MAX_TRACKED_ROUTES)
@@ -132,7 +135,7 @@
         NoCapacityError
             If no target is expected to answer the request in time.
         """
-        if call.latency_deadline is None:
+        if not self.is_enabled or call.latency_deadline is None:
             return
         now = trio.current_time()
         service = observation.entry.service
@@ -182,8 +185,10 @@
 
     def record_error(self, call, observation, error):
         """Record that an attempt failed; refusals are learned from."""
-        if call.latency_deadline is None or not isinstance(
-            error, OverloadedError | TargetBusyError
+        if (
+            not self.is_enabled
+            or call.latency_deadline is None
+            or not isinstance(error, OverloadedError | TargetBusyError)
         ):
             return
         state = self._get_state(call, observation.entry.service)
--- a/snipelead/admission/retry_after.py
+++ b/snipelead/admission/retry_after.py
@@ -2,12 +2,18 @@
 
 from snipelead.callers.exceptions import RateLimitedError
 
-__all__ = ['choose_spread_retry_s', 'estimate_backoff_s']
+__all__ = [
+    'choose_prompt_retry_s',
+    'choose_spread_retry_s',
+    'estimate_backoff_s',
+]
 
 # Shortest delay; an earlier retry would find the same targets as full.
 MIN_DELAY_S = 0.02
 # The same for callers that can only be answered late; others go first.
 MIN_LATE_DELAY_S = 0.1
+# Share of a prompt retry delay that is random.
+JITTER = 0.4
 # Callers rarely wait for longer than this share of their remaining time.
 MAX_SHARE_OF_TIME_LEFT = 1 / 3
 # Longest time for which a refusal keeps a node away from a target. A node that
@@ -45,6 +51,29 @@
     return earliest_s + max(0.0, latest_s - earliest_s) * random_share
 
 
+def choose_prompt_retry_s(drain_s, slack_s, random_share):
+    """Return the retry delay where load is not shed by priority, in seconds.
+
+    The caller retries once the waiting requests have been served, if that is
+    early enough. The jitter spreads the retries of callers that were refused
+    together.
+
+    Parameters
+    ----------
+    drain_s : float
+        Time until the waiting requests have been served, in seconds.
+    slack_s : float
+        Time until the latest start time of the request, in seconds; negative
+        if it has passed.
+    random_share : float
+        Random number from 0 to 1.
+    """
+    if slack_s > MIN_DELAY_S:
+        max_delay_s = min(max(drain_s, MIN_DELAY_S), slack_s)
+        return max_delay_s * (1.0 - JITTER * random_share)
+    return max(drain_s, MIN_LATE_DELAY_S) * (1.0 + JITTER * random_share)
+
+
 def estimate_backoff_s(error):
     """Return the time until a target that refused may accept, in seconds.
 
--- a/snipelead/admission/standings.py
+++ b/snipelead/admission/standings.py
@@ -35,7 +35,10 @@
 
     def assess(self, call):
         """Set the standing of a call that has just entered the system."""
-        if call.latency_deadline is None:
+        if (
+            call.latency_deadline is None
+            or not self.limiters.limits.sheds_load
+        ):
             return
         now = trio.current_time()
         if call.tenant in _NO_CUSTOMER:
--- a/snipelead/admission/target_capacity.py
+++ b/snipelead/admission/target_capacity.py
@@ -21,7 +21,8 @@
 # part of its requests refuses them whatever its load. Fewer requests in flight
 # than this share of the stated slots therefore tell nothing about its limit,
 # and the limit is not lowered further.
-MIN_SHARE_OF_SLOTS = 0.75
+MIN_SHARE_AFTER_REFUSALS = 0.75
+MIN_SHARE_AFTER_RESETS = 0.5
 # After this time without a refusal the limit rises by one. The time doubles
 # with each refusal or reset at a learned limit, up to one of the others. A
 # refusal costs its caller nothing, but the outcome of a reset is unknown.
@@ -108,7 +109,7 @@
         bool
             Whether the limit was lowered.
         """
-        least = _least_limit(slots)
+        least = _least_limit(slots, MIN_SHARE_AFTER_REFUSALS)
         if in_flight <= least:
             return False
         return self._lower(
@@ -132,7 +133,7 @@
         bool
             Whether the limit was lowered.
         """
-        least = _least_limit(slots)
+        least = _least_limit(slots, MIN_SHARE_AFTER_RESETS)
         if in_flight <= least or now > sent_at + PROMPT_RESET_S:
             return False
         return self._lower(
@@ -186,5 +187,5 @@
         return True
 
 
-def _least_limit(slots):
-    return max(1, int(slots * MIN_SHARE_OF_SLOTS))
+def _least_limit(slots, share):
+    return max(1, int(slots * share))
--- a/snipelead/admission/tests/test_work_calls.py
+++ b/snipelead/admission/tests/test_work_calls.py
@@ -12,6 +12,7 @@
 from snipelead.callers.call import Call
 from snipelead.nodes.latency_queue import LatencyQueue
 from snipelead.nodes.latency_queue import LatencyWaiter
+from snipelead.settings.schema import NodeLimits
 from snipelead.types import RequestClass
 
 FROM_WORK = RequestStanding(from_work=True)
@@ -55,7 +56,9 @@
 
     def test_request_of_a_customer_is_not_a_call_of_work(self):
         async def main():
-            tracker = StandingTracker(SimpleNamespace(running=1))
+            tracker = StandingTracker(
+                SimpleNamespace(running=1, limits=NodeLimits())
+            )
             standings = []
             for tenant in ('acme', 'default'):
                 for _ in range(40):
--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -97,7 +97,7 @@
         self.attempt_count = 0
         self.splits = TrafficSplitter()
         self.standings = StandingTracker(limiters)
-        self.early_refusal = EarlyRefusal(balancer)
+        self.early_refusal = EarlyRefusal(balancer, limiters.limits.sheds_load)
 
     def make_attempt_id(self):
         """Return an attempt id that is unique across all nodes."""
--- a/snipelead/nodes/admission.py
+++ b/snipelead/nodes/admission.py
@@ -6,6 +6,7 @@
 import trio
 
 from snipelead.admission.events import TARGET_CAPACITY_RESTORED
+from snipelead.admission.retry_after import choose_prompt_retry_s
 from snipelead.admission.retry_after import choose_spread_retry_s
 from snipelead.admission.route_shares import RouteShares
 from snipelead.admission.target_capacity import TargetCapacity
@@ -19,6 +20,7 @@
 from snipelead.nodes.latency_queue import LatencyQueue
 from snipelead.nodes.latency_queue import LatencyWaiter
 from snipelead.nodes.latency_queue import SERVICE_TIME_MARGIN
+from snipelead.nodes.latency_queue import UNORDERED_MARGIN
 from snipelead.nodes.local_status import LocalTargetStatus
 from snipelead.nodes.service_statistics import ServiceStatistics
 from snipelead.targets.status import TargetStatuses
@@ -93,7 +95,11 @@
     def slots(self):
         """Concurrent requests that the target accepts; 0 if it is gone."""
         target = self.local_targets.targets.get(self.target_id)
-        return self.capacity.limit(target.entry) if target else 0
+        if target is None:
+            return 0
+        if not self.limits.sheds_load:
+            return target.entry.slots
+        return self.capacity.limit(target.entry)
 
     @property
     def waiting(self):
@@ -104,6 +110,13 @@
         """Return the error for a target that takes no new requests."""
         return TargetLeavingError(f'{self.target_id} takes no new work')
 
+    @property
+    def margin(self):
+        """Multiple of its mean service time that a request may need."""
+        if self.limits.sheds_load:
+            return SERVICE_TIME_MARGIN
+        return UNORDERED_MARGIN
+
     # Slots
 
     def has_slot(self, request_class):
@@ -243,6 +256,7 @@
             call.deadline,
             call.request_class,
             call.standing,
+            self.margin,
         )
         slots = max(1, self.slots)
         queue_wait_s = max(
@@ -251,8 +265,10 @@
                 self.latency_queue.count_ahead(waiter, now), now
             ),
         )
-        yields = self.in_flight >= slots and self.route_shares.must_yield(
-            call, now
+        yields = (
+            self.limits.sheds_load
+            and self.in_flight >= slots
+            and self.route_shares.must_yield(call, now)
         )
         may_wait = not yields and waiter.may_wait(
             queue_wait_s, self.statistics.mean_service_s / slots, now
@@ -265,7 +281,7 @@
         return waiter
 
     def _record_admission(self, call, accepted, now):
-        if call.latency_deadline is not None:
+        if self.limits.sheds_load and call.latency_deadline is not None:
             self.route_shares.record(call, accepted, now)
 
     def estimate_call_service_s(self, call):
@@ -376,8 +392,10 @@
             self.status.rate_limiter.wait_s(len(self.latency_queue), now),
         )
         slack_s = min(call.latency_deadline, call.deadline) - now
-        slack_s -= SERVICE_TIME_MARGIN * self.estimate_call_service_s(call)
+        slack_s -= self.margin * self.estimate_call_service_s(call)
         random_share = self.random.random()
+        if not self.limits.sheds_load:
+            return choose_prompt_retry_s(drain_s, slack_s, random_share)
         return choose_spread_retry_s(
             drain_s, slack_s, call.deadline - now, random_share
         )
--- a/snipelead/nodes/latency_queue.py
+++ b/snipelead/nodes/latency_queue.py
@@ -33,6 +33,9 @@
 # route. A larger one refuses routes with a short latency objective while
 # others may wait; see docs/design/overload.md for the values compared.
 SERVICE_TIME_MARGIN = 1.15
+# The same where load is not shed by priority, so that requests of all routes
+# compete for the next slot.
+UNORDERED_MARGIN = 1.3
 # Minimum weight of the newest service time in the exponentially weighted
 # moving average of its route.
 SERVICE_TIME_EWMA_WEIGHT = 0.1
@@ -63,6 +66,8 @@
         Class whose slots the request counts towards.
     standing : RequestStanding
         What distinguishes the request from others of its route.
+    margin : float
+        Multiple of the mean service time that the request is assumed to need.
 
     Attributes
     ----------
@@ -84,6 +89,7 @@
         'granted',
         'granted_at',
         'latency_deadline',
+        'margin',
         'priority',
         'request_class',
         'service_s',
@@ -98,6 +104,7 @@
         deadline,
         request_class=RequestClass.INTERACTIVE,
         standing=NO_STANDING,
+        margin=SERVICE_TIME_MARGIN,
     ):
         self.priority = priority
         self.service_s = service_s
@@ -105,6 +112,7 @@
         self.deadline = deadline
         self.request_class = request_class
         self.standing = standing
+        self.margin = margin
         self.done = trio.Event()
         self.granted = False
         self.granted_at = 0.0
@@ -123,7 +131,7 @@
         The deadline of a caller may be earlier than the latency objective.
         """
         ends_at = min(self.latency_deadline, self.deadline)
-        return ends_at - SERVICE_TIME_MARGIN * self.service_s
+        return ends_at - self.margin * self.service_s
 
     def may_wait(self, queue_wait_s, next_slot_s, now):
         """Return whether the request can wait and still be answered in time.
--- a/snipelead/nodes/target_limiter.py
+++ b/snipelead/nodes/target_limiter.py
@@ -103,7 +103,8 @@
         try:
             await self.admit(call)
         except OverloadedError as error:
-            error.load = self.report_load(call)
+            if self.limits.sheds_load:
+                error.load = self.report_load(call)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             log_failure(
                 CALL_NOT_ADMITTED,
@@ -122,7 +123,7 @@
                 call, request, attempt_id, incarnation
             )
         except trio.Cancelled:
-            if call.ran is Ran.NO:
+            if call.ran is Ran.NO or not self.limits.sheds_load:
                 self.release_slot(call)
             else:
                 # The target runs the request until it notices.
@@ -222,12 +223,9 @@
                 self.attempts.mark_sent(attempt_id)
             response = await self._send_tracked(reader, call, request, target)
         except TargetBusyError as error:
-            self._log_capacity(
-                self.capacity.record_refusal(
-                    self.in_flight, target.entry.slots, trio.current_time()
-                )
-            )
-            error.load = self.report_load(call)
+            if self.limits.sheds_load:
+                self._record_refusal(target)
+                error.load = self.report_load(call)
             self.sender.release(address, reader, error.response)
             self.mark_attempt(call, attempt_id, AttemptState.REFUSED)
             raise
@@ -278,13 +276,20 @@
     def _record_reset(self, error, target, in_flight, times):
         """Learn from a connection that the target closed when full."""
         is_reset = isinstance(error.__cause__, ConnectionLostError)
-        if is_reset and error.ran is Ran.UNKNOWN:
+        if self.limits.sheds_load and is_reset and error.ran is Ran.UNKNOWN:
             self._log_capacity(
                 self.capacity.record_reset(
                     in_flight, target.entry.slots, *times
                 )
             )
 
+    def _record_refusal(self, target):
+        self._log_capacity(
+            self.capacity.record_refusal(
+                self.in_flight, target.entry.slots, trio.current_time()
+            )
+        )
+
     def _log_capacity(self, was_lowered):
         if was_lowered:
             log_event(
--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -161,6 +161,7 @@
         """Convert to the product's node settings."""
         grace_ms = decode_duration_ms(self.grace)
         heartbeat_ms = decode_duration_ms(self.heartbeat)
+        guarantees = self.bounds.to_guarantees()
         return NodeSettings(
             node_id=self.node_id,
             zone=self.zone,
@@ -183,9 +184,12 @@
                 retry_extra=NODE_RETRY_FRACTION * self.retry_extra,
                 crossing_ms_per_kb=CROSSING_MS_PER_KB,
                 body_bytes=64 * 1024 * 1024,
+                # Deployments whose customers do not compete keep the queues
+                # that they were tuned with.
+                sheds_load=guarantees.quota_window_ms > 0,
             ),
             log=LogSettings(),
-            guarantees=self.bounds.to_guarantees(),
+            guarantees=guarantees,
         )
 
 
--- a/snipelead/platform/tests/test_settings.py
+++ b/snipelead/platform/tests/test_settings.py
@@ -100,6 +100,14 @@
             check_settings(settings)
             self.assertEqual(expected, settings.guarantees)
 
+    def test_load_is_shed_by_priority_only_where_customers_compete(self):
+        # Other deployments must keep the queues that they had.
+        self.assertFalse(
+            self.load('node.yaml').to_settings().limits.sheds_load
+        )
+        limited = self.load('node.yaml', **{'bounds.quota-window': '"5s"'})
+        self.assertTrue(limited.to_settings().limits.sheds_load)
+
     def test_revocation_is_not_bounded_unless_it_is_strict(self):
         settings = self.load(
             'node.yaml',
--- a/snipelead/settings/schema.py
+++ b/snipelead/settings/schema.py
@@ -289,6 +289,10 @@
         Cost of transferring a kilobyte of response between zones, in
         milliseconds of latency; if null, targets in the zone of the node are
         preferred as set by ``own_zone_load``.
+    sheds_load : bool
+        Whether requests past the capacity of a service are shed by priority,
+        customer and what targets are seen to take. Otherwise each target's
+        queue decides alone.
     policy : Policy
         Load balancing policy. ``expected-completion`` needs the loads that
         nodes share if ``load_interval_ms`` is set.
@@ -326,6 +330,7 @@
     own_zone_load: float = 0.75
     crossing_ms_per_kb: float | None = None
     pipeline_depth: int = 16
+    sheds_load: bool = True
     policy: Policy = Policy.OBSERVED
     load_interval_ms: int = 0
     connection_buffer_bytes: int = 1024 * 1024
