--- a/snipelead/platform/tests/test_authentication.py
+++ b/snipelead/platform/tests/test_authentication.py
@@ -127,8 +127,10 @@
                 text, _ = node.metrics.render()
                 self.assertNotIn(KEY.encode(), text)
 
-        # The module's logger may have been bound before another test changed
-        # the configuration, and would then not be captured.
+        # Earlier tests may have configured another level or output, also for
+        # the logger of the module, if it has been used since.
+        self.addCleanup(structlog.configure, **structlog.get_config())
+        structlog.reset_defaults()
         self.useFixture(
             MonkeyPatch(
                 'snipelead.logs._logger', structlog.get_logger('snipelead')
