--- a/snipelead/rollouts/tests/test_decisions.py
+++ b/snipelead/rollouts/tests/test_decisions.py
@@ -81,7 +81,7 @@
             fleet = self.assert_rolled_back(
                 make_bad(0.1), seed, leaderless=(3, 4.2)
             )
-            # Leases end while nobody leads.
+            # Leases end while there is no leader.
             self.assertEqual(
                 [], [at for at in fleet.sent_at if 4.6 < at < 5.2]
             )
