Show that a back end is used again after its node restarted

After a restart a node takes a target for one in service once three heartbeats have arrived, although each health check denies it. Heartbeats may be seconds late, so those of a target that was acknowledged as gone before the restart are enough.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -406,6 +406,12 @@
     ----------
     runs : list of str
         Attempt ids of the requests that it ran.
+    run_times : list of float
+        When it began to run them, on the monotonic clock.
+    checks_in : bool
+        Whether it checks in by itself.
+    is_leaving : bool
+        Whether its health check says that it is leaving.
     """
 
     def __init__(self, node, instance_id, record, respond, slots=8):
@@ -419,11 +425,15 @@
         self.born_ms = int(time.time() * 1_000)
         self.sequence = count(1)
         self.runs = []
+        self.run_times = []
+        self.checks_in = True
+        self.is_leaving = False
         self.address = (node.fields['ip'], 8145)
 
     def run_request(self, attempt_id, path):
         """Take note that a request runs."""
         self.runs.append(attempt_id)
+        self.run_times.append(time.monotonic())
         self.record.write(f'{self.instance_id}: runs {attempt_id} {path}')
 
     async def serve(self):
@@ -431,11 +441,16 @@
         server = await asyncio.start_server(self._accept, *self.address)
         async with server:
             while True:
-                await self.check_in()
+                if self.checks_in:
+                    await self.check_in()
                 await asyncio.sleep(HEARTBEAT_S)
 
     async def check_in(self, state='ready'):
         """Send one check-in; return the status of the answer."""
+        return await self.send_check_in(self.encode_check_in(state))
+
+    def encode_check_in(self, state='ready'):
+        """Return the body of the next check-in."""
         body = {
             'address': '{}:{}'.format(*self.address),
             'born': self.born_ms,
@@ -451,10 +466,17 @@
                 'cold-remaining': '0ms',
             },
         }
+        return json.dumps(body).encode()
+
+    async def send_check_in(self, body):
+        """Send the body of a check-in; return the status of the answer."""
+        path = f'/instances/{self.instance_id}'
+        return await fetch(self.node.listen('control'), 'PUT', path, body)
+
+    async def withdraw(self):
+        """Tell the node that the back end is gone; return the status."""
         path = f'/instances/{self.instance_id}'
-        return await fetch(
-            self.node.listen('control'), 'PUT', path, json.dumps(body).encode()
-        )
+        return await fetch(self.node.listen('control'), 'DELETE', path)
 
     async def _accept(self, reader, writer):
         state = {}
@@ -475,7 +497,8 @@
             await reader.readexactly(int(fields.get('content-length', '0')))
         if path == '/health':
             field = f'Instance-Id: {self.instance_id}'
-            writer.write(encode_answer(200, (field,)))
+            status = 503 if self.is_leaving else 200
+            writer.write(encode_answer(status, (field,)))
         elif fields.get('expect-instance') != self.instance_id:
             field = f'Instance-Id: {self.instance_id}'
             writer.write(encode_answer(421, (field,)))
