Show that wrong bytes in a health check end the node

httptools raises HttpParserUpgrade for a response with status 101 and an Upgrade field. The response reader does not catch it, and the health check of the local target runs in a task of its own, so that the process ends.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -139,6 +139,11 @@
         if self.process is not None:
             self.process.wait()
 
+    def find_log_line(self, text):
+        """Return the last line of the process that contains a text, or ''."""
+        lines = self.log_path.read_text(errors='replace').splitlines()
+        return next((line for line in reversed(lines) if text in line), '')
+
     def listen(self, name):
         """Return host and port of a listening address."""
         host, _, port = self.fields[f'listen.{name}'].rpartition(':')
@@ -412,6 +417,10 @@
         Whether it checks in by itself.
     is_leaving : bool
         Whether its health check says that it is leaving.
+    wrong_health_answers : list of bytes
+        Sent in the place of its next answers to health checks.
+    answers, spoiled : int
+        Number of answers that it sent, and of those that were not valid.
     """
 
     def __init__(self, node, instance_id, record, respond, slots=8):
@@ -428,6 +437,9 @@
         self.run_times = []
         self.checks_in = True
         self.is_leaving = False
+        self.wrong_health_answers = []
+        self.answers = 0
+        self.spoiled = 0
         self.address = (node.fields['ip'], 8145)
 
     def run_request(self, attempt_id, path):
@@ -495,7 +507,12 @@
             await _read_chunks(reader)
         else:
             await reader.readexactly(int(fields.get('content-length', '0')))
-        if path == '/health':
+        self.answers += 1
+        if path == '/health' and self.wrong_health_answers:
+            self.spoiled += 1
+            self.record.write(f'{self.instance_id}: spoils a health answer')
+            writer.write(self.wrong_health_answers.pop(0))
+        elif path == '/health':
             field = f'Instance-Id: {self.instance_id}'
             status = 503 if self.is_leaving else 200
             writer.write(encode_answer(status, (field,)))
