Show a Caller-Service of a machine that has crashed

A node prefers the service of the newest heartbeat to that of its settings. A heartbeat of a crashed target at the same address, which arrives before the first one of its successor, therefore changes the Caller-Service of all requests that begin at the new machine.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -173,7 +173,7 @@
             for number, host in enumerate(hosts)
         ]
         self.nodes = [
-            self._make_node(number, service)
+            self.make_node(number, service)
             for number, service in enumerate(services)
         ]
 
@@ -215,9 +215,10 @@
         }
         return Machine(name, 'control', fields, self.directory)
 
-    def _make_node(self, number, service):
+    def make_node(self, number, service, name=None):
+        """Return the node at the address with a number."""
         host = f'{self.network}.{11 + number}'
-        name = f'sidecar-{number}'
+        name = name or f'sidecar-{number}'
         fields = {
             **self._common_fields(host, number),
             'node': name,
@@ -413,6 +414,8 @@
         Attempt ids of the requests that it ran.
     run_times : list of float
         When it began to run them, on the monotonic clock.
+    caller_services : dict of str to str
+        Caller-Service of the requests that arrived, by attempt id.
     checks_in : bool
         Whether it checks in by itself.
     is_leaving : bool
@@ -435,6 +438,7 @@
         self.sequence = count(1)
         self.runs = []
         self.run_times = []
+        self.caller_services = {}
         self.checks_in = True
         self.is_leaving = False
         self.wrong_health_answers = []
@@ -521,6 +525,7 @@
             writer.write(encode_answer(421, (field,)))
         else:
             attempt_id = fields.get('attempt-id', '')
+            self.caller_services[attempt_id] = fields.get('caller-service')
             await self.respond(self, state, writer, path, attempt_id)
         await writer.drain()
 
