Make the review cases independent of ports and start-up times

The stand-ins used fixed ports, and two cases relied on how fast a process starts. Ports are now drawn for each run, and the cases wait for the state that they need.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,7 +19,8 @@
 
 SERVICE = 'contracts'
 CLIENTS = 30
-STARTUP_S = 4.0
+# In which the nodes poll the controls after these have started.
+SETTLE_S = 2.0
 FREEZE_S = 3.5
 # The clients give up a request that the node has not read after one second.
 SENT_BEFORE_WAKE_S = 0.5
@@ -61,7 +62,8 @@
             for number, node in enumerate(deployment.nodes)
         ]
         tasks = [asyncio.create_task(b.serve()) for b in backends]
-        await asyncio.sleep(STARTUP_S)
+        await deployment.wait_founded()
+        await asyncio.sleep(SETTLE_S)
         node = deployment.nodes[0]
         if has_trouble:
             record.write(f'{node.name} is frozen')
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,6 +15,7 @@
 from loopback import HEARTBEAT_S
 from loopback import make_configuration
 from loopback import make_route
+from loopback import POLL_S
 from loopback import read_response
 from loopback import run_case
 
@@ -22,11 +23,12 @@
 DRAIN_S = 2.0
 RESTART_DELAY_S = 0.5
 LATE_CHECK_INS = 3
-# In seconds from the acknowledgement on. The node is in touch again when the
-# requests start, 3 s after it was started.
+# The delayed check-ins arrive this long after the acknowledgement, or once the
+# node listens again.
 CHECK_INS_ARRIVE_S = 1.5
-REQUESTS_START_S = 4.0
-BACKEND_EXITS_S = 8.0
+# From the start of the node on, in seconds. It is in touch again after 3 s.
+REQUESTS_START_S = 3.5
+BACKEND_EXITS_S = 7.5
 REQUEST_INTERVAL_S = 0.05
 
 
@@ -62,8 +64,9 @@
 
     Returns
     -------
-    float
-        When the node acknowledged that the back end is gone.
+    tuple of float
+        When the node acknowledged that the back end is gone, and when the
+        node was last started, on the monotonic clock.
     """
     check_ins = []
     for number in range(LATE_CHECK_INS):
@@ -83,11 +86,13 @@
         await asyncio.sleep(RESTART_DELAY_S)
         backend.node.start()
         record.write(f'{backend.node.name} is started again')
+    started_at = time.monotonic()
     await asyncio.sleep(gone_at + CHECK_INS_ARRIVE_S - time.monotonic())
     for body in check_ins:
-        status = await backend.send_check_in(body)
+        while (status := await backend.send_check_in(body)) is None:
+            await asyncio.sleep(POLL_S)
         record.write(f'{backend.instance_id}: late check-in: {status}')
-    return gone_at
+    return gone_at, started_at
 
 
 async def case(record, has_trouble):
@@ -108,13 +113,15 @@
         await asyncio.sleep(2 * HEARTBEAT_S)
         backend = backends[1]
         backend.checks_in = False
-        gone_at = await leave(record, deployment, backend, has_trouble)
-        await asyncio.sleep(gone_at + REQUESTS_START_S - time.monotonic())
+        gone_at, started_at = await leave(
+            record, deployment, backend, has_trouble
+        )
+        await asyncio.sleep(started_at + REQUESTS_START_S - time.monotonic())
         record.write('all machines are in touch; requests begin')
         client = asyncio.create_task(
             send_requests(record, deployment.nodes[0])
         )
-        await asyncio.sleep(gone_at + BACKEND_EXITS_S - time.monotonic())
+        await asyncio.sleep(started_at + BACKEND_EXITS_S - time.monotonic())
         for task in (client, *tasks):
             task.cancel()
         with suppress(asyncio.CancelledError):
--- a/review/loopback.py
+++ b/review/loopback.py
@@ -36,8 +36,14 @@
 }
 HEARTBEAT_S = 1.5
 CALL_TIMEOUT_S = 1.0
+POLL_S = 0.05
 READY_TIMEOUT_S = 40.0
 SEAL = 'Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1'
+# Offsets from the first port of a deployment; those for internal use follow.
+PORTS = {'ready': 0, 'control': 1, 'app': 2, 'inbound': 3, 'outbound': 4}
+INTERNAL_PORTS = (5, 20)
+FIRST_PORTS = range(10_000, 30_000)
+MAX_TRIES = 100
 _PLACEHOLDER = re.compile(r'\{\{([a-z_.-]+)\|json\}\}')
 _HEAD_END = b'\r\n\r\n'
 _REASONS = {200: 'OK', 421: 'Misdirected Request', 500: 'Internal Error'}
@@ -82,6 +88,12 @@
     )
 
 
+def split_address(address):
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
 class Machine:
     """One process of the system.
 
@@ -146,8 +158,7 @@
 
     def listen(self, name):
         """Return host and port of a listening address."""
-        host, _, port = self.fields[f'listen.{name}'].rpartition(':')
-        return host, int(port)
+        return split_address(self.fields[f'listen.{name}'])
 
 
 class Deployment:
@@ -164,10 +175,10 @@
     def __init__(self, services, bounds=None):
         self.temporary = tempfile.TemporaryDirectory(prefix='mesh-')
         self.directory = Path(self.temporary.name)
-        self.network = self._find_network()
+        self.network, self.first_port = self._find_network()
         self.bounds = {**BOUNDS, **(bounds or {})}
         hosts = [f'{self.network}.{n}' for n in range(1, 4)]
-        self.seeds = [f'{host}:8144' for host in hosts]
+        self.seeds = [self._address(host, 'control') for host in hosts]
         self.controls = [
             self._make_control(number, host)
             for number, host in enumerate(hosts)
@@ -187,12 +198,20 @@
 
     @staticmethod
     def _find_network():
+        """Return a loopback network and a first port that are free."""
         rng = random.SystemRandom()
-        while True:
+        for _ in range(MAX_TRIES):
             network = f'127.{rng.randint(1, 250)}.{rng.randint(1, 250)}'
-            with socket.socket() as sock, suppress(OSError):
-                sock.bind((f'{network}.1', 8144))
-                return network
+            first_port = rng.choice(FIRST_PORTS)
+            with suppress(OSError):
+                for port in range(first_port, first_port + INTERNAL_PORTS[1]):
+                    with socket.socket() as sock:
+                        sock.bind((f'{network}.1', port))
+                return network, first_port
+        raise OSError('no free ports were found')
+
+    def _address(self, host, name):
+        return f'{host}:{self.first_port + PORTS[name]}'
 
     def _common_fields(self, host, number):
         return {
@@ -200,9 +219,9 @@
             'zone': ZONES[number % len(ZONES)],
             'region': 'region',
             'seeds': self.seeds,
-            'internal-ports': [7380, 7395],
+            'internal-ports': [self.first_port + n for n in INTERNAL_PORTS],
             'heartbeat': f'{HEARTBEAT_S * 1_000:.0f}ms',
-            'listen.control': f'{host}:8144',
+            'listen.control': self._address(host, 'control'),
             **{f'bounds.{name}': v for name, v in self.bounds.items()},
         }
 
@@ -223,9 +242,10 @@
             **self._common_fields(host, number),
             'node': name,
             'service': service,
-            'listen.ready': f'{host}:8141',
-            'listen.inbound': f'{host}:8146',
-            'listen.outbound': f'{host}:8147',
+            'app-addr': self._address(host, 'app'),
+            'listen.ready': self._address(host, 'ready'),
+            'listen.inbound': self._address(host, 'inbound'),
+            'listen.outbound': self._address(host, 'outbound'),
         }
         return Machine(name, 'node', fields, self.directory)
 
@@ -238,12 +258,17 @@
 
     async def wait_ready(self):
         """Wait until all nodes say that they are ready."""
-        with_deadline = time.monotonic() + READY_TIMEOUT_S
-        for node in self.nodes:
-            while await fetch(node.listen('ready'), 'GET', '/ready') != 200:
-                if time.monotonic() > with_deadline:
-                    raise TimeoutError(f'{node.name} is not ready')
-                await asyncio.sleep(0.1)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for node in self.nodes:
+                await wait_for_status(node.listen('ready'), '/ready', 200)
+
+    async def wait_founded(self):
+        """Wait until all controls tell that there is no configuration."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for control in self.controls:
+                await wait_for_status(
+                    control.listen('control'), '/config', 404
+                )
 
     async def submit(self, record, document):
         """Send a configuration until it is acknowledged."""
@@ -324,6 +349,12 @@
         return None
 
 
+async def wait_for_status(address, path, status):
+    """Wait until a call is answered with a status."""
+    while await fetch(address, 'GET', path) != status:
+        await asyncio.sleep(POLL_S)
+
+
 async def read_head(reader):
     """Return the start line and the header fields of a message."""
     head = await reader.readuntil(_HEAD_END)
@@ -444,7 +475,7 @@
         self.wrong_health_answers = []
         self.answers = 0
         self.spoiled = 0
-        self.address = (node.fields['ip'], 8145)
+        self.address = split_address(node.fields['app-addr'])
 
     def run_request(self, attempt_id, path):
         """Take note that a request runs."""
