Show a target that its own node never uses again

A node tries a target with one request after an ejection. If that request reaches its deadline at the node beside the target, or its caller leaves, the flag of the probe is never cleared, and the node never uses the target again.

Add a script with the real processes: a target is 12 times as slow for 9 s.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,11 @@
-"""Back end that left before its node restarted, and late check-ins."""
+"""Back end that a node never uses again after it was slow."""
 
 import asyncio
-from contextlib import suppress
+from collections import Counter
 from pathlib import Path
+import socket
+import struct
 import sys
-import time
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -15,123 +16,152 @@
 from loopback import HEARTBEAT_S
 from loopback import make_configuration
 from loopback import make_route
-from loopback import POLL_S
 from loopback import read_response
 from loopback import run_case
 
-SERVICES = ('portal', 'orders', 'orders')
-DRAIN_S = 2.0
-RESTART_DELAY_S = 0.5
-LATE_CHECK_INS = 3
-# The delayed check-ins arrive this long after the acknowledgement, or once the
-# node listens again.
-CHECK_INS_ARRIVE_S = 1.5
-# From the start of the node on, in seconds. It is in touch again after 3 s.
-REQUESTS_START_S = 3.5
-BACKEND_EXITS_S = 7.5
+SERVICES = ('portal', 'lookup', 'orders')
+FIRST_ROUTE = make_route('lookup', 'lookup', timeout='1500ms')
+LATER_ROUTE = make_route('orders', 'orders', timeout='1500ms')
+DEADLINE_MS = 1_500
+SLOTS = 4
+WORK_S = 0.15
+SLOW_FACTOR = 12
+SLOW_S = 9.0
+CALM_S = 5.0
 REQUEST_INTERVAL_S = 0.05
+JUDGED_S = 6.0
+MIN_REQUESTS = 20
+MIN_SHARE = 0.25
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
-async def respond(backend, state, writer, path, attempt_id):
-    """Run a request and send its answer."""
-    backend.run_request(attempt_id, path)
-    writer.write(encode_success(attempt_id, b'order'))
+class Worker:
+    """Back end with a few slots, which resets connections when it is full.
 
+    It goes on with a request whose connection is closed.
+    """
+
+    def __init__(self):
+        self.slow_factor = 1
+        self.in_flight = 0
 
-async def send_requests(record, node):
-    """Send safe requests until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        attempt_id = f'attempt-{number}'
+    async def respond(self, backend, state, writer, path, attempt_id):
+        """Run a request and send its answer."""
+        if self.in_flight >= SLOTS:
+            backend.record.write(
+                f'{backend.instance_id}: full, resets {attempt_id}'
+            )
+            sock = writer.get_extra_info('socket')
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            writer.close()
+            return
+        backend.run_request(attempt_id, path)
+        self.in_flight += 1
         try:
-            async with asyncio.timeout(5.0):
-                reader, writer = await asyncio.open_connection(
-                    *node.listen('outbound')
-                )
-                writer.write(encode_request('GET', '/orders/1', attempt_id))
-                status, _, _ = await read_response(reader)
-                writer.close()
-        except (OSError, EOFError, TimeoutError) as error:
-            record.write(f'client: no answer to {attempt_id}: {error!r}')
-        else:
-            record.write(f'client: {attempt_id} got {status}')
-        await asyncio.sleep(REQUEST_INTERVAL_S)
+            await asyncio.sleep(WORK_S * self.slow_factor)
+        finally:
+            self.in_flight -= 1
+        writer.write(encode_success(attempt_id, b'done'))
 
 
-async def leave(record, deployment, backend, has_trouble):
-    """Let a back end leave while its last check-ins are on their way.
+class Client:
+    """Client that sends safe requests for one route, each at its time.
 
-    Returns
-    -------
-    tuple of float
-        When the node acknowledged that the back end is gone, and when the
-        node was last started, on the monotonic clock.
+    Attributes
+    ----------
+    statuses : Counter
+        Number of answers by status; None counts those without an answer.
     """
-    check_ins = []
-    for number in range(LATE_CHECK_INS):
-        if number:
-            await asyncio.sleep(HEARTBEAT_S)
-        check_ins.append(backend.encode_check_in())
-        record.write(f'{backend.instance_id}: check-in sent, delayed')
-    backend.is_leaving = True
-    status = await backend.withdraw()
-    gone_at = time.monotonic()
-    record.write(f'{backend.instance_id}: DELETE acknowledged: {status}')
-    if status != 200:
-        raise TimeoutError('the node did not acknowledge the DELETE')
-    if has_trouble:
-        backend.node.kill()
-        record.write(f'{backend.node.name} is killed')
-        await asyncio.sleep(RESTART_DELAY_S)
-        backend.node.start()
-        record.write(f'{backend.node.name} is started again')
-    started_at = time.monotonic()
-    await asyncio.sleep(gone_at + CHECK_INS_ARRIVE_S - time.monotonic())
-    for body in check_ins:
-        while (status := await backend.send_check_in(body)) is None:
-            await asyncio.sleep(POLL_S)
-        record.write(f'{backend.instance_id}: late check-in: {status}')
-    return gone_at, started_at
+
+    def __init__(self, record, node, route):
+        self.record = record
+        self.node = node
+        self.route = route
+        self.number = 0
+        self.statuses = Counter()
+
+    async def run(self):
+        """Send requests until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self.number += 1
+                group.create_task(self._send(self.number))
+                await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _send(self, number):
+        attempt_id = f'{self.route["name"]}-{number}'
+        status, body = None, b''
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1_000 + 0.5):
+                reader, writer = await asyncio.open_connection(
+                    *self.node.listen('outbound')
+                )
+                writer.write(
+                    encode_request(
+                        'GET',
+                        f'{self.route["path-prefix"]}1',
+                        attempt_id,
+                        deadline_ms=DEADLINE_MS,
+                    )
+                )
+                status, _, body = await read_response(reader)
+                writer.close()
+        except (OSError, EOFError, TimeoutError):
+            pass
+        self.record.write(f'client: {attempt_id} got {status} {body!r}')
+        self.statuses[status] += 1
 
 
 async def case(record, has_trouble):
-    """Return whether a request reached the back end long after it left."""
+    """Return whether the later route is served too seldom when all is calm."""
     with Deployment(SERVICES) as deployment:
         deployment.start()
+        workers = [Worker() for _ in deployment.nodes]
         backends = [
-            Backend(node, f'i-{number}', record, respond)
-            for number, node in enumerate(deployment.nodes)
+            Backend(node, f'i-{number}', record, worker.respond, SLOTS)
+            for number, (node, worker) in enumerate(
+                zip(deployment.nodes, workers, strict=True)
+            )
         ]
         tasks = [asyncio.create_task(b.serve()) for b in backends]
-        services = tuple(sorted(set(SERVICES)))
-        routes = [make_route(name, name) for name in services]
         await deployment.submit(
-            record, make_configuration(1, 0, routes, services)
+            record, make_configuration(1, 0, [FIRST_ROUTE], SERVICES)
         )
         await deployment.wait_ready()
-        await asyncio.sleep(2 * HEARTBEAT_S)
-        backend = backends[1]
-        backend.checks_in = False
-        gone_at, started_at = await leave(
-            record, deployment, backend, has_trouble
-        )
-        await asyncio.sleep(started_at + REQUESTS_START_S - time.monotonic())
-        record.write('all machines are in touch; requests begin')
-        client = asyncio.create_task(
-            send_requests(record, deployment.nodes[0])
+        await deployment.submit(
+            record,
+            make_configuration(2, 1, [FIRST_ROUTE, LATER_ROUTE], SERVICES),
         )
-        await asyncio.sleep(started_at + BACKEND_EXITS_S - time.monotonic())
-        for task in (client, *tasks):
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        clients = [
+            Client(record, deployment.nodes[2], route)
+            for route in (FIRST_ROUTE, LATER_ROUTE)
+        ]
+        tasks += [asyncio.create_task(client.run()) for client in clients]
+        await asyncio.sleep(2.0)
+        if has_trouble:
+            record.write(f'{backends[2].instance_id} is slow')
+            workers[2].slow_factor = SLOW_FACTOR
+        await asyncio.sleep(SLOW_S)
+        workers[2].slow_factor = 1
+        record.write(f'{backends[2].instance_id} is as fast as before')
+        await asyncio.sleep(CALM_S)
+        record.write('all has been calm; the requests from here on count')
+        for client in clients:
+            client.statuses.clear()
+        await asyncio.sleep(JUDGED_S)
+        first, later = (Counter(client.statuses) for client in clients)
+        for task in tasks:
             task.cancel()
-        with suppress(asyncio.CancelledError):
-            await client
-    late = [at for at in backend.run_times if at - gone_at > DRAIN_S]
-    record.write(
-        f'{len(late)} requests ran at the back end later than {DRAIN_S:g} s'
-        ' after the acknowledgement that it is gone'
-    )
-    return bool(late)
+        await asyncio.gather(*tasks, return_exceptions=True)
+    record.write(f'first route: {dict(first)}, later route: {dict(later)}')
+    if min(first.total(), later.total()) < MIN_REQUESTS:
+        raise TimeoutError('too few requests were sent')
+    first_share = first[200] / first.total()
+    later_share = later[200] / later.total()
+    return later_share < MIN_SHARE * first_share
 
 
 if __name__ == '__main__':
