Read status 101 as a malformed response

Cause: httptools raises HttpParserUpgrade for such a response. It is not a subclass of HttpParserError, so the reader let it pass, and the task of the health check ended the process. For a request, the connection server caught it as an unexpected error; for a long body it came as a group of errors.

Change: the reader turns it into MalformedMessageError, which every user of a reader expects. What is malformed is logged as answer_broken with the error. A health check reads on after an interim response, as requests do; before, it took the first one for the answer and the target for unhealthy.

--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -24,6 +24,9 @@
 IDLE_TIMEOUT_S = 60.0
 HEALTH_PATH = b'/health'
 SEAL_FIELD = b'Response-Seal: 3e1b.07.5a2'
+SWITCHING_RESPONSE = encode_head(
+    status_line(101), (b'Connection: Upgrade', b'Upgrade: h2c')
+)
 # Time until a target reads on after it has responded early, in seconds.
 READ_ON_DELAY_S = 0.3
 
@@ -44,6 +47,8 @@
     TRUNCATED = 'cut'
     # The bytes are not an HTTP message.
     GARBAGE = 'garbage'
+    # Status 101, though no other protocol was offered.
+    SWITCHING = 'switching'
     # The body has a content encoding.
     ENCODED = 'encoded'
     # No Content-Length; the body ends when the connection closes.
@@ -320,6 +325,8 @@
                 connection.close()
             case Misbehaviour.GARBAGE:
                 await connection.send(b'\x00\x01 no message\r\n\r\n')
+            case Misbehaviour.SWITCHING:
+                await connection.send(SWITCHING_RESPONSE)
             case Misbehaviour.ENCODED:
                 encoding_field = b'Content-Encoding: gzip'
                 await connection.send(
--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -20,6 +20,8 @@
 ]
 
 DEFAULT_MAX_HEAD_BYTES = 64 * 1024
+# Interim responses that may precede the final response to a request.
+MAX_INTERIM_RESPONSES = 16
 # Internal header fields, not forwarded; each hop writes its own.
 INTERNAL_FIELD_PREFIXES = (b'x-snipelead-', b'x-deadline-ms')
 
@@ -198,6 +200,11 @@
             self.error = error.__context__ or error
         except httptools.HttpParserError as error:
             self.error = MalformedMessageError(str(error))
+        except httptools.HttpParserUpgrade:
+            # Not a subclass of HttpParserError.
+            self.error = MalformedMessageError(
+                'the peer switched to another protocol'
+            )
         if self.in_head:
             self._count_incomplete_head(previous, started, len(data))
         self._count_undelivered(parts_before, len(data))
@@ -320,6 +327,30 @@
             await self.receive()
         return self.ready_messages.popleft()
 
+    async def next_final_response(self, is_head_request=False):
+        """Return the next response that is not an interim one.
+
+        Parameters
+        ----------
+        is_head_request : bool
+            Whether the request used the method HEAD.
+
+        Raises
+        ------
+        ConnectionLostError
+            If the connection ends before the head is complete.
+        MalformedMessageError, HeadTooLargeError
+            If the received data is not an acceptable response, or if too many
+            interim responses precede it.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            response = await self.next_response(is_head_request)
+            if not response.is_interim:
+                return response
+        raise MalformedMessageError(
+            f'more than {MAX_INTERIM_RESPONSES} interim responses'
+        )
+
     def handle_eof(self):
         """Handle the end of the connection.
 
--- a/snipelead/platform/health.py
+++ b/snipelead/platform/health.py
@@ -97,4 +97,4 @@
     with await connect(address) as connection:
         await connection.send(head)
         reader = ResponseReader(connection, DEFAULT_MAX_HEAD_BYTES, _RULES)
-        return await reader.next_response()
+        return await reader.next_final_response()
--- a/snipelead/platform/tests/test_protocols.py
+++ b/snipelead/platform/tests/test_protocols.py
@@ -135,6 +135,9 @@
     def test_malformed_response_is_not_forwarded(self):
         self.check_becomes_502(Misbehaviour.GARBAGE)
 
+    def test_response_that_switches_protocols_is_not_forwarded(self):
+        self.check_becomes_502(Misbehaviour.SWITCHING)
+
     def test_response_with_content_encoding_is_rejected(self):
         self.check_becomes_502(Misbehaviour.ENCODED)
 
--- a/snipelead/targets/sender.py
+++ b/snipelead/targets/sender.py
@@ -10,6 +10,7 @@
 from snipelead.callers.exceptions import TargetBusyError
 from snipelead.callers.exceptions import TargetUnreachableError
 from snipelead.http.exceptions import ConnectFailedError
+from snipelead.http.exceptions import ConnectionLostError
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
 from snipelead.http.exceptions import MalformedMessageError
 from snipelead.http.exceptions import SendFailedError
@@ -140,6 +141,12 @@
             call.target_time_s = trio.current_time() - sent_at
             await self._buffer_body(response)
         except INCOMPLETE_MESSAGE_ERRORS as error:
+            if not isinstance(error, ConnectionLostError):
+                log_event(
+                    ANSWER_BROKEN,
+                    request=call.request_id,
+                    error=error.message,
+                )
             raise ResponseLostError(
                 'the connection to the target was lost', ran=call.ran
             ) from error
@@ -148,7 +155,9 @@
     async def _receive_answer(self, reader, call, request, entry, sent_at):
         """Return the response for a call, discarding stray responses."""
         for _ in range(MAX_SKIPPED_RESPONSES):
-            response = await self._receive_final(reader, request)
+            response = await reader.next_final_response(
+                request.method == b'HEAD'
+            )
             kind = self.protocol.classify_response(response, call)
             if kind is not ResponseKind.MISDIRECTED:
                 self._record_status(response, kind, entry, sent_at)
@@ -275,15 +284,6 @@
             )
         )
 
-    async def _receive_final(self, reader, request):
-        for _ in range(MAX_SKIPPED_RESPONSES):
-            response = await reader.next_response(request.method == b'HEAD')
-            if not response.is_interim:
-                return response
-        raise MalformedMessageError(
-            f'more than {MAX_SKIPPED_RESPONSES} interim responses'
-        )
-
     def release(self, address, reader, response):
         """Return a connection to the pool, or close it if it is not reusable.
 
