Reject a Content-Length that Python does not convert

Callers saw: one request with a Content-Length of 5,000 zeros and a digit ended the process that read it, with all its requests: a node, by its callers, by other nodes and by its target's heartbeats, and a control, by its operators. No case shows it; it was found by asking which other bytes raise something that their reader does not expect.

Cause: the parser accepts any number of leading zeros, while Python converts at most 4,300 digits to an integer. The ValueError was raised where the end of a request is looked for, outside the handling of a request, so that it ended the nursery of the connections.

Change: a Content-Length of more than 20 characters is malformed; 64 bits have no more digits. Callers get 400, and only their connection is closed.

--- a/snipelead/http/reading.py
+++ b/snipelead/http/reading.py
@@ -71,6 +71,8 @@
 
 DEFAULT_FIELD_RULES = FieldRules()
 _VALID_STATUSES = range(100, 600)
+# The parser accepts any number of leading zeros, but not more than 64 bits.
+MAX_LENGTH_DIGITS = 20
 
 
 class MessageReader:
@@ -183,6 +185,12 @@
                 f'message head exceeds {self.max_head_bytes} bytes'
             )
         message = self.current_message
+        length = message.fields.get(b'content-length', b'')
+        if len(length) > MAX_LENGTH_DIGITS:
+            raise MalformedMessageError(
+                f'Content-Length has {len(length)} characters, at most'
+                f' {MAX_LENGTH_DIGITS} are allowed'
+            )
         options = message.fields.get(b'connection', b'keep-alive').lower()
         if options not in _PERSISTENCE_OPTIONS:
             message.remove_connection_fields(options)
--- /dev/null
+++ b/snipelead/platform/tests/test_wrong_bytes.py
@@ -0,0 +1,117 @@
+import random
+
+import trio
+
+from snipelead.callers.tests.fakes import Caller
+from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.http.connection import connect
+from snipelead.http.exceptions import ConnectionLostError
+from snipelead.platform.server import HttpResponse
+from snipelead.platform.server import serve_interface
+from snipelead.platform.tests.test_protocols import PlatformTestCase
+from snipelead.testing.wrong_bytes import WrongBytes
+from snipelead.utils.ports import find_free_addresses
+
+LONG_LENGTH = b'0' * 5_000 + b'3'
+LONG_LENGTH_REQUEST = (
+    b'POST /reads/1 HTTP/1.1\r\nHost: mesh\r\nContent-Length: %b\r\n\r\nabc'
+    % LONG_LENGTH
+)
+CONNECTION_COUNT = 150
+# A server that waits for the rest of a message is not waited for.
+ANSWER_TIMEOUT_S = 0.05
+
+
+async def exchange(address, data):
+    """Send bytes on a new connection; return what is received."""
+    received = b''
+    with await connect(address) as connection:
+        with trio.move_on_after(ANSWER_TIMEOUT_S):
+            try:
+                await connection.send(data)
+                while part := await connection.receive():
+                    received += part
+            except ConnectionLostError:
+                pass
+    return received
+
+
+class WrongBytesOfCallersTest(PlatformTestCase):
+    """Bytes of a caller end no more than the connection they came on."""
+
+    async def check_others_served(self):
+        response, _ = await self.call()
+        self.assertEqual(200, response.status)
+
+    def test_length_with_too_many_digits(self):
+        """One such request ended the process."""
+
+        async def test(target):
+            addresses = (self.near.path.caller_address, self.near.path.address)
+            for address in addresses:
+                answer = await exchange(address, LONG_LENGTH_REQUEST)
+                self.assertIn(b'HTTP/1.1 400 ', answer)
+                await self.check_others_served()
+
+        self.run_locally(lambda nursery: test(self.near.target))
+
+    def test_pipelined_length_with_too_many_digits(self):
+        async def test(nursery):
+            first = (
+                b'GET /reads/1 HTTP/1.1\r\nHost: mesh\r\nAttempt-Id: a\r\n\r\n'
+            )
+            answer = await exchange(
+                self.near.path.caller_address, first + LONG_LENGTH_REQUEST
+            )
+            self.assertIn(b'HTTP/1.1 200 ', answer)
+            await self.check_others_served()
+
+        self.run_locally(test)
+
+    def test_random_bytes(self):
+        async def test(nursery):
+            wrong_bytes = WrongBytes(random.Random(1))
+            path = self.near.path
+            for _ in range(CONNECTION_COUNT):
+                data = wrong_bytes.draw_request()
+                await exchange(path.caller_address, data)
+                await exchange(path.address, data)
+            await self.check_others_served()
+
+        self.run_locally(test)
+
+
+class WrongBytesAtInterfacesTest(CallPathTestCase):
+    """The same for operators, targets and readiness checks."""
+
+    def run_interface(self, test):
+        (address,) = find_free_addresses(1)
+
+        async def handle(method, path, body):
+            return HttpResponse(200, b'{}')
+
+        async def main(nursery):
+            await nursery.start(serve_interface, address, handle)
+            await test(address)
+            caller = await Caller.open(address)
+            response, _ = await caller.call('/config')
+            self.assertEqual(200, response.status)
+
+        self.run_nodes(main)
+
+    def test_length_with_too_many_digits(self):
+        """One such request ended the process."""
+
+        async def test(address):
+            answer = await exchange(address, LONG_LENGTH_REQUEST)
+            self.assertIn(b'HTTP/1.1 400 ', answer)
+
+        self.run_interface(test)
+
+    def test_random_bytes(self):
+        async def test(address):
+            wrong_bytes = WrongBytes(random.Random(2))
+            for _ in range(CONNECTION_COUNT):
+                await exchange(address, wrong_bytes.draw_request())
+
+        self.run_interface(test)
