Close a connection whose frame is nested too deeply

Callers saw: a frame of 100 kB of opening arrays, sent to an internal port of a control, ended the process, and so did such a frame in answer to a call of a node or control.

Cause: msgspec raises RecursionError for a value nested too deeply, also in the place of fields that it ignores. It is no DecodeError, so it passed the handler of invalid frames and ended the nursery of the transport. Heartbeats and configurations of this kind were answered as an unexpected error.

Change: utils/decoding.py makes it the error that msgspec raises for all other malformed data, wherever messages of other processes are decoded. An invalid frame has an error (SL6005) and an event (6003) of its own and closes its connection. A result of a leader that cannot be decoded, or the wrong number of results, is an RpcInternalError.

--- a/snipelead/nodes/peer_messages.py
+++ b/snipelead/nodes/peer_messages.py
@@ -9,6 +9,7 @@
 from snipelead.types import AttemptId
 from snipelead.types import Incarnation
 from snipelead.types import Ran
+from snipelead.utils.decoding import limit_nesting
 
 __all__ = [
     'CALL_FIELD',
@@ -143,7 +144,7 @@
     return StatusMessage(known.incarnation, known.rate_limit, known.is_leaving)
 
 
-_status_decoder = msgspec.json.Decoder(StatusMessage)
+_decode_status = limit_nesting(msgspec.json.Decoder(StatusMessage).decode)
 
 
 def decode_status(message):
@@ -158,14 +159,14 @@
     if field is None:
         return None
     try:
-        return _status_decoder.decode(field)
+        return _decode_status(field)
     except msgspec.DecodeError:
         return None
 
 
 # Name of the detail of a refusal that holds the load of the target.
 _LOAD_DETAIL = 'load'
-_load_decoder = msgspec.json.Decoder(Load)
+_decode_load = limit_nesting(msgspec.json.Decoder(Load).decode)
 
 
 def attach_load(error):
@@ -179,7 +180,7 @@
     if value is None:
         return
     try:
-        error.load = _load_decoder.decode(value)
+        error.load = _decode_load(value)
     except msgspec.DecodeError:
         error.load = None
 
--- a/snipelead/nodes/peer_responses.py
+++ b/snipelead/nodes/peer_responses.py
@@ -9,6 +9,7 @@
 from snipelead.nodes.peer_messages import Load
 from snipelead.nodes.peer_messages import LOAD_FIELD
 from snipelead.types import Ran
+from snipelead.utils.decoding import decode_json
 
 __all__ = ['PeerResponse', 'read_fence_reply', 'read_refusal']
 
@@ -50,7 +51,7 @@
     if field is None:
         return None
     try:
-        return msgspec.json.decode(field, type=Load)
+        return decode_json(field, type=Load)
     except msgspec.DecodeError:
         return None
 
@@ -65,7 +66,7 @@
 async def read_fence_reply(response):
     """Return whether a fenced attempt ran, as reported by its node."""
     body = await _read_body(response)
-    return msgspec.json.decode(body, type=FenceReply).ran
+    return decode_json(body, type=FenceReply).ran
 
 
 async def read_refusal(response):
@@ -86,7 +87,7 @@
         return None
     body = await _read_body(response)
     # The response to a HEAD request has no body.
-    content = msgspec.json.decode(body) if body else {}
+    content = decode_json(body) if body else {}
     retry_after = response.fields.get(b'x-retry-after-ms')
     info = ErrorInfo(
         code.decode(),
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -22,6 +22,7 @@
 from snipelead.nodes.peer_messages import LOAD_FIELD
 from snipelead.nodes.peer_messages import STATUS_FIELD
 from snipelead.types import Ran
+from snipelead.utils.decoding import decode_json
 
 __all__ = ['PeerService']
 
@@ -52,7 +53,7 @@
             await self._fence(connection, request)
             return
         try:
-            call_info = msgspec.json.decode(
+            call_info = decode_json(
                 request.fields.get(CALL_FIELD, b''),
                 type=AuthenticatedCallMetadata,
             )
--- a/snipelead/operators/client.py
+++ b/snipelead/operators/client.py
@@ -17,6 +17,7 @@
 from snipelead.operators.messages import ReleaseStatus
 from snipelead.operators.messages import SubmissionResult
 from snipelead.types import OutcomeKind
+from snipelead.utils.decoding import decode_json
 
 __all__ = ['UNKNOWN_OUTCOME_ADVICE', 'OperatorClient']
 
@@ -258,7 +259,7 @@
 
 def _decode_body(address, response, result_type):
     try:
-        return msgspec.json.decode(response.content, type=result_type)
+        return decode_json(response.content, type=result_type)
     except msgspec.DecodeError as error:
         raise UnexpectedResponseError(
             f'{address} responded with status {response.status_code} and'
--- a/snipelead/platform/configuration.py
+++ b/snipelead/platform/configuration.py
@@ -27,6 +27,7 @@
 from snipelead.types import ServiceName
 from snipelead.types import SettingName
 from snipelead.types import TenantName
+from snipelead.utils.decoding import limit_nesting
 
 __all__ = [
     'ReleaseReplacement',
@@ -121,7 +122,7 @@
     tenants: list[_Tenant] | None = None
 
 
-_decode_json = msgspec.json.Decoder(_Configuration).decode
+_decode_json = limit_nesting(msgspec.json.Decoder(_Configuration).decode)
 _encode_json = msgspec.json.encode
 
 
--- a/snipelead/platform/heartbeats.py
+++ b/snipelead/platform/heartbeats.py
@@ -15,6 +15,7 @@
 from snipelead.types import TargetId
 from snipelead.types import TargetState
 from snipelead.types import ZoneName
+from snipelead.utils.decoding import limit_nesting
 from snipelead.utils.validation import is_address
 
 __all__ = ['decode_heartbeat']
@@ -51,7 +52,7 @@
     born: _Counter
 
 
-_decode = msgspec.json.Decoder(_Heartbeat, strict=True).decode
+_decode = limit_nesting(msgspec.json.Decoder(_Heartbeat, strict=True).decode)
 
 
 def decode_heartbeat(target_id, body):
--- a/snipelead/platform/rollouts.py
+++ b/snipelead/platform/rollouts.py
@@ -15,6 +15,7 @@
 from snipelead.rollouts.exceptions import RolloutConflictError
 from snipelead.rollouts.exceptions import UnknownRolloutServiceError
 from snipelead.types import ServiceName
+from snipelead.utils.decoding import limit_nesting
 
 __all__ = ['ROLLOUTS_PATH', 'handle_rollouts']
 
@@ -44,7 +45,7 @@
     target_version: str = field(name='target-version')
 
 
-_decode = msgspec.json.Decoder(_Order, strict=True).decode
+_decode = limit_nesting(msgspec.json.Decoder(_Order, strict=True).decode)
 
 
 async def handle_rollouts(coordinator, method, path, body):
--- a/snipelead/platform/tests/test_extreme_numbers.py
+++ b/snipelead/platform/tests/test_extreme_numbers.py
@@ -122,3 +122,17 @@
     def test_largest_numbers_can_be_passed_on(self):
         body = self.make_heartbeat(2**63 - 1, 2**63 - 1, 2**63 - 1)
         msgspec.msgpack.encode(decode_heartbeat('t', body))
+
+
+class NestingTest(TestCase):
+    """Guards against an uncaught error for a document nested too deeply."""
+
+    nested = b'{"x":' * 100_000
+
+    def test_heartbeat_nested_too_deeply_is_unreadable(self):
+        with ExpectedException(UnreadableHeartbeatError):
+            decode_heartbeat('t', self.nested)
+
+    def test_configuration_nested_too_deeply_is_unreadable(self):
+        with ExpectedException(UnreadableConfigurationError):
+            decode_configuration(self.nested)
--- a/snipelead/releases/packing.py
+++ b/snipelead/releases/packing.py
@@ -7,6 +7,7 @@
 from snipelead.releases.delta import Delta
 from snipelead.releases.document import Release
 from snipelead.releases.exceptions import DigestMismatchError
+from snipelead.utils.decoding import decode_msgpack
 
 __all__ = ['pack', 'unpack_delta', 'unpack_release']
 
@@ -40,7 +41,7 @@
                 ' not allowed'
             )
         unpacked = zstandard.ZstdDecompressor().decompress(packed)
-        return msgspec.msgpack.decode(unpacked, type=value_type)
+        return decode_msgpack(unpacked, type=value_type)
     except (zstandard.ZstdError, msgspec.DecodeError) as error:
         raise DigestMismatchError(
             f'packed data cannot be decoded: {error}'
--- a/snipelead/rpc/base.py
+++ b/snipelead/rpc/base.py
@@ -15,6 +15,7 @@
 from snipelead.messages import REPLY_TYPES
 from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcTimeoutError
+from snipelead.utils.decoding import decode_msgpack
 
 __all__ = [
     'CONNECT_TIMEOUT_S',
@@ -85,13 +86,13 @@
         info = RpcInternalError(f'unknown RPC method {method!r}').to_info()
         return _encode(_Envelope(info))
     try:
-        request = msgspec.msgpack.decode(payload, type=request_type)
+        request = decode_msgpack(payload, type=request_type)
         reply = await handlers[request_type](request)
     except InvariantError:
         raise
     except SnipeleadError as error:
         return _encode(_Envelope(error.to_info()))
-    except msgspec.ValidationError as error:
+    except msgspec.DecodeError as error:
         return _encode(_Envelope(RpcInternalError(str(error)).to_info()))
     return _encode(_Envelope(None, msgspec.Raw(_encode(reply))))
 
@@ -179,10 +180,10 @@
 
     def _decode_response(self, request_type, response):
         try:
-            envelope = msgspec.msgpack.decode(response, type=_Envelope)
+            envelope = decode_msgpack(response, type=_Envelope)
             if envelope.error is not None:
                 raise error_from_info(envelope.error)
-            return msgspec.msgpack.decode(
+            return decode_msgpack(
                 envelope.reply, type=REPLY_TYPES[request_type]
             )
         except msgspec.DecodeError as error:
--- a/snipelead/rpc/events.py
+++ b/snipelead/rpc/events.py
@@ -2,7 +2,7 @@
 
 from snipelead.logs import Event
 
-__all__ = ['CONNECTION_FAILED', 'PROCEDURE_FAILED']
+__all__ = ['CONNECTION_FAILED', 'FRAME_INVALID', 'PROCEDURE_FAILED']
 
 PROCEDURE_FAILED = Event(
     6001,
@@ -18,3 +18,10 @@
     'The RPC library failed on a connection, which is closed; calls on it fail'
     ' or time out. A peer may have sent invalid bytes.',
 )
+FRAME_INVALID = Event(
+    6003,
+    'rpc_frame_invalid',
+    'warning',
+    'A peer sent bytes that are not a frame. The connection is closed, and its'
+    ' calls fail.',
+)
--- a/snipelead/rpc/exceptions.py
+++ b/snipelead/rpc/exceptions.py
@@ -1,8 +1,10 @@
 """Errors of remote procedure calls."""
 
 from snipelead.exceptions import SnipeleadError
+from snipelead.http.exceptions import ConnectionLostError
 
 __all__ = [
+    'InvalidFrameError',
     'RpcInternalError',
     'RpcNotSentError',
     'RpcTimeoutError',
@@ -32,3 +34,9 @@
     """No connection could be opened; the call was not sent."""
 
     code = 'SL6004'
+
+
+class InvalidFrameError(ConnectionLostError):
+    """The peer sent bytes that are not a frame; the connection is closed."""
+
+    code = 'SL6005'
--- a/snipelead/rpc/stream.py
+++ b/snipelead/rpc/stream.py
@@ -26,10 +26,13 @@
 from snipelead.rpc.base import dispatch
 from snipelead.rpc.base import encode_error
 from snipelead.rpc.base import Transport
+from snipelead.rpc.events import FRAME_INVALID
 from snipelead.rpc.events import PROCEDURE_FAILED
+from snipelead.rpc.exceptions import InvalidFrameError
 from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcNotSentError
 from snipelead.rpc.exceptions import RpcUnreachableError
+from snipelead.utils.decoding import limit_nesting
 
 __all__ = ['StreamChannel', 'StreamTransport', 'open_stream_transport']
 
@@ -51,7 +54,7 @@
     payload: bytes
 
 
-_decode_frame = msgspec.msgpack.Decoder(_Frame).decode
+_decode_frame = limit_nesting(msgspec.msgpack.Decoder(_Frame).decode)
 
 
 class _FrameStream:
@@ -88,16 +91,23 @@
         Raises
         ------
         ConnectionLostError
-            If the connection ended or a frame is invalid.
+            If the connection ended.
+        InvalidFrameError
+            If a frame is invalid; no other frame can be read after it.
         """
         prefix = await self._read_exactly(_LENGTH_PREFIX.size)
         size = _LENGTH_PREFIX.unpack(prefix)[0]
         if size > MAX_FRAME_BYTES:
-            raise ConnectionLostError(f'frame length {size} exceeds the limit')
+            raise self._reject(f'frame length {size} exceeds the limit')
+        data = await self._read_exactly(size)
         try:
-            return _decode_frame(await self._read_exactly(size))
+            return _decode_frame(data)
         except msgspec.DecodeError as error:
-            raise ConnectionLostError(f'invalid frame: {error}') from error
+            raise self._reject(f'invalid frame: {error}') from error
+
+    def _reject(self, message):
+        log_event(FRAME_INVALID, error=message)
+        return InvalidFrameError(message)
 
     async def _read_exactly(self, size):
         while len(self.buffer) < size:
--- a/snipelead/utils/http.py
+++ b/snipelead/utils/http.py
@@ -19,6 +19,7 @@
 from snipelead.exceptions import SnipeleadError
 from snipelead.logs import log_event
 from snipelead.types import Address
+from snipelead.utils.decoding import decode_json
 from snipelead.utils.events import HTTP_REQUEST_FAILED
 from snipelead.utils.exceptions import HttpRequestError
 from snipelead.utils.exceptions import HttpServerError
@@ -117,7 +118,7 @@
     """
     body = await request.get_data()
     try:
-        return msgspec.json.decode(body, type=message_type)
+        return decode_json(body, type=message_type)
     except msgspec.DecodeError as error:
         raise HttpRequestError(f'invalid request body: {error}') from error
 
--- a/snipelead/voters/forwarding.py
+++ b/snipelead/voters/forwarding.py
@@ -4,6 +4,7 @@
 
 from snipelead.exceptions import error_from_info
 from snipelead.exceptions import SnipeleadError
+from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.voters.exceptions import NotLeaderError
 from snipelead.voters.exceptions import VoterBusyError
 from snipelead.voters.messages import ProposeRequest
@@ -142,6 +143,12 @@
             )
         except SnipeleadError as error:
             return [error] * len(batch)
+        if len(reply.results) != len(batch):
+            error = RpcInternalError(
+                f'{leader.control_id} returned {len(reply.results)} results'
+                f' for {len(batch)} commands'
+            )
+            return [error] * len(batch)
         return [
             r.reply if r.error is None else error_from_info(r.error)
             for r in reply.results
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -11,7 +11,9 @@
 from snipelead.messages import OrderReply
 from snipelead.messages import SettleReply
 from snipelead.messages import SubmitReply
+from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcNotSentError
+from snipelead.utils.decoding import decode_msgpack
 from snipelead.voters.exceptions import ClaimsFullError
 from snipelead.voters.exceptions import MemberReplacedError
 from snipelead.voters.exceptions import NotLeaderError
@@ -257,7 +259,12 @@
         if replica.leader is None:
             raise NotLeaderError('no leader is known at present')
         reply = await self.forwarding.forward(encoded)
-        return msgspec.msgpack.decode(reply, type=_reply_type(command))
+        try:
+            return decode_msgpack(reply, type=_reply_type(command))
+        except msgspec.DecodeError as error:
+            raise RpcInternalError(
+                f'cannot decode the result of the leader: {error}'
+            ) from error
 
     async def wait_leader_change(self):
         """Wait until the leader changes, at most for a heartbeat interval."""
