Take nothing on trust in an error of another process

What would be seen: a node or control ends because a peer answered a call with an error whose details are named "message", lack a number, or hold one that the next message cannot carry, or with the code of a broken invariant. Found by reading all that decodes what a peer sent; no case shows it.

Cause: the details were passed on as parameters of the error, and their values were converted where they are used, in tasks whose end is the end of the process. InvariantError stops a process wherever it is raised, whoever's invariant it was.

Change: details are stored as they are; InvariantError is not recreated from a message; read_integer_detail() gives None for what is no number or out of range. Evidence of a crash that is malformed is none, and a time beyond the range of dates is shown as the last one in it.

--- a/snipelead/controls/client.py
+++ b/snipelead/controls/client.py
@@ -13,6 +13,7 @@
 from snipelead.controls.polling import ControlPoller
 from snipelead.controls.polling import FIRST_RETRY_DELAY_S
 from snipelead.controls.polling import MS_PER_S
+from snipelead.exceptions import read_integer_detail
 from snipelead.logs import log_event
 from snipelead.messages import CrashUpdate
 from snipelead.messages import digest_controls
@@ -243,7 +244,7 @@
         its incarnation above the one that the control knows.
         """
         if isinstance(error, StaleRequestError):
-            latest = Incarnation(int(error.details['incarnation']))
+            latest = read_integer_detail(error, 'incarnation') or 0
             if latest > self.local_targets.incarnation:
                 log_event(INCARNATION_RAISED, known=latest)
                 self.local_targets.set_incarnation(Incarnation(latest + 1))
--- a/snipelead/controls/tests/test_sync.py
+++ b/snipelead/controls/tests/test_sync.py
@@ -7,6 +7,8 @@
 from snipelead.controls.tests.mesh import open_mesh
 from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import wait_until
+from snipelead.exceptions import error_from_info
+from snipelead.exceptions import ErrorInfo
 from snipelead.messages import SyncReply
 from snipelead.messages import SyncRequest
 from snipelead.releases.document import ReleaseId
@@ -17,6 +19,8 @@
 from snipelead.types import Preference
 from snipelead.types import TargetState
 
+HUGE_INCARNATION = {'incarnation': str(2**64)}
+
 
 async def _call_handler(control, message):
     return await control.service.handlers()[type(message)](message)
@@ -190,6 +194,20 @@
 
         run_mesh(run)
 
+    def test_rejection_without_a_valid_incarnation_is_a_failed_poll(self):
+        """The error of reading it, or of the next poll, ended the node."""
+
+        async def run():
+            async with open_mesh() as mesh:
+                node = await mesh.start_node()
+                for details in ({}, {'incarnation': 'x'}, HUGE_INCARNATION):
+                    info = ErrorInfo(StaleRequestError.code, '', None, details)
+                    link = node.client.links.choose()
+                    node.client.handle_failure(link, error_from_info(info))
+                    self.assertEqual(1, node.local_targets.incarnation)
+
+        run_mesh(run)
+
     def test_node_switches_from_a_possibly_stale_control(self):
         async def run():
             async with open_mesh(('a', 'b')) as mesh:
--- a/snipelead/exceptions.py
+++ b/snipelead/exceptions.py
@@ -21,8 +21,12 @@
     'SnipeleadError',
     'error_from_info',
     'list_errors',
+    'read_integer_detail',
 ]
 
+# Messages between processes have no larger integers.
+MAX_INTEGER = 2**63 - 1
+
 _ERROR_CLASSES: dict[str, type['SnipeleadError']] = {}
 
 
@@ -112,18 +116,41 @@
     -------
     SnipeleadError
         Instance of the class registered for the code. If none is
-        registered, an instance of the base class with that code.
+        registered, an instance of the base class with that code; also for
+        InvariantError, since no invariant of this process is violated.
     """
-    error = SnipeleadError.__new__(
-        _ERROR_CLASSES.get(info.code, SnipeleadError)
-    )
+    error_class = _ERROR_CLASSES.get(info.code, SnipeleadError)
+    if issubclass(error_class, InvariantError):
+        error_class = SnipeleadError
+    error = SnipeleadError.__new__(error_class)
     error.code = info.code
-    SnipeleadError.__init__(
-        error, info.message, info.retry_after_ms, **info.details
-    )
+    SnipeleadError.__init__(error, info.message, info.retry_after_ms)
+    error.details = dict(info.details)
     return error
 
 
+def read_integer_detail(error, name):
+    """Return a detail of a received error as an integer.
+
+    Parameters
+    ----------
+    error : SnipeleadError
+        Error that another process has sent.
+    name : str
+        Name of the detail.
+
+    Returns
+    -------
+    int or None
+        None if the detail is missing, is not a number or is out of range.
+    """
+    try:
+        value = int(error.details[name])
+    except (KeyError, ValueError):
+        return None
+    return value if 0 <= value <= MAX_INTEGER else None
+
+
 def list_errors():
     """Return the registered error classes, sorted by code."""
     return [_ERROR_CLASSES[code] for code in sorted(_ERROR_CLASSES)]
--- a/snipelead/quarantine/admission.py
+++ b/snipelead/quarantine/admission.py
@@ -5,6 +5,7 @@
 
 from snipelead.callers.exceptions import QuarantinedError
 from snipelead.callers.exceptions import TargetCrashedError
+from snipelead.exceptions import read_integer_detail
 from snipelead.messages import TargetCrash
 from snipelead.quarantine.fingerprint import fingerprint_request
 from snipelead.quarantine.fingerprint import summarize_request
@@ -18,6 +19,8 @@
 # Nothing but an operator ends a quarantine, so returning soon is of no use.
 RETRY_AFTER_MS = 60_000
 _MS_PER_S = 1_000
+# End of the year 9999, the last that can be written as a date.
+MAX_TIME_MS = 253_402_300_799_000
 
 
 def check_quarantine(ledger, call, request):
@@ -94,21 +97,30 @@
         Targets known to have crashed under copies of the request; 0 if it is
         not suspected.
     """
-    details = error.details
-    if not int(details.get('crashes', 0)):
+    crash = _read_crash(error)
+    if crash is None:
         return 0
     fingerprint = fingerprint_request(request, call.tenant)
-    crash = TargetCrash(
-        TargetId(details['target']),
-        Incarnation(int(details['incarnation'])),
-        NodeId(details['node']),
-        int(details['time_ms']),
-    )
     summary = summarize_request(request, call.tenant)
     ledger.record_crash(fingerprint, crash, summary)
     return ledger.count_crashes(fingerprint)
 
 
+def _read_crash(error):
+    """Return the crash in the details of an error, or None."""
+    crashes, incarnation, time_ms = (
+        read_integer_detail(error, name)
+        for name in ('crashes', 'incarnation', 'time_ms')
+    )
+    target_id = error.details.get('target')
+    node_id = error.details.get('node')
+    if not crashes or None in (incarnation, time_ms, target_id, node_id):
+        return None
+    return TargetCrash(
+        TargetId(target_id), Incarnation(incarnation), NodeId(node_id), time_ms
+    )
+
+
 def _make_error(record):
     crashes = ', '.join(map(_describe_crash, record.crashes))
     return QuarantinedError(
@@ -119,6 +131,7 @@
 
 
 def _describe_crash(crash):
-    noticed_at = datetime.fromtimestamp(crash.time_ms / _MS_PER_S, UTC)
+    time_ms = min(max(0, crash.time_ms), MAX_TIME_MS)
+    noticed_at = datetime.fromtimestamp(time_ms / _MS_PER_S, UTC)
     text = noticed_at.isoformat(timespec='milliseconds')
     return f'{crash.target_id} (noticed by {crash.node_id} at {text})'
