Take a malformed address for one that cannot be reached

What would be seen: a node or control ends because a peer told an address without a port, or with one that is no number. Found by reading; no case shows it.

Cause: addresses of controls and targets come from other processes, and the texts that are no addresses raise ValueError or OverflowError in connect(), whose users expect ConnectFailedError. Polls of controls and probes of nodes run in tasks whose end is the end of the process.

--- a/snipelead/http/connection.py
+++ b/snipelead/http/connection.py
@@ -289,16 +289,17 @@
     ConnectFailedError
         If the connection could not be opened; nothing was sent.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         sock = trio.socket.socket(_address_family(host), socket.SOCK_STREAM)
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise ConnectFailedError(f'{address}: {error}') from error
     try:
         await sock.connect((host, port))
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # Other processes tell addresses, and trio does not accept each text.
         sock.close()
-        is_refused = error.errno == errno.ECONNREFUSED
+        is_refused = getattr(error, 'errno', None) == errno.ECONNREFUSED
         raise ConnectFailedError(
             f'{address}: {error}', is_refused=is_refused
         ) from error
