--- a/snipelead/nodes/forwarding.py
+++ b/snipelead/nodes/forwarding.py
@@ -28,6 +28,7 @@
 from snipelead.nodes.peer_messages import STATUS_FIELD
 from snipelead.nodes.peer_responses import PeerResponse
 from snipelead.nodes.peer_responses import read_fence_reply
+from snipelead.nodes.peer_responses import read_rate_limit
 from snipelead.nodes.peer_responses import read_refusal
 from snipelead.nodes.reachability import PeerFailure
 from snipelead.targets.protocol import NO_STATUS
@@ -160,7 +161,10 @@
         incarnation = entry.target_incarnation
         match refusal:
             case RateLimitedError() if 'rate_limit' in refusal.details:
-                status = TargetStatus(float(refusal.details['rate_limit']))
+                rate_limit = read_rate_limit(refusal)
+                if rate_limit is None:
+                    return
+                status = TargetStatus(rate_limit)
             case None if message is None:
                 status = NO_STATUS
             case None:
--- a/snipelead/nodes/peer_service.py
+++ b/snipelead/nodes/peer_service.py
@@ -104,9 +104,14 @@
             response.close()
 
     async def _fence(self, connection, request):
-        fence_request = msgspec.json.decode(
-            request.fields[FENCE_FIELD], type=FenceRequest
-        )
+        try:
+            fence_request = decode_json(
+                request.fields[FENCE_FIELD], type=FenceRequest
+            )
+        except msgspec.DecodeError as error:
+            raise BadRequestError(
+                f'invalid X-Snipelead-Fence header: {error}'
+            ) from error
         ran = Ran.UNKNOWN
         if (
             fence_request.incarnation
