Release a slot whatever closing the connection raises

Callers saw: a response of a target with "Keep-Alive: timeout=" and hundreds of digits came as an unexpected error with status 500, and the slot of the request was never released, so that the target got no more requests after as many such responses as it has slots.

Cause: the number was converted to a float, or to an integer, which fails from 309 and from 4,301 digits on. LocalResponse.close() returned the connection first and released the slot only if that had worked.

Change: the slot is released in any case, and only the first nine digits of the time are read.

--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -142,6 +142,8 @@
         Whether all responses state that the target is leaving.
     health_states_status : bool
         Whether responses to health checks state these as well.
+    keep_alive : bytes or None
+        Idle timeout that all responses state, as the digits of seconds.
     rate_limits : tuple of bytes
         Values of the rate limit fields of all responses.
     on_receive : callable or None
@@ -166,6 +168,7 @@
         self.is_leaving = False
         self.states_leaving = False
         self.health_states_status = True
+        self.keep_alive = None
         self.rate_limits = ()
         self.draw_misbehaviour = None
         self.on_late_body = None
@@ -374,7 +377,12 @@
     def _status_fields(self):
         limits = (b'Server-Limit: ' + value for value in self.rate_limits)
         leaving = (b'Server-Leaving: 1',) if self.states_leaving else ()
-        return (*limits, *leaving)
+        timeout = (
+            ()
+            if self.keep_alive is None
+            else (b'Keep-Alive: timeout=' + self.keep_alive,)
+        )
+        return (*limits, *leaving, *timeout)
 
 
 async def _receive_body(request):
--- a/snipelead/nodes/local_response.py
+++ b/snipelead/nodes/local_response.py
@@ -35,7 +35,11 @@
             return
         self.closed = True
         limiter = self.limiter
-        service_s = trio.current_time() - self.call.slot_acquired_at
-        limiter.statistics.record(self.response, service_s, self.call.route)
-        limiter.sender.release(self.address, self.reader, self.response)
-        limiter.release_slot(self.call)
+        try:
+            service_s = trio.current_time() - self.call.slot_acquired_at
+            limiter.statistics.record(
+                self.response, service_s, self.call.route
+            )
+            limiter.sender.release(self.address, self.reader, self.response)
+        finally:
+            limiter.release_slot(self.call)
--- a/snipelead/platform/protocols.py
+++ b/snipelead/platform/protocols.py
@@ -56,6 +56,8 @@
 _FIRST_SERVER_ERROR = 500
 # A connection is given up this long before the target would close it.
 _KEEP_ALIVE_MARGIN_S = 0.5
+# The first digits of a longer number are a longer time than any is kept.
+_MAX_KEEP_ALIVE_DIGITS = 9
 
 
 class PlatformCallerProtocol(CallerProtocol):
@@ -248,5 +250,6 @@
         for part in header.split(b','):
             name, _, value = part.strip().partition(b'=')
             if name.lower() == b'timeout' and value.isdigit():
-                return max(0.0, int(value) - _KEEP_ALIVE_MARGIN_S)
+                timeout_s = int(value[:_MAX_KEEP_ALIVE_DIGITS])
+                return max(0.0, timeout_s - _KEEP_ALIVE_MARGIN_S)
         return None
--- a/snipelead/platform/tests/test_wrong_bytes.py
+++ b/snipelead/platform/tests/test_wrong_bytes.py
@@ -81,6 +81,26 @@
         self.run_locally(test)
 
 
+class KeepAliveTest(PlatformTestCase):
+    """A time without a usable number kept the slot of each request.
+
+    The slot was released after the connection, whose idle timeout could not
+    be converted.
+    """
+
+    def test_slots_are_released(self):
+        async def test(target):
+            for timeout in (b'9' * 400, b'9' * 5_000, b'-1', b'1e9', b''):
+                target.keep_alive = timeout
+                response, _ = await self.call()
+                self.assertEqual(200, response.status)
+            for node in (self.near, self.far):
+                if node.target is target:
+                    self.assertEqual(0, node.limiter.in_flight)
+
+        self.run_with_both_paths(test)
+
+
 class WrongBytesAtInterfacesTest(CallPathTestCase):
     """The same for operators, targets and readiness checks."""
 
