Let a request own the probe of an ejected target

Cause: the first request after an ejection set a flag that kept all others away, and only a response, a failure or a refusal cleared it. A probe that reached its deadline or whose caller left never ended. The flag belonged to no request, so that the end of an older request cleared it as well, and the failure of one ejected the target again.

Change: a request to a target is a context manager, and the probe belongs to the request that began it, in one ejection of one life of the target (routing/ejection.py). However it ends, the probe ends, and nothing else ends it. A probe without a response until its deadline does not tell a slow target from one that is down: the next is sent a second later, however often that happens. One that takes longer than a second does not keep the next one away. Until then callers are rejected with the time of the next probe as Retry-After. Requests from before an ejection, or from before a restart of the target or of its node, change nothing of what came after. The attempt of a rollout is a context manager as well.

Tests that use the interface directly pass the request on now; what they check is unchanged.

Events 3094 and 3095 tell that a target is back, and that a probe was not answered.

--- a/snipelead/callers/attempts.py
+++ b/snipelead/callers/attempts.py
@@ -1,5 +1,7 @@
 """Selection of targets, sending of requests and retries."""
 
+from contextlib import nullcontext
+
 import trio
 
 from snipelead.admission.early_refusal import EarlyRefusal
@@ -7,6 +9,7 @@
 from snipelead.callers.events import ATTEMPT_CHOSEN
 from snipelead.callers.events import ATTEMPT_FAILED
 from snipelead.callers.events import CALL_ANSWERED
+from snipelead.callers.events import TARGET_RESTORED
 from snipelead.callers.exceptions import CallError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.exceptions import NoTargetError
@@ -20,6 +23,7 @@
 from snipelead.callers.request_log import log_failure
 from snipelead.http.exceptions import INCOMPLETE_MESSAGE_ERRORS
 from snipelead.http.exceptions import SendFailedError
+from snipelead.logs import log_event
 from snipelead.quarantine.admission import adopt_crash
 from snipelead.quarantine.admission import check_quarantine
 from snipelead.quarantine.fingerprint import FINGERPRINT_BODY_BYTES
@@ -269,49 +273,58 @@
             log_decision(
                 ATTEMPT_CHOSEN, call, **observation.describe(started_at)
             )
-        observation.begin_request(started_at)
-        tracked = self.balancer.versions.begin(observation.entry, call.route)
-        try:
-            response = await self._send(observation.entry, call, request)
+        versions = self.balancer.versions
+        with (
+            observation.begin_request(started_at) as target_request,
+            versions.begin(observation.entry, call.route)
+            or nullcontext() as version_attempt,
+        ):
             try:
-                self._record_response(observation, call, response, started_at)
-                if tracked is not None:
-                    tracked.record_response(
-                        trio.current_time() - started_at,
-                        response.response.is_server_error,
+                response = await self._send(observation.entry, call, request)
+                try:
+                    self._record_response(
+                        target_request, call, response, started_at
                     )
-                if self._may_retry_response(
-                    response.response,
-                    request,
-                    call,
-                    budget,
-                    tried,
-                    observation.entry.service,
-                ):
-                    return False
-                await relay_response(connection, request, call, response)
-            finally:
-                response.close()
-        except CallError as error:
-            self.balancer.record_error(observation, error)
-            self.early_refusal.record_error(call, observation, error)
-            raise
-        except INCOMPLETE_MESSAGE_ERRORS as error:
-            if not isinstance(error, SendFailedError):
-                self.balancer.record_failure(observation, trio.current_time())
-            raise
-        except trio.Cancelled:
-            # A response that misses the deadline is a slow one.
-            if tracked is not None and not call.caller_disconnected:
-                tracked.record_timeout(trio.current_time() - started_at)
-            raise
-        finally:
-            observation.end_request()
-            if tracked is not None:
-                tracked.end()
+                    if version_attempt is not None:
+                        version_attempt.record_response(
+                            trio.current_time() - started_at,
+                            response.response.is_server_error,
+                        )
+                    if self._may_retry_response(
+                        response.response,
+                        request,
+                        call,
+                        budget,
+                        tried,
+                        observation.entry.service,
+                    ):
+                        return False
+                    await relay_response(connection, request, call, response)
+                finally:
+                    response.close()
+            except CallError as error:
+                self.balancer.record_error(observation, error, target_request)
+                self.early_refusal.record_error(call, observation, error)
+                raise
+            except INCOMPLETE_MESSAGE_ERRORS as error:
+                if not isinstance(error, SendFailedError):
+                    self.balancer.record_failure(
+                        observation, trio.current_time(), target_request
+                    )
+                raise
+            except trio.Cancelled:
+                if not call.caller_disconnected:
+                    self.balancer.record_timeout(target_request)
+                    # A response that misses the deadline is a slow one.
+                    if version_attempt is not None:
+                        version_attempt.record_timeout(
+                            trio.current_time() - started_at
+                        )
+                raise
         return True
 
-    def _record_response(self, observation, call, response, started_at):
+    def _record_response(self, target_request, call, response, started_at):
+        observation = target_request.observation
         now = trio.current_time()
         size = response.response.content_length
         if size is not None:
@@ -326,7 +339,12 @@
                 after_ms=call.age_ms(),
             )
         load = response.load
-        observation.record_response(now - started_at, is_error, load, now)
+        was_ejected = observation.ejection is not None
+        observation.record_response(
+            now - started_at, is_error, load, now, target_request
+        )
+        if was_ejected and observation.ejection is None:
+            log_event(TARGET_RESTORED, target_id=observation.entry.target_id)
         if not is_error:
             self.balancer.record_service_time(observation, call.route, load)
         if load is not None:
--- a/snipelead/callers/events.py
+++ b/snipelead/callers/events.py
@@ -21,7 +21,9 @@
     'HEAD_TIMED_OUT',
     'RESPONSE_NOT_READ',
     'SETTLEMENT_LOST',
+    'PROBE_UNANSWERED',
     'TARGET_EJECTED',
+    'TARGET_RESTORED',
 ]
 
 CALL_PATH_LISTENING = Event(
@@ -165,3 +167,16 @@
     'A connection was closed, since its peer read nothing of a response for'
     ' `response_timeout_ms`.',
 )
+TARGET_RESTORED = Event(
+    3094,
+    'target_restored',
+    'info',
+    'A target that was ejected has responded and receives requests as before.',
+)
+PROBE_UNANSWERED = Event(
+    3095,
+    'probe_unanswered',
+    'warning',
+    'The request that was to show whether an ejected target is back reached'
+    ' its deadline. Another one is sent after a pause.',
+)
--- a/snipelead/rollouts/selector.py
+++ b/snipelead/rollouts/selector.py
@@ -79,6 +79,8 @@
 class VersionAttempt:
     """Request that was sent to a service with a rollout.
 
+    A context manager that records its end.
+
     Parameters
     ----------
     state : _ServiceState
@@ -100,6 +102,12 @@
         state.old_in_flight += self.is_old
         state.sent += self.is_new
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.end()
+
     def record_response(self, elapsed_s, is_failure):
         """Record the response to the request.
 
--- a/snipelead/routing/balancer.py
+++ b/snipelead/routing/balancer.py
@@ -6,7 +6,9 @@
 
 from snipelead.admission.retry_after import estimate_backoff_s
 from snipelead.authentication.exceptions import NoLeaseError
+from snipelead.callers.events import PROBE_UNANSWERED
 from snipelead.callers.events import TARGET_EJECTED
+from snipelead.callers.exceptions import DeadlineExceededError
 from snipelead.callers.exceptions import MisdirectedRequestError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.exceptions import NoTargetError
@@ -377,12 +379,14 @@
 
     def _make_no_target_error(self, service, now):
         observations = self.get_observations(service)
-        ejection_ends = [
-            o.ejected_until for o in observations if o.ejected_until > now
+        probe_times = [
+            o.ejection.next_probe_at
+            for o in observations
+            if o.ejection is not None and o.ejection.next_probe_at > now
         ]
         delay_ms = (
-            int((min(ejection_ends) - now) * _MS_PER_S) + 1
-            if ejection_ends
+            int((min(probe_times) - now) * _MS_PER_S) + 1
+            if probe_times
             else NO_TARGET_RETRY_AFTER_MS
         )
         return NoTargetError(
@@ -390,15 +394,28 @@
             retry_after_ms=delay_ms,
         )
 
-    def record_error(self, observation, error):
-        """Record the failure of an attempt."""
+    def record_error(self, observation, error, request=None):
+        """Record the failure of an attempt.
+
+        Parameters
+        ----------
+        observation : TargetObservation
+            Target of the attempt.
+        error : CallError
+            How it failed.
+        request : TargetRequest or None
+            Request to the target, see
+            :meth:`TargetObservation.record_failure`.
+        """
         now = trio.current_time()
         if error.load is not None:
             observation.record_load(error.load, now)
             self.record_utilisation(observation.entry.service, error.load)
         match error:
             case ResponseLostError() | TargetUnreachableError():
-                self.record_failure(observation, now)
+                self.record_failure(observation, now, request)
+            case DeadlineExceededError() if request is not None:
+                self.record_timeout(request)
             case TargetBusyError() | MisdirectedRequestError():
                 observation.record_rejection(now)
             case OverloadedError() | NoLeaseError():
@@ -411,19 +428,32 @@
                 | WrongIncarnationError()
             ):
                 observation.record_leaving()
-            case _:
-                observation.probe_in_flight = False
 
-    def record_failure(self, observation, now):
+    def record_failure(self, observation, now, request=None):
         """Record a lost response; log when it ejects the target."""
-        previous_end = observation.ejected_until
-        observation.record_failure(now)
-        if observation.ejected_until > max(previous_end, now):
+        previous_ejection = observation.ejection
+        observation.record_failure(now, request)
+        if observation.ejection is not previous_ejection:
             log_event(
                 TARGET_EJECTED,
                 target_id=observation.entry.target_id,
-                for_s=round(observation.ejected_until - now, 3),
+                for_s=round(observation.ejection.until - now, 3),
+            )
+
+    def record_timeout(self, request):
+        """Record that no response came until the deadline of a request.
+
+        Parameters
+        ----------
+        request : TargetRequest
+            Request to a target.
+        """
+        if request.is_probe:
+            log_event(
+                PROBE_UNANSWERED,
+                target_id=request.observation.entry.target_id,
             )
+        request.record_timeout(trio.current_time())
 
     def clear_failures(self, address):
         """Make the targets of a node usable after it became reachable."""
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -4,6 +4,9 @@
 
 import trio
 
+from snipelead.routing.ejection import Ejection
+from snipelead.routing.ejection import FailureVerdict
+from snipelead.routing.ejection import TargetRequest
 from snipelead.types import TargetState
 from snipelead.utils.bounded_dict import BoundedDict
 
@@ -114,12 +117,10 @@
     consecutive_ejections : int
         Ejections since the last response; each lasts twice as long as the
         one before.
-    ejected_until : float
-        No request is sent before this time, and a single probe after it.
+    ejection : Ejection or None
+        Present ejection; None if the target is not ejected.
     backoff_until : float
         The target was at its limit; other targets are preferred until then.
-    probe_in_flight : bool
-        Whether the single probe after an ejection is in flight.
     shared_occupancy, shared_relative_time, shared_load_at : float
         Mean number of requests at the target and its relative service time
         as shared by its node through the controls, and when they were
@@ -150,22 +151,28 @@
         )
         self.consecutive_failures = 0
         self.consecutive_ejections = 0
-        self.ejected_until = 0.0
+        self.ejection = None
         self.backoff_until = 0.0
-        self.probe_in_flight = False
         self.shared_occupancy = 0.0
         self.shared_relative_time = 0.0
         self.shared_load_at = -inf
         self.leaving_version = None
 
     def update_entry(self, entry):
-        """Replace the directory entry by a newer one."""
-        if entry.incarnation != self.entry.incarnation:
-            self.consecutive_failures = 0
-            self.ejected_until = 0.0
-            self.consecutive_ejections = 0
-            self.probe_in_flight = False
+        """Replace the directory entry by a newer one.
+
+        What failed in an earlier life of the target or of its node tells
+        nothing of the present one.
+        """
+        previous_life = self.life
         self.entry = entry
+        if self.life != previous_life:
+            self.clear_failures()
+
+    @property
+    def life(self):
+        """Incarnations of the node of the target and of the target itself."""
+        return (self.entry.incarnation, self.entry.target_incarnation)
 
     def is_usable(self, now):
         """Return whether a request may be sent to the target."""
@@ -176,9 +183,7 @@
             self.entry.sequence,
         ):
             return False
-        if self.ejected_until == 0.0:
-            return True
-        return now >= self.ejected_until and not self.probe_in_flight
+        return self.ejection is None or now >= self.ejection.next_probe_at
 
     def load(self, now):
         """Return the estimated requests in service and queued."""
@@ -370,16 +375,16 @@
         }
 
     def begin_request(self, now):
-        """Count a request that is about to be sent."""
-        self.in_flight += 1
-        if self.ejected_until and now >= self.ejected_until:
-            self.probe_in_flight = True
+        """Count a request that is about to be sent.
 
-    def end_request(self):
-        """Count a request that has ended."""
-        self.in_flight -= 1
+        Returns
+        -------
+        TargetRequest
+            Must be ended; a context manager that does so.
+        """
+        return TargetRequest(self, now)
 
-    def record_response(self, latency_s, is_error, load, now):
+    def record_response(self, latency_s, is_error, load, now, request=None):
         """Record a response.
 
         Parameters
@@ -392,11 +397,11 @@
             Load of the target reported with the response.
         now : float
             Time in seconds of trio's clock.
+        request : TargetRequest or None
+            Request that was responded to; None for one of the present life.
         """
-        self.consecutive_failures = 0
-        self.consecutive_ejections = 0
-        self.ejected_until = 0.0
-        self.probe_in_flight = False
+        if request is None or request.is_of_present_life:
+            self.clear_failures()
         if is_error or self.error_rate:
             self.error_rate += ERROR_RATE_EWMA_WEIGHT * (
                 is_error - self.error_rate
@@ -447,38 +452,46 @@
             self.error_rate = load.error_rate
             self.error_rate_updated_at = now
 
-    def record_failure(self, now):
+    def record_failure(self, now, request=None):
         """Record a lost response or a refused connection.
 
-        Failures during an ejection are ignored: they belong to requests that
-        were in flight when the target was ejected.
+        Parameters
+        ----------
+        now : float
+            Time in seconds of trio's clock.
+        request : TargetRequest or None
+            Request that failed; None for one that began before the present
+            ejection, if there is one.
         """
-        if now < self.ejected_until:
+        if request is not None:
+            verdict = request.judge_failure()
+        elif self.ejection is not None:
+            verdict = FailureVerdict.OUTDATED
+        else:
+            verdict = FailureVerdict.COUNTED
+        if verdict is FailureVerdict.OUTDATED:
             return
         self.consecutive_failures += 1
         if (
-            self.consecutive_failures >= FAILURES_TO_EJECT
-            or self.probe_in_flight
+            verdict is FailureVerdict.PROBE_FAILED
+            or self.consecutive_failures >= FAILURES_TO_EJECT
         ):
             delay_s = min(
                 MAX_EJECTION_S, BASE_EJECTION_S * 2**self.consecutive_ejections
             )
             self.consecutive_ejections += 1
-            self.ejected_until = now + delay_s
-            self.probe_in_flight = False
+            self.ejection = Ejection(now + delay_s)
 
     def record_rejection(self, now):
         """Record that the target rejected a request without running it."""
         self.error_rate += ERROR_RATE_EWMA_WEIGHT * (1.0 - self.error_rate)
         self.error_rate_updated_at = now
-        self.probe_in_flight = False
 
     def clear_failures(self):
-        """Clear failures and ejections after its node became reachable."""
+        """Clear failures and ejections; the target may be used again."""
         self.consecutive_failures = 0
         self.consecutive_ejections = 0
-        self.ejected_until = 0.0
-        self.probe_in_flight = False
+        self.ejection = None
 
     def back_off(self, now, retry_after_s):
         """Prefer other targets for a time because this one is at its limit.
@@ -491,12 +504,10 @@
             Time until the target may be chosen again, in seconds.
         """
         self.backoff_until = now + retry_after_s
-        self.probe_in_flight = False
 
     def record_leaving(self):
         """Exclude the target until the directory has a newer entry."""
         self.leaving_version = (self.entry.incarnation, self.entry.sequence)
-        self.probe_in_flight = False
 
 
 def _half_life_s(profile):
--- a/snipelead/routing/tests/test_balancer.py
+++ b/snipelead/routing/tests/test_balancer.py
@@ -156,15 +156,16 @@
             self.assertEqual(0, self.count_choices()['bad'])
             self.clock.jump(1.1)
             self.assertTrue(bad.is_usable(trio.current_time()))
-            bad.begin_request(trio.current_time())
+            probe = bad.begin_request(trio.current_time())
             self.assertFalse(bad.is_usable(trio.current_time()))
             # The probe fails: the next ejection lasts twice as long.
-            self.balancer.record_error(bad, ResponseLostError('lost'))
+            self.balancer.record_error(bad, ResponseLostError('lost'), probe)
+            probe.end()
             self.clock.jump(1.1)
             self.assertFalse(bad.is_usable(trio.current_time()))
             self.clock.jump(1.0)
-            bad.begin_request(trio.current_time())
-            self.record_response('bad')
+            with bad.begin_request(trio.current_time()):
+                self.record_response('bad')
             self.assertTrue(bad.is_usable(trio.current_time()))
 
         self.run_with(test, make_entry('bad'), make_entry('good'))
--- a/snipelead/routing/tests/test_load_balancing.py
+++ b/snipelead/routing/tests/test_load_balancing.py
@@ -63,10 +63,14 @@
 
 class _SimulatedRequest(Struct):
     balancer: Balancer
-    observation: object
+    target_request: object
     sent_at: float
     service_s: float = 0.0
 
+    @property
+    def observation(self):
+        return self.target_request.observation
+
 
 class Simulation:
     """Requests of one route at a share of the capacity of all targets.
@@ -158,11 +162,11 @@
         observation = balancer.choose(
             's', route='r', remaining_s=self.size.latency_objective_s
         )
-        observation.begin_request(trio.current_time())
+        target_request = observation.begin_request(trio.current_time())
         self.schedule(
             now + ONE_WAY_DELAY_S,
             self.arrive_at_target,
-            _SimulatedRequest(balancer, observation, now),
+            _SimulatedRequest(balancer, target_request, now),
         )
 
     def choose_balancer(self, now):
@@ -237,7 +241,7 @@
     def receive_response(self, now, request, load):
         observation, balancer = request.observation, request.balancer
         latency_s = now - request.sent_at
-        observation.end_request()
+        request.target_request.end()
         observation.record_response(
             latency_s, False, load, trio.current_time()
         )
