Send wrong bytes to all processes in the soak

Peers of the soak send requests, documents and frames that are almost valid to each listening address of each process, and its targets send such bytes in response to requests and health checks. None of it may end a process, which the soak checks already.

--- a/snipelead/emulator/platform_target.py
+++ b/snipelead/emulator/platform_target.py
@@ -49,6 +49,8 @@
     GARBAGE = 'garbage'
     # Status 101, though no other protocol was offered.
     SWITCHING = 'switching'
+    # Any bytes, without a run of the request; see ``draw_wrong_bytes``.
+    WRONG_BYTES = 'wrong bytes'
     # The body has a content encoding.
     ENCODED = 'encoded'
     # No Content-Length; the body ends when the connection closes.
@@ -128,6 +130,11 @@
     on_late_body : callable or None
         Called with the attempt id of a request and the bytes that came in the
         place of its body after it was refused early.
+    draw_wrong_bytes : callable or None
+        Returns the bytes that are sent in the place of a response.
+    draw_health_bytes : callable or None
+        Returns the bytes that are sent in response to a health check; empty
+        for a valid response.
     response_event : trio.Event or None
         Event that responses wait for.
     connections : int
@@ -171,6 +178,8 @@
         self.keep_alive = None
         self.rate_limits = ()
         self.draw_misbehaviour = None
+        self.draw_wrong_bytes = None
+        self.draw_health_bytes = None
         self.on_late_body = None
         self.on_receive = None
         self.on_run = None
@@ -215,6 +224,11 @@
             await self._handle_request(connection, request)
 
     async def _send_health(self, connection):
+        if self.draw_health_bytes is not None:
+            wrong_bytes = self.draw_health_bytes()
+            if wrong_bytes:
+                await _send_and_close(connection, wrong_bytes)
+                return
         status = 503 if self.is_leaving else 200
         id_field = b'Instance-Id: ' + self.target_id.encode()
         encode = (
@@ -235,6 +249,9 @@
             return
         if misbehaviour is not Misbehaviour.EARLY_RESET:
             await _receive_body(request)
+        if misbehaviour is Misbehaviour.WRONG_BYTES:
+            await _send_and_close(connection, self.draw_wrong_bytes())
+            return
         if misbehaviour in (Misbehaviour.SHED, Misbehaviour.MOVED):
             await self._send_response(
                 connection, request, attempt_id, misbehaviour
@@ -385,6 +402,11 @@
         return (*limits, *leaving, *timeout)
 
 
+async def _send_and_close(connection, data):
+    await connection.send(data)
+    connection.close()
+
+
 async def _receive_body(request):
     """Return the body of a request, as far as it arrives."""
     body = b''
--- a/snipelead/soak/run.py
+++ b/snipelead/soak/run.py
@@ -14,6 +14,7 @@
 from snipelead.soak.operators import Operators
 from snipelead.soak.routes import make_rng
 from snipelead.soak.targets import TargetHost
+from snipelead.soak.wrong_peers import WrongPeer
 
 __all__ = ['SoakRun']
 
@@ -79,6 +80,10 @@
             Clients(m, self.checker, make_rng(seed, f'client {m.name}'))
             for m in nodes
         ]
+        self.wrong_peers = [
+            WrongPeer(m, self.checker, make_rng(seed, f'wrong peer {m.name}'))
+            for m in self.deployment.machines
+        ]
         self.operators = Operators(
             self.deployment, self.checker, make_rng(seed, 'operators')
         )
@@ -125,6 +130,8 @@
             ):
                 nursery.start_soon(clients.run, use_connection)
             nursery.start_soon(clients.probe)
+        for peer in self.wrong_peers:
+            nursery.start_soon(peer.run)
         nursery.start_soon(self.operators.submit_releases)
         nursery.start_soon(self.operators.read_releases)
         nursery.start_soon(self._restart_exited_processes)
--- a/snipelead/soak/targets.py
+++ b/snipelead/soak/targets.py
@@ -12,6 +12,7 @@
 from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.records import Execution
 from snipelead.testing.relay import Relay
+from snipelead.testing.wrong_bytes import WrongBytes
 
 __all__ = ['TargetHost']
 
@@ -30,7 +31,10 @@
     Misbehaviour.GARBAGE,
     Misbehaviour.RESET,
     Misbehaviour.ERROR,
+    Misbehaviour.SWITCHING,
+    Misbehaviour.WRONG_BYTES,
 )
+WRONG_HEALTH_PROBABILITY = 0.3
 # Responses that a target sends before it has read a long body.
 EARLY_RESPONSES = (Misbehaviour.EARLY_SHED, Misbehaviour.EARLY_RESET)
 EARLY_RESPONSE_PROBABILITY = 0.3
@@ -72,6 +76,7 @@
         self.machine = machine
         self.checker = checker
         self.rng = rng
+        self.wrong_bytes = WrongBytes(rng)
         self.target = None
         self.heartbeat_sender = None
         self.relay = None
@@ -139,6 +144,8 @@
         target.health_states_status = self.rng.random() < 0.5  # noqa: PLR2004
         target.draw_service_time_s = self._draw_service_time_s
         target.draw_misbehaviour = self._draw_misbehaviour
+        target.draw_wrong_bytes = self.wrong_bytes.draw_response
+        target.draw_health_bytes = self._draw_health_bytes
         target.on_late_body = self.checker.record_late_body
         target.listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
@@ -176,6 +183,11 @@
     def _draw_service_time_s(self):
         return self.rng.expovariate(1 / MEAN_SERVICE_TIME_S) * self.slowdown
 
+    def _draw_health_bytes(self):
+        if self.rng.random() < WRONG_HEALTH_PROBABILITY:
+            return self.wrong_bytes.draw_response()
+        return b''
+
     def _draw_misbehaviour(self, request):
         if (request.content_length or 0) > MAX_SHORT_BODY_BYTES:
             probability, choices = EARLY_RESPONSE_PROBABILITY, EARLY_RESPONSES
--- a/snipelead/soak/tests/test_run.py
+++ b/snipelead/soak/tests/test_run.py
@@ -23,3 +23,4 @@
         self.assertTrue(run.checker.counts['status 401'] > 20)
         self.assertTrue(run.checker.counts['status 429'] > 20)
         self.assertTrue(run.checker.counts['runs in a quota window'] > 20)
+        self.assertTrue(run.checker.counts['wrong bytes'] > 200)
--- a/snipelead/testing/wrong_bytes.py
+++ b/snipelead/testing/wrong_bytes.py
@@ -74,6 +74,25 @@
             status = self.rng.choice(_STATUSES)
         return self._draw_message(b'HTTP/1.1 %d X' % status, ())
 
+    def draw_document(self, method, path):
+        """Return a request with bytes in the place of a JSON document.
+
+        Parameters
+        ----------
+        method, path : bytes
+            Method and path of the request.
+        """
+        body = self.draw_json()
+        return (
+            b'%b %b HTTP/1.1\r\nHost: mesh\r\nContent-Length: %d\r\n\r\n%b'
+            % (
+                method,
+                path,
+                len(body),
+                body,
+            )
+        )
+
     def draw_frame(self):
         """Return bytes in the place of a frame between two processes."""
         payload = msgspec.msgpack.encode(
