--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -12,6 +12,7 @@
 from specs.disk_loss import DiskLoss
 from specs.drain import Drain
 from specs.early_response import EarlyResponse
+from specs.ejection import TargetEjection
 from specs.log_agreement import LogAgreement
 from specs.node_floor import NodeFloor
 from specs.node_restart import NodeRestart
@@ -41,6 +42,7 @@
     StatedLimit(),
     Quarantine(),
     EarlyResponse(),
+    TargetEjection(),
     RolloutGrants(),
     Revocation(),
     Quota(),
