Count and log requests that are malformed

A process answered a malformed request with an error and closed the connection, but neither a log line nor a metric told so.

Evidence: the test of malformed lengths checks the count.

--- a/snipelead/callers/connections.py
+++ b/snipelead/callers/connections.py
@@ -385,10 +385,12 @@
         try:
             return await reader.next_request()
         except HeadTooLargeError as error:
+            self.budget.count_closed(LimitKind.MALFORMED)
             raise RequestHeadTooLargeError(error.message) from error
         except UpgradeRefusedError as error:
             raise UpgradeUnsupportedError(error.message) from error
         except MalformedMessageError as error:
+            self.budget.count_closed(LimitKind.MALFORMED)
             raise BadRequestError(error.message) from error
 
     async def reject(self, connection, reader, error):
--- a/snipelead/callers/events.py
+++ b/snipelead/callers/events.py
@@ -19,6 +19,7 @@
     'DRAIN_ENDED',
     'DRAIN_STARTED',
     'HEAD_TIMED_OUT',
+    'REQUEST_MALFORMED',
     'RESPONSE_NOT_READ',
     'SETTLEMENT_LOST',
     'PROBE_UNANSWERED',
@@ -59,6 +60,19 @@
     'A target failed several times in a row and receives no requests for'
     ' `for_s` seconds. Check the target and its node.',
 )
+TARGET_RESTORED = Event(
+    3094,
+    'target_restored',
+    'info',
+    'A target that was ejected has responded and receives requests as before.',
+)
+PROBE_UNANSWERED = Event(
+    3095,
+    'probe_unanswered',
+    'warning',
+    'The request that was to show whether an ejected target is back reached'
+    ' its deadline. Another one is sent after a pause.',
+)
 
 CALL_FAILED = Event(
     3006,
@@ -167,16 +181,10 @@
     'A connection was closed, since its peer read nothing of a response for'
     ' `response_timeout_ms`.',
 )
-TARGET_RESTORED = Event(
-    3094,
-    'target_restored',
-    'info',
-    'A target that was ejected has responded and receives requests as before.',
-)
-PROBE_UNANSWERED = Event(
-    3095,
-    'probe_unanswered',
+REQUEST_MALFORMED = Event(
+    3096,
+    'request_malformed',
     'warning',
-    'The request that was to show whether an ejected target is back reached'
-    ' its deadline. Another one is sent after a pause.',
+    'A peer sent bytes that are not a valid request; it got an error response,'
+    ' and its connection was closed.',
 )
--- a/snipelead/callers/limit_log.py
+++ b/snipelead/callers/limit_log.py
@@ -7,6 +7,7 @@
 from snipelead.callers.events import BUFFERS_FREED
 from snipelead.callers.events import CONNECTIONS_CLOSED
 from snipelead.callers.events import HEAD_TIMED_OUT
+from snipelead.callers.events import REQUEST_MALFORMED
 from snipelead.callers.events import RESPONSE_NOT_READ
 from snipelead.http.budget import LimitKind
 from snipelead.logs import log_event
@@ -19,6 +20,7 @@
     LimitKind.BUFFERS: BUFFERS_FREED,
     LimitKind.CONNECTIONS: CONNECTIONS_CLOSED,
     LimitKind.HEAD_TIMEOUT: HEAD_TIMED_OUT,
+    LimitKind.MALFORMED: REQUEST_MALFORMED,
     LimitKind.RESPONSE_TIMEOUT: RESPONSE_NOT_READ,
 }
 
--- a/snipelead/http/budget.py
+++ b/snipelead/http/budget.py
@@ -27,11 +27,13 @@
 
 
 class LimitKind(Enum):
-    """Limit that caused a connection to be closed."""
+    """Limit, or other reason, that caused a connection to be closed."""
 
     BUFFERS = 'buffers'
     CONNECTIONS = 'connections'
     HEAD_TIMEOUT = 'head-timeout'
+    # What was received is not a valid request.
+    MALFORMED = 'malformed'
     RESPONSE_TIMEOUT = 'response-timeout'
 
 
--- a/snipelead/platform/tests/test_wrong_bytes.py
+++ b/snipelead/platform/tests/test_wrong_bytes.py
@@ -4,6 +4,7 @@
 
 from snipelead.callers.tests.fakes import Caller
 from snipelead.callers.tests.fakes import CallPathTestCase
+from snipelead.http.budget import LimitKind
 from snipelead.http.connection import connect
 from snipelead.http.exceptions import ConnectionLostError
 from snipelead.platform.server import HttpResponse
@@ -52,6 +53,8 @@
                 answer = await exchange(address, LONG_LENGTH_REQUEST)
                 self.assertIn(b'HTTP/1.1 400 ', answer)
                 await self.check_others_served()
+            counts = self.near.path.budget.closed_counts
+            self.assertEqual(len(addresses), counts[LimitKind.MALFORMED])
 
         self.run_locally(lambda nursery: test(self.near.target))
 
