--- a/snipelead/platform/tests/test_extreme_numbers.py
+++ b/snipelead/platform/tests/test_extreme_numbers.py
@@ -4,6 +4,7 @@
 import msgspec
 from testtools import ExpectedException
 from testtools import TestCase
+import trio
 
 from snipelead.callers.exceptions import BadRequestError
 from snipelead.http.message import Message
@@ -12,6 +13,8 @@
 from snipelead.platform.exceptions import UnreadableHeartbeatError
 from snipelead.platform.heartbeats import decode_heartbeat
 from snipelead.platform.protocols import PlatformCallerProtocol
+from snipelead.platform.rollouts import handle_rollouts
+from snipelead.platform.rollouts import ROLLOUTS_PATH
 from snipelead.platform.tests.test_configuration import DOCUMENT
 
 
@@ -136,3 +139,9 @@
     def test_configuration_nested_too_deeply_is_unreadable(self):
         with ExpectedException(UnreadableConfigurationError):
             decode_configuration(self.nested)
+
+    def test_rollout_nested_too_deeply_is_invalid(self):
+        response = trio.run(
+            handle_rollouts, None, b'POST', ROLLOUTS_PATH, self.nested
+        )
+        self.assertEqual(400, response.status)
