Decode a forwarded command before it gets into the log

What would be seen: a voter forwards a command that cannot be decoded, and each voter that applies its entry ends, at each start again. Found by sending random messages to a control; no case shows it.

Cause: the leader appended the bytes as they came and decoded them only when the entry was committed.

Change: a forwarded command that cannot be decoded is refused with an error.

Evidence: the test of five malformed commands failed before.

--- a/snipelead/voters/messages.py
+++ b/snipelead/voters/messages.py
@@ -19,6 +19,7 @@
 from snipelead.types import ServiceName
 from snipelead.types import Term
 from snipelead.types import ZoneName
+from snipelead.utils.decoding import limit_nesting
 
 __all__ = [
     'AdvanceRollout',
@@ -204,7 +205,7 @@
 Command = Submit | Claim | Settle | Replace | StartRollout | AdvanceRollout
 
 encode_command = msgspec.msgpack.Encoder().encode
-decode_command = msgspec.msgpack.Decoder(Command).decode
+decode_command = limit_nesting(msgspec.msgpack.Decoder(Command).decode)
 
 
 class Entry(Struct, frozen=True, omit_defaults=True, array_like=True):
--- a/snipelead/voters/proposals.py
+++ b/snipelead/voters/proposals.py
@@ -26,6 +26,7 @@
 from snipelead.voters.forwarding import PendingCommand
 from snipelead.voters.messages import AdvanceRollout
 from snipelead.voters.messages import Claim
+from snipelead.voters.messages import decode_command
 from snipelead.voters.messages import encode_command
 from snipelead.voters.messages import ProposeReply
 from snipelead.voters.messages import ProposeResult
@@ -192,7 +193,21 @@
         return pendings
 
     async def on_propose(self, request):
-        """Handle commands that another voter forwarded."""
+        """Handle commands that another voter forwarded.
+
+        Raises
+        ------
+        RpcInternalError
+            If a command cannot be decoded. Once in the log, it would end each
+            voter that applies it, at each start.
+        """
+        try:
+            for command in request.commands:
+                decode_command(command)
+        except msgspec.DecodeError as error:
+            raise RpcInternalError(
+                f'a forwarded command cannot be decoded: {error}'
+            ) from error
         results = []
         for pending in self.enqueue(request.commands):
             try:
--- a/snipelead/voters/tests/test_malformed_results.py
+++ b/snipelead/voters/tests/test_malformed_results.py
@@ -4,9 +4,13 @@
 from testtools import TestCase
 import trio
 
+from snipelead.messages import SettleRequest
 from snipelead.rpc.exceptions import RpcInternalError
+from snipelead.types import Ran
 from snipelead.voters.forwarding import Forwarding
+from snipelead.voters.messages import encode_command
 from snipelead.voters.messages import ProposeReply
+from snipelead.voters.messages import ProposeRequest
 from snipelead.voters.messages import ProposeResult
 from snipelead.voters.messages import Settle
 from snipelead.voters.proposals import Proposals
@@ -60,3 +64,20 @@
                 await proposals.propose_once(command, b'command')
 
         self.run_with_results((b'\x91' * 100_000,), test)
+
+
+class ForwardedCommandTest(TestCase):
+    """A command that cannot be decoded does not get into the log.
+
+    Each voter that applied it ended, at each start again.
+    """
+
+    def test_malformed_command_is_refused(self):
+        replica = SimpleNamespace(journal=SimpleNamespace())
+        proposals = Proposals(replica, None, None)
+        valid = encode_command(Settle(SettleRequest('s', 'k', 'c', Ran.NO)))
+        for command in (b'', b'\x00', b'\xff', valid[:-1], b'\x91' * 100_000):
+            request = ProposeRequest((valid, command))
+            with ExpectedException(RpcInternalError):
+                trio.run(proposals.on_propose, request)
+            self.assertEqual([], proposals.queue)
