Reject numbers out of range when a message is decoded

What would be seen: a reply of a control with a negative time to retry, or one that is certified and names no release, ended the node that polled it; one with a time of thousands of years kept it from polling for good.

Cause: messages were decoded by type but not by range, and the values were used in the task that polls, whose end is the end of the process.

Change: counts, times and ratios in messages have types with a range (types.py), which also excludes NaN; identifiers that are numbers are counts. A certified reply without a release is not decoded. The poll fails then, as for any other reply that cannot be decoded.

--- a/snipelead/exceptions.py
+++ b/snipelead/exceptions.py
@@ -14,6 +14,8 @@
 
 from msgspec import Struct
 
+from snipelead.types import MAX_INTEGER
+
 __all__ = [
     'ErrorInfo',
     'InvalidParameterError',
@@ -24,9 +26,6 @@
     'read_integer_detail',
 ]
 
-# Messages between processes have no larger integers.
-MAX_INTEGER = 2**63 - 1
-
 _ERROR_CLASSES: dict[str, type['SnipeleadError']] = {}
 
 
--- a/snipelead/messages/claims.py
+++ b/snipelead/messages/claims.py
@@ -4,6 +4,7 @@
 
 from snipelead.messages.registry import register_reply
 from snipelead.types import ClaimId
+from snipelead.types import Count
 from snipelead.types import IdempotencyKey
 from snipelead.types import Ran
 
@@ -55,7 +56,7 @@
 
     granted: bool
     ran: Ran = Ran.UNKNOWN
-    status: int = 0
+    status: Count = 0
     mismatch: bool = False
 
 
@@ -81,7 +82,7 @@
     key: IdempotencyKey
     claim_id: ClaimId
     ran: Ran
-    status: int = 0
+    status: Count = 0
 
 
 class SettleReply(Struct, frozen=True):
--- a/snipelead/messages/fleet.py
+++ b/snipelead/messages/fleet.py
@@ -6,6 +6,7 @@
 from snipelead.messages.targets import TargetEntry
 from snipelead.releases.document import ReleaseId
 from snipelead.types import ControlId
+from snipelead.types import Count
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
 from snipelead.types import ZoneName
@@ -44,8 +45,8 @@
     zone: ZoneName
     held: ReleaseId
     incarnation: Incarnation
-    sequence: int
-    age_ms: int
+    sequence: Count
+    age_ms: Count
     live: bool
 
 
--- a/snipelead/messages/loads.py
+++ b/snipelead/messages/loads.py
@@ -4,6 +4,7 @@
 
 from snipelead.messages.registry import register_reply
 from snipelead.types import ControlId
+from snipelead.types import Count
 from snipelead.types import NodeId
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
@@ -37,9 +38,9 @@
 
     target_id: TargetId
     service: ServiceName
-    occupancy_percent: int
-    relative_permille: int = 0
-    age_ms: int = 0
+    occupancy_percent: Count
+    relative_permille: Count = 0
+    age_ms: Count = 0
 
 
 class LoadRequest(Struct, frozen=True, array_like=True):
--- a/snipelead/messages/quarantine.py
+++ b/snipelead/messages/quarantine.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from snipelead.messages.registry import register_reply
+from snipelead.types import Count
 from snipelead.types import Fingerprint
 from snipelead.types import Incarnation
 from snipelead.types import NodeId
@@ -37,7 +38,7 @@
     target_id: TargetId
     incarnation: Incarnation
     node_id: NodeId
-    time_ms: int
+    time_ms: Count
 
 
 class CrashRecord(Struct, frozen=True, array_like=True):
@@ -63,9 +64,9 @@
     """
 
     fingerprint: Fingerprint
-    generation: int = 0
+    generation: Count = 0
     crashes: tuple[TargetCrash, ...] = ()
-    completions: tuple[tuple[NodeId, int], ...] = ()
+    completions: tuple[tuple[NodeId, Count], ...] = ()
     summary: str = ''
 
 
@@ -81,7 +82,7 @@
     """
 
     epoch: str
-    version: int
+    version: Count
     records: tuple[CrashRecord, ...] = ()
 
 
--- a/snipelead/messages/quotas.py
+++ b/snipelead/messages/quotas.py
@@ -3,7 +3,9 @@
 from msgspec import Struct
 
 from snipelead.messages.registry import register_reply
+from snipelead.types import Count
 from snipelead.types import Incarnation
+from snipelead.types import Milliseconds
 from snipelead.types import NodeId
 from snipelead.types import TenantName
 
@@ -36,10 +38,10 @@
     """
 
     customer: TenantName
-    waiting: int = 0
-    ahead: int = 0
-    held: int = 0
-    returned: int = 0
+    waiting: Count = 0
+    ahead: Count = 0
+    held: Count = 0
+    returned: Count = 0
 
 
 class QuotaRequest(Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -64,9 +66,9 @@
 
     node_id: NodeId
     incarnation: Incarnation
-    sequence: int
+    sequence: Count
     epoch: str = ''
-    received: int = 0
+    received: Count = 0
     demands: tuple[QuotaDemand, ...] = ()
 
 
@@ -97,8 +99,8 @@
     """
 
     customer: TenantName
-    amount: int = 0
-    retry_after_ms: int = 0
+    amount: Count = 0
+    retry_after_ms: Milliseconds = 0
 
 
 class QuotaReply(Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -118,7 +120,7 @@
     """
 
     epoch: str
-    number: int
+    number: Count
     is_reserve: bool = False
     grants: tuple[QuotaGrant, ...] = ()
 
--- a/snipelead/messages/rollouts.py
+++ b/snipelead/messages/rollouts.py
@@ -5,9 +5,12 @@
 from msgspec import Struct
 
 from snipelead.messages.registry import register_reply
+from snipelead.types import Count
 from snipelead.types import Incarnation
 from snipelead.types import LogIndex
+from snipelead.types import Milliseconds
 from snipelead.types import NodeId
+from snipelead.types import Ratio
 from snipelead.types import RouteName
 from snipelead.types import ServiceName
 
@@ -57,8 +60,8 @@
 
     route: RouteName
     is_new: bool
-    failures: int
-    times: tuple[int, ...]
+    failures: Count
+    times: tuple[Count, ...]
 
 
 class Rollout(Struct, frozen=True, array_like=True):
@@ -94,13 +97,13 @@
     order: LogIndex
     service: ServiceName
     version: str
-    duration_ms: int
-    accepted_ms: int
+    duration_ms: Count
+    accepted_ms: Count
     phase: RolloutPhase = RolloutPhase.RUNNING
     approved: tuple[str, ...] = ()
     rejected: tuple[str, ...] = ()
-    reserved: int = 0
-    total: int = 0
+    reserved: Count = 0
+    total: Count = 0
     counts: tuple[RouteCounts, ...] = ()
 
     @property
@@ -155,8 +158,8 @@
 
     order: LogIndex
     service: ServiceName
-    total: int
-    sent: int
+    total: Count
+    sent: Count
     has_moved: bool
     counts: tuple[RouteCounts, ...] = ()
 
@@ -203,10 +206,10 @@
 
     order: LogIndex
     service: ServiceName
-    limit: int
-    lease_ms: int
-    share: float
-    round: int = 0
+    limit: Count
+    lease_ms: Milliseconds
+    share: Ratio
+    round: Count = 0
 
 
 class RolloutReply(Struct, frozen=True, array_like=True):
--- a/snipelead/messages/sync.py
+++ b/snipelead/messages/sync.py
@@ -13,8 +13,10 @@
 from snipelead.releases.document import ReleaseId
 from snipelead.types import Address
 from snipelead.types import ControlId
+from snipelead.types import Count
 from snipelead.types import Incarnation
 from snipelead.types import LogIndex
+from snipelead.types import Milliseconds
 from snipelead.types import NodeId
 from snipelead.types import ServiceName
 from snipelead.types import ZoneName
@@ -67,7 +69,7 @@
         Whether the node is stopping.
     """
 
-    version: int
+    version: Count
     zone: ZoneName
     address: Address
     subscriptions: tuple[ServiceName, ...] = ()
@@ -143,12 +145,12 @@
 
     node_id: NodeId
     incarnation: Incarnation
-    sequence: int
+    sequence: Count
     held: ReleaseId
     directory_epoch: str = ''
-    directory_version: int = 0
-    hold_ms: int = 0
-    registration_version: int = 0
+    directory_version: Count = 0
+    hold_ms: Milliseconds = 0
+    registration_version: Count = 0
     registration: Registration | None = None
     needs_certification: bool = False
     unseen_services: tuple[ServiceName, ...] = ()
@@ -207,7 +209,7 @@
     certified: bool = False
     current: ReleaseId | None = None
     needs_registration: bool = False
-    retry_after_ms: int = 0
+    retry_after_ms: Milliseconds = 0
     compressed_delta: bytes = b''
     warming: bool = False
     requests_release: bool = False
@@ -216,6 +218,10 @@
     crashes: CrashUpdate | None = None
     rollouts: RolloutUpdate | None = None
 
+    def __post_init__(self):
+        if self.certified and self.current is None:
+            raise ValueError('a certified reply names its release')
+
 
 def digest_controls(controls):
     """Return a digest of a set of control processes.
--- a/snipelead/messages/targets.py
+++ b/snipelead/messages/targets.py
@@ -6,8 +6,11 @@
 from snipelead.messages.registry import register_reply
 from snipelead.types import Address
 from snipelead.types import ControlId
+from snipelead.types import Count
 from snipelead.types import Incarnation
+from snipelead.types import Milliseconds
 from snipelead.types import NodeId
+from snipelead.types import Ratio
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
 from snipelead.types import TargetState
@@ -64,11 +67,11 @@
     service: ServiceName
     address: Address
     incarnation: Incarnation
-    sequence: int
+    sequence: Count
     state: TargetState = TargetState.SERVING
-    slots: int = 20
-    connections: int = 130
-    relative_service_time: float = 0.0
+    slots: Count = 20
+    connections: Count = 130
+    relative_service_time: Ratio = 0.0
     target_incarnation: Incarnation = UNKNOWN_INCARNATION
     version: str = ''
 
@@ -93,7 +96,7 @@
     """
 
     epoch: str
-    version: int
+    version: Count
     is_full: bool = False
     entries: tuple[TargetEntry, ...] = ()
 
@@ -119,10 +122,10 @@
 
     control_id: ControlId
     epoch: str = ''
-    version: int = 0
-    hold_ms: int = 0
+    version: Count = 0
+    hold_ms: Milliseconds = 0
     crash_epoch: str = ''
-    crash_version: int = 0
+    crash_version: Count = 0
 
 
 class ExchangeReply(Struct, frozen=True, omit_defaults=True):
--- a/snipelead/platform/heartbeats.py
+++ b/snipelead/platform/heartbeats.py
@@ -11,6 +11,8 @@
 from snipelead.platform.formats import decode_duration_ms
 from snipelead.targets.heartbeats import TargetHeartbeat
 from snipelead.types import Address
+from snipelead.types import Count
+from snipelead.types import MAX_INTEGER
 from snipelead.types import ServiceName
 from snipelead.types import TargetId
 from snipelead.types import TargetState
@@ -23,11 +25,6 @@
 _STATES = {'ready': TargetState.SERVING, 'draining': TargetState.LEAVING}
 
 
-# Messages between processes have no larger integers.
-MAX_INTEGER = 2**63 - 1
-_Counter = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
-
-
 class _Info(Struct, frozen=True):
     service: ServiceName
     zone: ZoneName
@@ -39,7 +36,7 @@
 class _Status(Struct, frozen=True):
     state: str
     # Sequence number of the heartbeat since the target started.
-    seq: _Counter
+    seq: Count
     # Remaining warm-up time, in which the target responds slowly.
     cold_remaining: str = field(name='cold-remaining')
 
@@ -49,7 +46,7 @@
     info: _Info
     status: _Status
     # Unix time of the target's start, in milliseconds.
-    born: _Counter
+    born: Count
 
 
 _decode = limit_nesting(msgspec.json.Decoder(_Heartbeat, strict=True).decode)
--- a/snipelead/types.py
+++ b/snipelead/types.py
@@ -1,8 +1,19 @@
 """Identifier types and enumerations shared by all packages."""
 
 from enum import Enum
+from typing import Annotated
 from typing import NewType
 
+from msgspec import Meta
+
+# Messages between processes have no larger integers.
+MAX_INTEGER = 2**63 - 1
+MAX_MILLISECONDS = 24 * 60 * 60 * 1_000
+# Numbers in messages; other values are rejected when a message is decoded.
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+Milliseconds = Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)]
+Ratio = Annotated[float, Meta(ge=0.0, le=1e9)]
+
 ControlId = NewType('ControlId', str)
 NodeId = NewType('NodeId', str)
 TargetId = NewType('TargetId', str)
@@ -14,15 +25,15 @@
 TenantName = NewType('TenantName', str)
 ApiKey = NewType('ApiKey', str)
 NoteId = NewType('NoteId', str)
-ReleaseNumber = NewType('ReleaseNumber', int)
+ReleaseNumber = NewType('ReleaseNumber', Count)
 Digest = NewType('Digest', str)
-Incarnation = NewType('Incarnation', int)
+Incarnation = NewType('Incarnation', Count)
 UNKNOWN_INCARNATION = Incarnation(0)
 AttemptId = NewType('AttemptId', str)
 ClaimId = NewType('ClaimId', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
-Term = NewType('Term', int)
-LogIndex = NewType('LogIndex', int)
+Term = NewType('Term', Count)
+LogIndex = NewType('LogIndex', Count)
 # Digest that is equal for all copies of a request.
 Fingerprint = NewType('Fingerprint', bytes)
 # IP address and port, separated by a colon.
