--- a/snipelead/callers/tests/test_early_peer_responses.py
+++ b/snipelead/callers/tests/test_early_peer_responses.py
@@ -1,9 +1,9 @@
 import msgspec
-import trio
 
 from snipelead.callers.tests.fakes import Caller
 from snipelead.callers.tests.fakes import CallPathTestCase
 from snipelead.callers.tests.fakes import FakeNode
+from snipelead.testing.relay import serve_streams
 from snipelead.types import TargetState
 
 # Forwarded while it arrives.
@@ -29,11 +29,7 @@
         self.late_bytes = b''
 
     async def run(self, *, task_status):
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        host, port = listeners[0].socket.getsockname()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
-            task_status.started(f'{host}:{port}')
+        await serve_streams(self._serve, task_status=task_status)
 
     async def _serve(self, stream):
         while data := await stream.receive_some():
--- a/snipelead/platform/tests/test_health.py
+++ b/snipelead/platform/tests/test_health.py
@@ -3,6 +3,7 @@
 
 from snipelead.emulator.platform_target import PlatformTarget
 from snipelead.platform.health import check_health
+from snipelead.testing.relay import serve_streams
 from snipelead.utils.ports import find_free_addresses
 
 SWITCHING_RESPONSE = (
@@ -57,10 +58,8 @@
 
         async def main():
             async with trio.open_nursery() as nursery:
-                listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-                nursery.start_soon(trio.serve_listeners, serve, listeners)
-                host, port = listeners[0].socket.getsockname()
-                report = await check_health(f'{host}:{port}', '/health', 'i-1')
+                address = await nursery.start(serve_streams, serve)
+                report = await check_health(address, '/health', 'i-1')
                 nursery.cancel_scope.cancel()
             return report.serving
 
--- a/snipelead/routing/tests/test_ejection.py
+++ b/snipelead/routing/tests/test_ejection.py
@@ -123,7 +123,7 @@
             for refusal in refusals:
                 with self.begin_probe() as probe:
                     self.balancer.record_error(self.target, refusal, probe)
-                # Nobody knows yet whether the target responds.
+                # A refusal does not show that the target responds.
                 self.assertIsNotNone(self.target.ejection)
                 self.assertTrue(self.is_usable())
 
--- a/snipelead/rpc/tests/test_wrong_bytes.py
+++ b/snipelead/rpc/tests/test_wrong_bytes.py
@@ -14,6 +14,7 @@
 from snipelead.rpc.exceptions import RpcInternalError
 from snipelead.rpc.exceptions import RpcUnreachableError
 from snipelead.rpc.stream import open_stream_transport
+from snipelead.testing.relay import serve_streams
 from snipelead.testing.wrong_bytes import WrongBytes
 from snipelead.utils.ports import find_free_addresses
 
@@ -100,10 +101,8 @@
             await stream.receive_some()
 
         async def test(transport, nursery):
-            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-            nursery.start_soon(trio.serve_listeners, answer, listeners)
-            host, port = listeners[0].socket.getsockname()
-            channel = transport.connect(f'{host}:{port}')
+            address = await nursery.start(serve_streams, answer)
+            channel = transport.connect(address)
             with ExpectedException(error_type):
                 await channel.call(CertifyRequest(), CALL_TIMEOUT_S)
 
--- a/snipelead/testing/relay.py
+++ b/snipelead/testing/relay.py
@@ -7,7 +7,13 @@
 
 import trio
 
-__all__ = ['Direction', 'Relay', 'RelayThread', 'reset_stream']
+__all__ = [
+    'Direction',
+    'Relay',
+    'RelayThread',
+    'reset_stream',
+    'serve_streams',
+]
 
 CHUNK_BYTES = 65_536
 # Segment size used with small buffers. The smaller it is, the less a sender's
@@ -17,6 +23,23 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
+async def serve_streams(serve, *, task_status=trio.TASK_STATUS_IGNORED):
+    """Serve the connections to a free port until cancelled.
+
+    Parameters
+    ----------
+    serve : callable
+        Coroutine function of a stream.
+    task_status : trio.TaskStatus
+        Receives the address.
+    """
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    host, port = listeners[0].socket.getsockname()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        task_status.started(f'{host}:{port}')
+
+
 class Direction(Enum):
     """Direction of the bytes through a relay."""
 
