Keep the failures of a target with its ejection

They are a class beside the ejection now. An earlier start of a target is called an incarnation, as everywhere else. No behaviour changes; the tests are as before but for the names.

--- a/snipelead/callers/tests/test_probes.py
+++ b/snipelead/callers/tests/test_probes.py
@@ -24,7 +24,7 @@
     def setUp(self):
         super().setUp()
         for name, value in (
-            ('observations.BASE_EJECTION_S', EJECTION_S),
+            ('ejection.BASE_EJECTION_S', EJECTION_S),
             ('ejection.UNANSWERED_PROBE_PAUSE_S', PAUSE_S),
         ):
             self.enterContext(mock.patch(f'snipelead.routing.{name}', value))
--- a/snipelead/nodes/tests/test_reachability.py
+++ b/snipelead/nodes/tests/test_reachability.py
@@ -162,7 +162,7 @@
             now = trio.current_time()
             for _ in range(20):
                 observation.record_failure(now)
-            self.assertEqual(1, observation.consecutive_ejections)
+            self.assertEqual(1, observation.failures.consecutive_ejections)
             self.reachability.report_failure(first, PeerFailure.NO_RESPONSE)
             with listen(first.address):
                 await wait_until(
--- a/snipelead/routing/ejection.py
+++ b/snipelead/routing/ejection.py
@@ -7,8 +7,12 @@
 
 from enum import Enum
 
-__all__ = ['Ejection', 'FailureVerdict', 'TargetRequest']
+__all__ = ['Ejection', 'FailureHistory', 'FailureVerdict', 'TargetRequest']
 
+FAILURES_TO_EJECT = 3
+# Duration of the first ejection; each consecutive one lasts twice as long.
+BASE_EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
 # A probe that takes longer does not keep the next one from being sent.
 MAX_PROBE_S = 1.0
 # Pause after a probe that got no response until its deadline.
@@ -27,7 +31,7 @@
 
 
 class Ejection:
-    """Ejection of one life of a target.
+    """Ejection of one incarnation of a target.
 
     All points in time are in seconds of trio's clock.
 
@@ -74,6 +78,55 @@
         self.until = max(self.until, now + UNANSWERED_PROBE_PAUSE_S)
 
 
+class FailureHistory:
+    """Failures of a target since its last response.
+
+    Attributes
+    ----------
+    consecutive_failures : int
+        Failures since the last response.
+    consecutive_ejections : int
+        Ejections since the last response; each lasts twice as long as the
+        one before.
+    ejection : Ejection or None
+        Present ejection; None if the target is not ejected.
+    """
+
+    __slots__ = ('consecutive_ejections', 'consecutive_failures', 'ejection')
+
+    def __init__(self):
+        self.clear()
+
+    def clear(self):
+        """Forget all failures; the target may be used again."""
+        self.consecutive_failures = 0
+        self.consecutive_ejections = 0
+        self.ejection = None
+
+    def record(self, verdict, now):
+        """Record a failure and eject the target if that follows from it.
+
+        Parameters
+        ----------
+        verdict : FailureVerdict
+            What the failure tells.
+        now : float
+            Time in seconds of trio's clock.
+        """
+        if verdict is FailureVerdict.OUTDATED:
+            return
+        self.consecutive_failures += 1
+        if (
+            verdict is FailureVerdict.PROBE_FAILED
+            or self.consecutive_failures >= FAILURES_TO_EJECT
+        ):
+            delay_s = min(
+                MAX_EJECTION_S, BASE_EJECTION_S * 2**self.consecutive_ejections
+            )
+            self.consecutive_ejections += 1
+            self.ejection = Ejection(now + delay_s)
+
+
 class TargetRequest:
     """Request of this node to a target; a context manager that ends it.
 
@@ -86,17 +139,17 @@
 
     Attributes
     ----------
-    life : tuple of Incarnation
-        Life of the target, see ``TargetObservation.life``.
+    incarnations : tuple of Incarnation
+        See :attr:`TargetObservation.incarnations`.
     ejection : Ejection or None
         Ejection of the target when the request began.
     """
 
-    __slots__ = ('ejection', 'life', 'observation')
+    __slots__ = ('ejection', 'incarnations', 'observation')
 
     def __init__(self, observation, now):
         self.observation = observation
-        self.life = observation.life
+        self.incarnations = observation.incarnations
         self.ejection = observation.ejection
         observation.in_flight += 1
         if self.ejection is not None:
@@ -125,13 +178,13 @@
         )
 
     @property
-    def is_of_present_life(self):
+    def is_of_current_incarnation(self):
         """Whether the target has not been restarted since the request."""
-        return self.life == self.observation.life
+        return self.incarnations == self.observation.incarnations
 
     def judge_failure(self):
         """Return what a failure of the request tells of its target."""
-        if not self.is_of_present_life:
+        if not self.is_of_current_incarnation:
             return FailureVerdict.OUTDATED
         if self.is_probe:
             return FailureVerdict.PROBE_FAILED
--- a/snipelead/routing/observations.py
+++ b/snipelead/routing/observations.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from snipelead.routing.ejection import Ejection
+from snipelead.routing.ejection import FailureHistory
 from snipelead.routing.ejection import FailureVerdict
 from snipelead.routing.ejection import TargetRequest
 from snipelead.types import TargetState
@@ -60,10 +60,6 @@
 # Time over which the share of a new target grows to its full size.
 SLOW_START_S = 5.0
 MIN_SLOW_START_SHARE = 0.1
-FAILURES_TO_EJECT = 3
-# Duration of the first ejection; each consecutive one lasts twice as long.
-BASE_EJECTION_S = 1.0
-MAX_EJECTION_S = 30.0
 
 
 class TargetObservation:
@@ -112,13 +108,8 @@
         long-term moving average, in seconds.
     slow_start_at : float
         When the slow start began.
-    consecutive_failures : int
-        Failures since the last response.
-    consecutive_ejections : int
-        Ejections since the last response; each lasts twice as long as the
-        one before.
-    ejection : Ejection or None
-        Present ejection; None if the target is not ejected.
+    failures : FailureHistory
+        Failures since the last response, and the present ejection.
     backoff_until : float
         The target was at its limit; other targets are preferred until then.
     shared_occupancy, shared_relative_time, shared_load_at : float
@@ -149,9 +140,7 @@
         self.slow_start_at = (
             trio.current_time() if slow_start else -SLOW_START_S
         )
-        self.consecutive_failures = 0
-        self.consecutive_ejections = 0
-        self.ejection = None
+        self.failures = FailureHistory()
         self.backoff_until = 0.0
         self.shared_occupancy = 0.0
         self.shared_relative_time = 0.0
@@ -161,16 +150,21 @@
     def update_entry(self, entry):
         """Replace the directory entry by a newer one.
 
-        What failed in an earlier life of the target or of its node tells
-        nothing of the present one.
+        Failures in an earlier incarnation of the target, or of its node, tell
+        nothing of the current one.
         """
-        previous_life = self.life
+        previous = self.incarnations
         self.entry = entry
-        if self.life != previous_life:
+        if self.incarnations != previous:
             self.clear_failures()
 
     @property
-    def life(self):
+    def ejection(self):
+        """Present ejection of the target; None if it is not ejected."""
+        return self.failures.ejection
+
+    @property
+    def incarnations(self):
         """Incarnations of the node of the target and of the target itself."""
         return (self.entry.incarnation, self.entry.target_incarnation)
 
@@ -398,9 +392,10 @@
         now : float
             Time in seconds of trio's clock.
         request : TargetRequest or None
-            Request that was responded to; None for one of the present life.
+            Request that was responded to; None for one of the current
+            incarnation.
         """
-        if request is None or request.is_of_present_life:
+        if request is None or request.is_of_current_incarnation:
             self.clear_failures()
         if is_error or self.error_rate:
             self.error_rate += ERROR_RATE_EWMA_WEIGHT * (
@@ -469,18 +464,7 @@
             verdict = FailureVerdict.OUTDATED
         else:
             verdict = FailureVerdict.COUNTED
-        if verdict is FailureVerdict.OUTDATED:
-            return
-        self.consecutive_failures += 1
-        if (
-            verdict is FailureVerdict.PROBE_FAILED
-            or self.consecutive_failures >= FAILURES_TO_EJECT
-        ):
-            delay_s = min(
-                MAX_EJECTION_S, BASE_EJECTION_S * 2**self.consecutive_ejections
-            )
-            self.consecutive_ejections += 1
-            self.ejection = Ejection(now + delay_s)
+        self.failures.record(verdict, now)
 
     def record_rejection(self, now):
         """Record that the target rejected a request without running it."""
@@ -489,9 +473,7 @@
 
     def clear_failures(self):
         """Clear failures and ejections; the target may be used again."""
-        self.consecutive_failures = 0
-        self.consecutive_ejections = 0
-        self.ejection = None
+        self.failures.clear()
 
     def back_off(self, now, retry_after_s):
         """Prefer other targets for a time because this one is at its limit.
--- a/snipelead/routing/tests/test_ejection.py
+++ b/snipelead/routing/tests/test_ejection.py
@@ -11,9 +11,9 @@
 from snipelead.callers.exceptions import TargetBusyError
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.routing.balancer import Balancer
+from snipelead.routing.ejection import BASE_EJECTION_S
 from snipelead.routing.ejection import MAX_PROBE_S
 from snipelead.routing.ejection import UNANSWERED_PROBE_PAUSE_S
-from snipelead.routing.observations import BASE_EJECTION_S
 from snipelead.routing.tests.test_balancer import make_entry
 
 LOST = ResponseLostError('lost')
@@ -254,7 +254,7 @@
                 self.balancer.record_error(self.target, LOST, request)
                 request.end()
             self.assertTrue(self.is_usable())
-            self.assertEqual(0, self.target.consecutive_failures)
+            self.assertEqual(0, self.target.failures.consecutive_failures)
             self.assertEqual(0, self.target.in_flight)
 
         self.run_ejected(test)
--- a/specs/ejection.py
+++ b/specs/ejection.py
@@ -29,8 +29,8 @@
     ----------
     number : int
         Number of the request.
-    life : int
-        Life of the target when it began.
+    incarnation : int
+        Incarnation of the target when it began.
     ejection : int
         Number of the ejection when it began; 0 if there was none.
     is_exclusive : bool
@@ -38,7 +38,7 @@
     """
 
     number: int
-    life: int
+    incarnation: int
     ejection: int
     is_exclusive: bool
 
@@ -52,8 +52,8 @@
         Number of requests begun.
     in_flight : tuple of Sent
         Requests that have not ended.
-    life : int
-        Life of the target.
+    incarnation : int
+        Incarnation of the target.
     ejection, ejections : int
         Number of the present ejection, 0 if there is none, and of the last.
     is_due : bool
@@ -64,14 +64,14 @@
         Failures in a row.
     ejected_wrongly : bool
         Whether a request from before an ejection, or from before the present
-        life, has ejected the target.
+        incarnation, has ejected the target.
     restored_wrongly : bool
-        Whether a response of an earlier life has ended an ejection.
+        Whether a response of an earlier incarnation has ended an ejection.
     """
 
     begun: int = 0
     in_flight: tuple = ()
-    life: int = 1
+    incarnation: int = 1
     ejection: int = 0
     ejections: int = 0
     is_due: bool = False
@@ -87,8 +87,8 @@
 
     Parameters
     ----------
-    requests, lives, ejections, failures : int
-        Bounds on the requests, on the lives of the target and on its
+    requests, incarnations, ejections, failures : int
+        Bounds on the requests, on the incarnations of the target and on its
         ejections, and the failures in a row that eject it.
     ends_with_request : bool
         The probe ends with its request, however that ends; otherwise only with
@@ -99,21 +99,21 @@
         A probe that takes long does not keep the next one away.
     judges_failures : bool
         A failure of a request from before the ejection is ignored.
-    failures_bind_to_life, responses_bind_to_life : bool
-        A failure of, or a response to, a request of an earlier life is
+    failures_bind_to_incarnation, responses_bind_to_incarnation : bool
+        A failure of, or a response to, a request of an earlier incarnation is
         ignored.
     """
 
     requests: int = 5
-    lives: int = 2
+    incarnations: int = 2
     ejections: int = 2
     failures: int = 2
     ends_with_request: bool = True
     ends_with_own_request: bool = True
     limits_probe: bool = True
     judges_failures: bool = True
-    failures_bind_to_life: bool = True
-    responses_bind_to_life: bool = True
+    failures_bind_to_incarnation: bool = True
+    responses_bind_to_incarnation: bool = True
 
     def initial(self):
         """Return the state before the first request."""
@@ -165,16 +165,16 @@
                 )
         if state.ejection and not state.is_due:
             yield 'the ejection is due', state._replace(is_due=True)
-        if state.life < self.lives:
+        if state.incarnation < self.incarnations:
             yield (
                 'the target is restarted',
-                _restore(state)._replace(life=state.life + 1),
+                _restore(state)._replace(incarnation=state.incarnation + 1),
             )
 
     def _begin(self, state):
         number = state.begun + 1
         is_probe = state.ejection > 0
-        sent = Sent(number, state.life, state.ejection, is_probe)
+        sent = Sent(number, state.incarnation, state.ejection, is_probe)
         return state._replace(
             begun=number,
             in_flight=(*state.in_flight, sent),
@@ -208,18 +208,21 @@
         return state
 
     def _respond(self, state, sent):
-        is_of_present_life = sent.life == state.life
-        if not is_of_present_life and self.responses_bind_to_life:
+        is_of_current_incarnation = sent.incarnation == state.incarnation
+        if (
+            not is_of_current_incarnation
+            and self.responses_bind_to_incarnation
+        ):
             return state
-        was_wrong = state.ejection > 0 and not is_of_present_life
+        was_wrong = state.ejection > 0 and not is_of_current_incarnation
         return _restore(state)._replace(
             restored_wrongly=state.restored_wrongly or was_wrong
         )
 
     def _fail(self, state, sent, is_probe):
-        is_of_present_life = sent.life == state.life
+        is_of_current_incarnation = sent.incarnation == state.incarnation
         is_older = bool(state.ejection) and not is_probe
-        if not is_of_present_life and self.failures_bind_to_life:
+        if not is_of_current_incarnation and self.failures_bind_to_incarnation:
             return state
         if is_older and self.judges_failures:
             return state
@@ -227,7 +230,7 @@
         ejects = is_probe or failures == self.failures
         if not ejects or state.ejections == self.ejections:
             return state._replace(failures=failures)
-        was_wrong = is_older or not is_of_present_life
+        was_wrong = is_older or not is_of_current_incarnation
         return state._replace(
             failures=failures,
             ejection=state.ejections + 1,
--- a/specs/tests/test_ejection.py
+++ b/specs/tests/test_ejection.py
@@ -30,12 +30,12 @@
 
     def test_violated_if_a_failure_of_an_earlier_life_counts(self):
         self.assert_violates(
-            TargetEjection(failures_bind_to_life=False),
+            TargetEjection(failures_bind_to_incarnation=False),
             'no older request ejects a target',
         )
 
     def test_violated_if_a_response_of_an_earlier_life_counts(self):
         self.assert_violates(
-            TargetEjection(responses_bind_to_life=False),
+            TargetEjection(responses_bind_to_incarnation=False),
             'no older response restores a target',
         )
