--- a/snipelead/testing/wrong_bytes.py
+++ b/snipelead/testing/wrong_bytes.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from snipelead.http.writing import encode_head
+
 __all__ = ['WrongBytes']
 
 MAX_RANDOM_BYTES = 2_000
@@ -83,15 +85,9 @@
             Method and path of the request.
         """
         body = self.draw_json()
-        return (
-            b'%b %b HTTP/1.1\r\nHost: mesh\r\nContent-Length: %d\r\n\r\n%b'
-            % (
-                method,
-                path,
-                len(body),
-                body,
-            )
-        )
+        start_line = b'%b %b HTTP/1.1' % (method, path)
+        length = b'Content-Length: %d' % len(body)
+        return encode_head(start_line, (b'Host: mesh', length)) + body
 
     def draw_frame(self):
         """Return bytes in the place of a frame between two processes."""
