Add a case: 100 Continue within another answer

The interim response to a pipelined request is written at once, also in the middle of the body of the answer before it.

--- a/review/testbed.py
+++ b/review/testbed.py
@@ -309,6 +309,9 @@
     answer : callable
         Takes the path and the header fields of a request and returns the
         status and the duration of its work.
+    make_body : callable
+        Takes the path and the attempt id of a request and returns the body of
+        its answer.
     """
 
     def __init__(self, record, node, backend_id, version='v1', slots=18):
@@ -324,6 +327,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.answer = lambda path, fields: (200, 0.02)
+        self.make_body = lambda path, attempt: attempt.encode()
         self.server = None
         self.tasks = []
 
@@ -415,7 +419,7 @@
         return _encode_response(
             status,
             echo | {'Response-Seal': f'seal-{attempt}'},
-            f'{self.backend_id} {attempt}'.encode(),
+            self.make_body(path, attempt),
         )
 
 
