--- a/review/testbed.py
+++ b/review/testbed.py
@@ -35,6 +35,8 @@
 HEALTH_PATH = '/health'
 ACK_LIMIT_S = 1.0
 CONNECT_LIMIT_S = 1.0
+# A backend sends its answers in parts of this size.
+PART_BYTES = 64 * 1024
 
 
 def has_trouble():
@@ -312,6 +314,8 @@
     make_body : callable
         Takes the path and the attempt id of a request and returns the body of
         its answer.
+    pause_s : float
+        Pause after each part of a long answer.
     """
 
     def __init__(self, record, node, backend_id, version='v1', slots=18):
@@ -328,6 +332,7 @@
         self.born = int(time.time() * 1000)
         self.answer = lambda path, fields: (200, 0.02)
         self.make_body = lambda path, attempt: attempt.encode()
+        self.pause_s = 0.0
         self.server = None
         self.tasks = []
 
@@ -385,8 +390,12 @@
                 start, fields = await read_head(reader)
                 body = await read_body(reader, fields)
                 method, path, _ = start.split()
-                writer.write(await self._respond(method, path, fields, body))
-                await writer.drain()
+                data = await self._respond(method, path, fields, body)
+                for start in range(0, len(data), PART_BYTES):
+                    writer.write(data[start : start + PART_BYTES])
+                    await writer.drain()
+                    if self.pause_s and len(data) > PART_BYTES:
+                        await asyncio.sleep(self.pause_s)
         except (OSError, EOFError, ValueError, asyncio.CancelledError):
             # The connection or the backend has ended.
             pass
