--- a/review/13/case.py
+++ b/review/13/case.py
@@ -64,7 +64,8 @@
             and self.backend.running >= LOADED_REQUESTS
             and not self.loaded_count % FAILURE_PERIOD
         ):
-            self.failed_at.append(time.monotonic())
+            # The answer comes at the end of the work.
+            self.failed_at.append(time.monotonic() + WORK_S)
             return 500, WORK_S
         return 200, WORK_S
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -85,6 +85,12 @@
 async def main(record):
     """Introduce tenants while one node of ten is frozen."""
     with Fleet(record, [SERVICE] * NODES, bounds=BOUNDS) as fleet:
+        # The node that freezes is the only one of its zone. As fewer than half
+        # of the zone's nodes are in then, clients go on sending to it.
+        own_zone, *other_zones = [c.fields['zone'] for c in fleet.controls]
+        for number, node in enumerate(fleet.nodes):
+            node.fields['zone'] = other_zones[number % len(other_zones)]
+        fleet.nodes[-1].fields['zone'] = own_zone
         fleet.start()
         backends = [
             Backend(record, node, f'backend-{number}')
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -117,8 +117,10 @@
 async def main(record):
     """Let a backend start and leave while its check-ins are on the way."""
     with Fleet(record, [SERVICE] * NODES) as fleet:
+        # The machine of the leaving backend is added later, with the backend.
+        added = fleet.nodes.pop()
         fleet.start()
-        for number, node in enumerate(fleet.nodes[:-1]):
+        for number, node in enumerate(fleet.nodes):
             await Backend(record, node, f'backend-{number}').start()
         operator = Operator(record, fleet.seeds)
         configuration = operator.make_configuration(
@@ -131,10 +133,14 @@
         sent_at = {}
         client = Client(record, 'a')
         sending = asyncio.create_task(
-            send_requests(client, fleet.nodes, sent_at)
+            send_requests(client, fleet.nodes[:], sent_at)
         )
         await asyncio.sleep(4)
-        backend = LeavingBackend(record, fleet.nodes[-1], 'backend-leaving')
+        fleet.nodes.append(added)
+        added.start()
+        if not await fleet.wait_ready([added]):
+            return UNABLE
+        backend = LeavingBackend(record, added, 'backend-leaving')
         await backend.start()
         await asyncio.sleep(CHECK_INS * HEARTBEAT_S - 1.0)
         acknowledged = await backend.leave()
