Prove that a release lacks what a request needs

Cause: the node took it for certain that there are no customers, since the release it held had none, and removed keys only if its release required them. What a release does not contain is a statement about the newest one.

Ruled out: a lease as the proof. It says that a key may still be used; at the end of the suspension the last lease had not ended.

Fix: keys and customer names that callers send are removed from every request before anything is decided. What would be refused for absence (no route, no such key, no key), or would run without its customer, waits for a proof that the node holds the newest release: a control has it certified by a majority after the request was read. Requests share these questions; all others need no proof, so that nodes that are cut off or have no customers serve as before. A node with release 0 is not ready instead of answering 404.

--- a/snipelead/authentication/authenticator.py
+++ b/snipelead/authentication/authenticator.py
@@ -7,6 +7,7 @@
 from snipelead.authentication.exceptions import AuthenticationOutdatedError
 from snipelead.authentication.exceptions import MissingApiKeyError
 from snipelead.authentication.exceptions import NoLeaseError
+from snipelead.authentication.exceptions import UnexpectedApiKeyError
 from snipelead.authentication.exceptions import UnknownApiKeyError
 from snipelead.authentication.history import ReleaseHistory
 from snipelead.authentication.keys import CustomerKeys
@@ -92,22 +93,20 @@
             self.keys = CustomerKeys(self.holder.current)
         return self.keys.is_required
 
-    def authenticate(self, request, route, options, protocol):
+    def authenticate(self, route, options, key_count, is_newest):
         """Identify the customer of a request that has just been read.
 
-        If the release requires API keys, the caller's key and customer name
-        are removed from the header fields that are sent on.
-
         Parameters
         ----------
-        request : Request
-            Request of the caller.
         route : Route
             Route of the request in the current release.
         options : CallerOptions
             Options of the request.
-        protocol : CallerProtocol
-            Protocol that the options were read by.
+        key_count : int
+            Number of API keys that the request carried.
+        is_newest : bool
+            Whether the current release is proved to be the newest one, by a
+            proof that began after the request was read.
 
         Returns
         -------
@@ -118,17 +117,26 @@
         ------
         MissingApiKeyError, UnknownApiKeyError
             If the request does not identify a customer.
+        UnexpectedApiKeyError
+            If the request carries a key that may belong to a customer of a
+            newer release.
         NoLeaseError
             If the node cannot tell.
         """
         if not self.is_required:
+            has_key = key_count or options.api_key is not None
+            if has_key and not is_newest:
+                raise UnexpectedApiKeyError(
+                    'the request has an API key, and the release of the node'
+                    ' has no customers'
+                )
             return None
-        key_count = protocol.remove_identity(request)
         if route.public:
             return None
         if options.api_key is None or key_count != 1:
             raise self._count(
-                MissingApiKeyError('the request must carry one API key')
+                MissingApiKeyError('the request must carry one API key'),
+                is_newest,
             )
         number = self.holder.current.number
         # Without a lease, the key may have been added meanwhile.
@@ -139,7 +147,8 @@
         if self.leases is not None and self.leases.newest_release > number:
             raise self._count(_make_outdated_error())
         raise self._count(
-            UnknownApiKeyError('the API key belongs to no customer')
+            UnknownApiKeyError('the API key belongs to no customer'),
+            is_newest,
         )
 
     def authorize(self, customer):
@@ -223,8 +232,8 @@
                 )
             )
 
-    def _count(self, error):
-        self.refusals[error.code] += 1
+    def _count(self, error, is_final=True):
+        self.refusals[error.code] += is_final
         return error
 
 
--- a/snipelead/authentication/exceptions.py
+++ b/snipelead/authentication/exceptions.py
@@ -9,6 +9,7 @@
     'AuthenticationOutdatedError',
     'MissingApiKeyError',
     'NoLeaseError',
+    'UnexpectedApiKeyError',
     'UnknownApiKeyError',
 ]
 
@@ -27,6 +28,15 @@
     status = 401
 
 
+class UnexpectedApiKeyError(CallError):
+    """The request has an API key, but the release requires none.
+
+    A newer release may require it.
+    """
+
+    code = 'SL3035'
+
+
 class NoLeaseError(CallError):
     """The node cannot tell whether API keys have been revoked meanwhile."""
 
--- a/snipelead/callers/call_path.py
+++ b/snipelead/callers/call_path.py
@@ -94,6 +94,8 @@
         Tells which versions of targets may be used; None for all.
     quotas : QuotaManager or None
         Rate limits of customers.
+    proof : NewestReleaseProof or None
+        Proves that the node holds the newest release; None if it always does.
 
     Attributes
     ----------
@@ -130,6 +132,7 @@
         ledger=None,
         versions=None,
         quotas=None,
+        proof=None,
     ):
         self.versions = versions
         self.ledger = CrashLedger() if ledger is None else ledger
@@ -137,6 +140,7 @@
             holder, settings.guarantees.revocation_ms
         )
         self.quotas = quotas
+        self.proof = proof
         self.protocols = protocols
         self.statuses = statuses or TargetStatuses()
         self.settings = settings
@@ -240,6 +244,7 @@
             self.protocols.caller,
             self.authenticator,
             self.quotas,
+            self.proof,
         )
         self.servers = self._make_servers(limits)
         self.watcher = CallWatcher(
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -5,6 +5,9 @@
 import trio
 
 from snipelead.authentication.authenticator import Authenticator
+from snipelead.authentication.exceptions import MissingApiKeyError
+from snipelead.authentication.exceptions import UnexpectedApiKeyError
+from snipelead.authentication.exceptions import UnknownApiKeyError
 from snipelead.callers.call import Call
 from snipelead.callers.claims import MAX_KEY_CHARS
 from snipelead.callers.elapsed_time import ElapsedTimeEstimator
@@ -15,6 +18,7 @@
 from snipelead.callers.exceptions import NodeNotReadyError
 from snipelead.callers.exceptions import NodeStoppingError
 from snipelead.callers.exceptions import NoRouteError
+from snipelead.callers.exceptions import StaleReleaseError
 from snipelead.callers.execution import run_call
 from snipelead.callers.execution import send_error_response
 from snipelead.callers.protocol import DEFAULT_CALLER_PROTOCOL
@@ -34,7 +38,17 @@
 # A starting node becomes ready within this time in three starts out of four:
 # two polls of a control, plus an election if all processes start together.
 NOT_READY_RETRY_AFTER_MS = 400
+# A node that can reach the controls holds the newest release by then.
+STALE_RELEASE_RETRY_AFTER_MS = 500
 DEFAULT_TENANT = TenantName('default')
+# Errors that say what a release does not contain. They are true only of the
+# newest release.
+_ABSENCE_ERRORS = (
+    NoRouteError,
+    MissingApiKeyError,
+    UnexpectedApiKeyError,
+    UnknownApiKeyError,
+)
 
 
 class Dispatcher:
@@ -56,6 +70,8 @@
         Identifies customers; None creates one.
     quotas : QuotaManager or None
         Enforces the rate limits of customers; None for no limits.
+    proof : NewestReleaseProof or None
+        Proves that the node holds the newest release; None if it always does.
 
     Attributes
     ----------
@@ -79,8 +95,10 @@
         protocol=DEFAULT_CALLER_PROTOCOL,
         authenticator=None,
         quotas=None,
+        proof=None,
     ):
         self.authenticator = authenticator or Authenticator(holder)
+        self.proof = proof
         self.protocol = protocol
         self.quotas = quotas
         self.holder = holder
@@ -96,11 +114,7 @@
         """Handle one request of a caller and send the response."""
         self.last_request_at = trio.current_time()
         try:
-            route = self.match_route(request)
-            options = self.protocol.read_options(request)
-            customer = self.authenticator.authenticate(
-                request, route, options, self.protocol
-            )
+            route, options, customer = await self._identify(request)
             call = self.make_call(route, options, customer)
             self._check_stop(call)
             request.check_body_size()
@@ -130,6 +144,40 @@
         finally:
             self.metrics.observe_call(call)
 
+    async def _identify(self, request):
+        """Return route, options and customer of a request.
+
+        The API key and the customer's name that the caller sent are removed
+        from the request, whatever the release contains.
+
+        Raises
+        ------
+        CallError
+            If the request is refused.
+        StaleReleaseError
+            If a newer release than the one of this node may accept it.
+        """
+        options = self.protocol.read_options(request)
+        key_count = self.protocol.remove_identity(request)
+        if self.proof is not None:
+            try:
+                return self._apply_release(request, options, key_count, False)
+            except _ABSENCE_ERRORS as error:
+                if not await self.proof.obtain():
+                    raise StaleReleaseError(
+                        'the release of the node may not be the newest one:'
+                        f' {error.message}',
+                        retry_after_ms=STALE_RELEASE_RETRY_AFTER_MS,
+                    ) from None
+        return self._apply_release(request, options, key_count, True)
+
+    def _apply_release(self, request, options, key_count, is_newest):
+        route = self.match_route(request)
+        customer = self.authenticator.authenticate(
+            route, options, key_count, is_newest
+        )
+        return route, options, customer
+
     def match_route(self, request):
         """Return the route that matches a request.
 
@@ -142,7 +190,7 @@
         NoRouteError
             If no route matches.
         """
-        if not self.holder.ready:
+        if not (self.holder.ready and self.holder.current.number):
             raise NodeNotReadyError(
                 'the node is not ready: its current release is not known yet',
                 retry_after_ms=NOT_READY_RETRY_AFTER_MS,
--- a/snipelead/callers/exceptions.py
+++ b/snipelead/callers/exceptions.py
@@ -33,6 +33,7 @@
     'RequestHeadTooLargeError',
     'RequestTimeoutError',
     'ResponseLostError',
+    'StaleReleaseError',
     'TargetBusyError',
     'TargetCrashedError',
     'TargetLeavingError',
@@ -101,6 +102,12 @@
     code = 'SL3004'
 
 
+class StaleReleaseError(CallError):
+    """The node's release may lack what the newest release contains."""
+
+    code = 'SL3034'
+
+
 class NoTargetError(CallError):
     """No target of the service is available for the request."""
 
--- a/snipelead/callers/protocol.py
+++ b/snipelead/callers/protocol.py
@@ -58,8 +58,8 @@
         Header fields of requests that are read and forwarded.
     api_key_field, tenant_field : bytes
         Lower-case names of the fields that carry the caller's API key, and
-        the customer's name to the target. Both are removed from requests that
-        are authenticated.
+        the customer's name to the target. Both are inspected, and removed
+        from every request.
     """
 
     rules = FieldRules(INSPECTED_FIELDS | {API_KEY_FIELD})
@@ -107,6 +107,11 @@
         int
             Number of API keys that were removed.
         """
+        if (
+            self.api_key_field not in request.fields
+            and self.tenant_field not in request.fields
+        ):
+            return 0
         key_prefix = self.api_key_field + b':'
         tenant_prefix = self.tenant_field + b':'
         kept_lines = []
--- a/snipelead/daemons/node.py
+++ b/snipelead/daemons/node.py
@@ -5,6 +5,7 @@
 from snipelead.authentication.client import LeaseClient
 from snipelead.callers.call_path import CallPath
 from snipelead.controls.client import SyncClient
+from snipelead.controls.newest_release import NewestReleaseProof
 from snipelead.metrics import NodeMetrics
 from snipelead.nodes.directory import TargetDirectory
 from snipelead.nodes.holder import ReleaseHolder
@@ -60,6 +61,8 @@
         Client that receives releases and targets from the controls.
     quotas : QuotaManager
         Rate limits of customers.
+    proof : NewestReleaseProof
+        Proves that the node holds the newest release.
     call_path : CallPath
         Handling of requests from callers and other nodes.
     heartbeat_tracker : HeartbeatTracker
@@ -98,6 +101,7 @@
             lambda: self.local_targets.incarnation,
         )
         self.metrics.get_quota_counts = self.quotas.counts
+        self.proof = NewestReleaseProof(self.sync_client.links, self.holder)
         self.call_path = CallPath(
             settings,
             self.holder,
@@ -110,6 +114,7 @@
             ledger=self.ledger,
             versions=self.versions if self.has_rollouts else None,
             quotas=self.quotas,
+            proof=self.proof,
         )
         self.heartbeat_tracker = HeartbeatTracker(
             self.local_targets,
@@ -175,6 +180,7 @@
                 nursery.start_soon(self._make_lease_client().run)
             nursery.start_soon(self._make_load_reporter().run)
             nursery.start_soon(self.quotas.run)
+            nursery.start_soon(self.proof.run)
             task_status.started()
             await stop.wait()
             self.stopping = True
--- a/snipelead/platform/protocols.py
+++ b/snipelead/platform/protocols.py
@@ -70,7 +70,7 @@
     """
 
     rules = FieldRules(
-        inspected=frozenset((b'host', _ATTEMPT_ID, _CREDENTIAL)),
+        inspected=frozenset((b'host', _ATTEMPT_ID, _CREDENTIAL, _TENANT)),
         removed=frozenset((_CALLER_SERVICE, _DEADLINE_MS, _EXPECT_INSTANCE)),
     )
 
--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -14,6 +14,7 @@
 from specs.early_response import EarlyResponse
 from specs.ejection import TargetEjection
 from specs.log_agreement import LogAgreement
+from specs.newest_release import NewestRelease
 from specs.node_floor import NodeFloor
 from specs.node_restart import NodeRestart
 from specs.quarantine import Quarantine
@@ -45,6 +46,7 @@
     TargetEjection(),
     RolloutGrants(),
     Revocation(),
+    NewestRelease(),
     Quota(),
 )
 LARGE_MODELS = (
