Judge a new version by the load that it gets after the promotion

Cause: before the promotion the new version gets at most a quarter of the requests, spread over at least six of its targets. With few targets none of them is loaded as later. After the promotion, completion followed elapsed time, however few responses had come, and needed 20 excess failures to be prevented.

Fix: - The last step before the promotion sends whole targets' shares to just as many targets, so that each is loaded as after the promotion. It begins when the exposure that is left lasts until its end, and ends a second before the promotion, so that its responses are compared in time. - Completion needs responses to requests sent after the promotion, on each route, in proportion to the traffic; nodes report them apart. Without them the rollout is rolled back shortly before its end. - Promotion needs evidence in proportion to the traffic, instead of none below 600 requests. - Failures are also compared with all earlier responses of the old version, unless that fails more often in the same window; five excess failures are enough.

A version that turns bad after the promotion still exceeds the exposure.

--- a/snipelead/messages/__init__.py
+++ b/snipelead/messages/__init__.py
@@ -44,6 +44,7 @@
 from snipelead.messages.rollouts import RolloutReport
 from snipelead.messages.rollouts import RolloutUpdate
 from snipelead.messages.rollouts import RouteCounts
+from snipelead.messages.rollouts import RouteProgress
 from snipelead.messages.rollouts import ServiceReport
 from snipelead.messages.sync import ControlEndpoint
 from snipelead.messages.sync import digest_controls
@@ -96,6 +97,7 @@
     'RolloutReport',
     'RolloutUpdate',
     'RouteCounts',
+    'RouteProgress',
     'ServiceReport',
     'SettleReply',
     'SettleRequest',
--- a/snipelead/messages/rollouts.py
+++ b/snipelead/messages/rollouts.py
@@ -23,6 +23,7 @@
     'RolloutReport',
     'RolloutUpdate',
     'RouteCounts',
+    'RouteProgress',
     'ServiceReport',
 ]
 
@@ -64,6 +65,24 @@
     times: tuple[Count, ...]
 
 
+class RouteProgress(Struct, frozen=True, array_like=True):
+    """Requests of one route to the new version after the promotion.
+
+    Parameters
+    ----------
+    route : RouteName
+        Route of the requests.
+    sent : int
+        Requests sent.
+    answered : int
+        Requests that got a response, or none until their deadline.
+    """
+
+    route: RouteName
+    sent: Count
+    answered: Count
+
+
 class Rollout(Struct, frozen=True, array_like=True):
     """Rollout of a service.
 
@@ -154,6 +173,8 @@
         no request in flight to them.
     counts : tuple of RouteCounts
         Responses by route and version.
+    promoted : tuple of RouteProgress
+        Requests to the new version since the node learned of the promotion.
     """
 
     order: LogIndex
@@ -162,6 +183,7 @@
     sent: Count
     has_moved: bool
     counts: tuple[RouteCounts, ...] = ()
+    promoted: tuple[RouteProgress, ...] = ()
 
 
 class RolloutReport(Struct, frozen=True, array_like=True):
--- a/snipelead/rollouts/controller.py
+++ b/snipelead/rollouts/controller.py
@@ -2,7 +2,6 @@
 
 from math import ceil
 
-from msgspec.structs import replace
 import xxhash
 
 from snipelead.messages import Grant
@@ -12,8 +11,15 @@
 from snipelead.rollouts.evidence import pack_counts
 from snipelead.rollouts.evidence import unpack_counts
 from snipelead.rollouts.plan import cap_exposure
+from snipelead.rollouts.plan import choose_load_share
 from snipelead.rollouts.plan import choose_phase
 from snipelead.rollouts.plan import choose_share
+from snipelead.rollouts.plan import evidence_s
+from snipelead.rollouts.plan import load_end_ms
+from snipelead.rollouts.plan import MIN_LOAD_PART
+from snipelead.rollouts.plan import Progress
+from snipelead.rollouts.plan import promotion_ms
+from snipelead.rollouts.plan import required_responses
 from snipelead.voters.messages import AdvanceRollout
 
 __all__ = ['RolloutController']
@@ -56,6 +62,8 @@
     ----------
     rollout : Rollout
         Committed state; the owner keeps it up to date.
+    target_count : int
+        Targets of the new version; the owner keeps it up to date.
     granted : int
         Requests granted by this leader and those that earlier ones reserved.
     reason : str
@@ -66,6 +74,8 @@
         self.rollout = rollout
         self.guarantees = guarantees
         self.granted = rollout.reserved
+        self.target_count = 0
+        self.is_loading = False
         self.reason = ''
         self.comparison = Comparison()
         self.listening_until = now
@@ -124,7 +134,7 @@
             # few requests each are not granted a request all at once.
             digest = xxhash.xxh3_64_intdigest(repr(node).encode())
             accrued = digest / _HASH_RANGE
-        accrued = min(MAX_ACCRUED, accrued + self.share * new_total)
+        accrued = min(MAX_ACCRUED, accrued) + self.share * new_total
         available = self.rollout.reserved - self.granted
         amount = max(0, min(int(accrued), available))
         self.granted += amount
@@ -166,16 +176,13 @@
         if rollout.phase.is_final or now < self.listening_until:
             return None
         self._compare(now)
-        self.share = choose_share(rollout.duration_ms, elapsed_ms)
-        self.round = int(elapsed_ms / ROUND_MS)
         total = max(
             rollout.total, sum(r.total for r in self._reports.values())
         )
+        self.share = self._choose_share(total, elapsed_ms)
+        self.round = int(elapsed_ms / ROUND_MS)
         phase, reason = choose_phase(
-            replace(rollout, total=total),
-            elapsed_ms,
-            self.comparison,
-            self._have_all_moved(now),
+            rollout, elapsed_ms, self._make_progress(now, total, elapsed_ms)
         )
         if phase.value > self.phase.value:
             self.phase, self.reason = phase, reason
@@ -203,6 +210,50 @@
             pack_counts(self._counts),
         )
 
+    def _choose_share(self, total, elapsed_ms):
+        """Return the share of requests for the new version at present.
+
+        The step under load begins once the exposure that is left lasts until
+        its end.
+        """
+        duration_ms = self.rollout.duration_ms
+        left_ms = load_end_ms(duration_ms) - elapsed_ms
+        if left_ms <= 0:
+            return 0.0
+        share = choose_load_share(self.target_count)
+        if elapsed_ms >= MIN_LOAD_PART * promotion_ms(duration_ms):
+            coming = total * left_ms / elapsed_ms
+            cap = cap_exposure(self.guarantees, total + coming)
+            self.is_loading |= cap - self.granted >= share * coming
+        if self.is_loading:
+            return share
+        return choose_share(duration_ms, elapsed_ms)
+
+    def _make_progress(self, now, total, elapsed_ms):
+        rate = 1_000 * total / max(1.0, elapsed_ms)
+        return Progress(
+            self.comparison.find_fault(),
+            self.comparison.new_count,
+            required_responses(self.target_count, rate),
+            self._have_all_moved(now),
+            self._count_promoted(),
+        )
+
+    def _count_promoted(self):
+        """Return required, sent and answered requests by route."""
+        duration_ms = self.rollout.duration_ms
+        part = evidence_s(duration_ms) * 1_000 / promotion_ms(duration_ms)
+        counts = {
+            route: [ceil(part * old), 0, 0]
+            for route, old in self.comparison.count_old().items()
+        }
+        for report in self._reports.values():
+            for progress in report.promoted:
+                count = counts.setdefault(progress.route, [0, 0, 0])
+                count[1] += progress.sent
+                count[2] += progress.answered
+        return counts
+
     def _choose_reserved(self, total):
         """Return how many requests to have reserved, within the bound."""
         recent = total - self._recorded_total
--- a/snipelead/rollouts/coordinator.py
+++ b/snipelead/rollouts/coordinator.py
@@ -16,6 +16,7 @@
 from snipelead.rollouts.exceptions import InvalidRolloutError
 from snipelead.rollouts.exceptions import RolloutConflictError
 from snipelead.rollouts.exceptions import UnknownRolloutServiceError
+from snipelead.types import TargetState
 from snipelead.voters.messages import encode_command
 from snipelead.voters.messages import StartRollout
 
@@ -270,6 +271,15 @@
             elif self._is_leading():
                 await self._advance(rollout)
 
+    def _count_targets(self, rollout):
+        """Return the number of targets of the new version in service."""
+        entries = self.service.directory.merged.live((rollout.service,))
+        return sum(
+            entry.version == rollout.version
+            and entry.state is TargetState.SERVING
+            for entry in entries
+        )
+
     async def _advance(self, rollout):
         now = trio.current_time()
         controller = self.controllers.get(rollout.order)
@@ -285,6 +295,7 @@
                 reserved=rollout.reserved,
             )
         controller.rollout = rollout
+        controller.target_count = self._count_targets(rollout)
         elapsed_ms = self.leadership.log_time_ms(now) - rollout.accepted_ms
         command = controller.advance(now, elapsed_ms)
         if command is None:
--- a/snipelead/rollouts/evidence.py
+++ b/snipelead/rollouts/evidence.py
@@ -31,7 +31,16 @@
 # The comparison is repeated for seconds over several routes and bounds; a
 # lower threshold would reject good versions by chance.
 MIN_Z = 3.5
-MIN_EXCESS_FAILURES = 8
+# With few targets the new version gets a large share of the requests in a
+# window, which leaves few responses to compare with. An excess of failures
+# over all earlier responses of the previous versions counts as well if the
+# responses of the same windows do not contradict it.
+MIN_Z_OF_WINDOWS = 2.0
+MIN_Z_OF_HISTORY = 4.5
+# Windows in which the previous versions fail more often than this multiple of
+# their earlier share are not compared with earlier ones.
+MAX_GROWTH_OF_FAILURES = 2.0
+MIN_EXCESS_FAILURES = 5
 MIN_FAILURE_SHARE = 0.02
 MIN_EXCESS_SLOW = 12
 # The few targets that a new version uses at first may be slower ones than
@@ -43,6 +52,7 @@
 # window. All earlier ones are compared with then, under other load, so that
 # a larger excess is needed.
 MIN_EXCESS_ALONE = 20
+MIN_EXCESS_FAILURES_ALONE = 5
 MIN_FAILURE_SHARE_ALONE = 0.05
 MIN_SLOW_SHARE_ALONE = 0.1
 
@@ -94,12 +104,46 @@
                 new * old * bad * (count - bad) / (count**2 * (count - 1))
             )
 
+    def is_large(self, min_excess, min_share):
+        """Return whether the excess is large, by number and by share."""
+        return (
+            self.excess >= min_excess and self.excess >= min_share * self.new
+        )
+
+    def exceeds(self, min_z):
+        """Return whether the excess is this many standard deviations."""
+        return self.pooled_excess >= min_z * sqrt(self.variance)
+
     def is_significant(self, min_excess, min_share):
         """Return whether the excess is large and not due to chance."""
-        return (
-            self.excess >= min_excess
-            and self.excess >= min_share * self.new
-            and self.pooled_excess >= MIN_Z * sqrt(self.variance)
+        return self.is_large(min_excess, min_share) and self.exceeds(MIN_Z)
+
+
+class _FailureTest(_Test):
+    """Excess over the previous versions in the same windows and before."""
+
+    __slots__ = ('history',)
+
+    def __init__(self):
+        super().__init__()
+        self.history = _Test()
+
+    def add_history(self, new, new_bad, old, old_bad, before, before_bad):
+        """Compare a window with earlier responses of the old versions."""
+        if not before:
+            return
+        expected = old * before_bad / before
+        if old_bad <= 1 + MAX_GROWTH_OF_FAILURES * expected:
+            self.history.add(new, new_bad, before + old, before_bad + old_bad)
+
+    def is_significant(self, min_excess, min_share):
+        """Return whether the excess is large and not due to chance."""
+        if not self.is_large(min_excess, min_share):
+            return False
+        return self.exceeds(MIN_Z) or (
+            self.exceeds(MIN_Z_OF_WINDOWS)
+            and self.history.is_large(min_excess, min_share)
+            and self.history.exceeds(MIN_Z_OF_HISTORY)
         )
 
 
@@ -116,7 +160,7 @@
         self.new_count = self.old_count = 0
         self._failures = {}
         self._slow = {}
-        self._all_failures = _Test()
+        self._all_failures = _FailureTest()
         self._all_slow = _Test()
         self._alone_failures = {}
         self._alone_slow = {}
@@ -135,6 +179,7 @@
             new = counts_by_key.get((route, True), nothing)
             old = counts_by_key.get((route, False), nothing)
             known_old = self._old.setdefault(route, list(nothing))
+            before = list(known_old)
             for index, value in enumerate(old):
                 known_old[index] += value
             self.new_count += sum(new[1:])
@@ -142,16 +187,20 @@
             if not any(new[1:]):
                 continue
             if any(old[1:]):
-                self._add_pair(route, new, old)
+                self._add_pair(route, new, old, before)
             else:
                 self._add_alone(route, new, known_old)
 
-    def _add_pair(self, route, new, old):
+    def _add_pair(self, route, new, old, before):
         """Add responses of both versions from the same window."""
         new_count, old_count = sum(new[1:]), sum(old[1:])
         window = (new_count, new[0], old_count, old[0])
-        self._failures.setdefault(route, _Test()).add(*window)
-        self._all_failures.add(*window)
+        for test in (
+            self._failures.setdefault(route, _FailureTest()),
+            self._all_failures,
+        ):
+            test.add(*window)
+            test.add_history(*window, sum(before[1:]), before[0])
         tests = self._slow.setdefault(
             route, [_Test() for _ in range(TIME_COUNT + 1)]
         )
@@ -176,6 +225,10 @@
             if index == slow_index:
                 test.add(new_count, new_slow, old_count, old_slow)
 
+    def count_old(self):
+        """Return the responses of the previous versions by route."""
+        return {route: sum(old[1:]) for route, old in self._old.items()}
+
     def find_fault(self):
         """Return how the new version is worse, or None.
 
@@ -188,7 +241,9 @@
             if test.is_significant(MIN_EXCESS_FAILURES, MIN_FAILURE_SHARE):
                 return _describe('more failures', route)
         for route, test in self._alone_failures.items():
-            if test.is_significant(MIN_EXCESS_ALONE, MIN_FAILURE_SHARE_ALONE):
+            if test.is_significant(
+                MIN_EXCESS_FAILURES_ALONE, MIN_FAILURE_SHARE_ALONE
+            ):
                 return _describe('more failures than before', route)
         slow = {None: [self._all_slow]} | {
             route: tests[self._first_slow_index(route) :]
--- a/snipelead/rollouts/selector.py
+++ b/snipelead/rollouts/selector.py
@@ -8,10 +8,12 @@
 from snipelead.logs import log_event
 from snipelead.messages import RolloutPhase
 from snipelead.messages import RouteCounts
+from snipelead.messages import RouteProgress
 from snipelead.messages import ServiceReport
 from snipelead.rollouts.events import ROLLOUT_LEARNED
 from snipelead.rollouts.evidence import TIME_BOUNDS_S
 from snipelead.rollouts.evidence import time_index
+from snipelead.rollouts.plan import LOAD_SHARE
 from snipelead.types import TargetState
 
 __all__ = ['VersionAttempt', 'VersionSelector']
@@ -22,6 +24,8 @@
 # Granted requests are sent at this multiple of the share, so that they are
 # spread over the time until the next grant and still used up.
 SENDING_PACE = 2.0
+# At the load of the promoted version, a faster pace would overload targets.
+SENDING_PACE_UNDER_LOAD = 1.25
 
 
 class _ServiceState:
@@ -38,6 +42,8 @@
         self.round = 0
         self.old_in_flight = 0
         self.counts = {}
+        # Requests after the promotion by route: sent, answered.
+        self.promoted = {}
         self.canary_key = None
         self.canary_ids = frozenset()
 
@@ -54,11 +60,20 @@
         """Return whether the node may send a request to the new version."""
         return self.sent < self.limit and now < self.lease_end
 
+    @property
+    def sending_pace(self):
+        """Share of the requests to send to the new version."""
+        pace = SENDING_PACE
+        if self.share >= LOAD_SHARE:
+            pace = SENDING_PACE_UNDER_LOAD
+        return min(1.0, pace * self.share)
+
     def choose_canaries(self, listed):
         """Return the ids of targets of the new version to use.
 
         All nodes choose the same ones, so that a small share of the requests
-        loads a few targets as much as others are loaded.
+        loads a few targets as much as others are loaded. From
+        ``LOAD_SHARE`` on, each is loaded as after the promotion.
         """
         key = (listed, self.share, self.round)
         if self.canary_key != key:
@@ -68,7 +83,10 @@
                 if entry.version == self.rollout.version
                 and entry.state is TargetState.SERVING
             ]
-            count = max(MIN_CANARY_TARGETS, ceil(self.share * len(ids)))
+            if self.share >= LOAD_SHARE:
+                count = max(1, round(self.share * len(ids)))
+            else:
+                count = max(MIN_CANARY_TARGETS, ceil(self.share * len(ids)))
             ids.sort(key=lambda i: xxhash.xxh3_64_intdigest(i.encode()))
             start = self.round * count % max(1, len(ids))
             self.canary_ids = frozenset((ids + ids)[start : start + count])
@@ -91,7 +109,14 @@
         Route of the request.
     """
 
-    __slots__ = ('has_response', 'is_new', 'is_old', 'route', 'state')
+    __slots__ = (
+        'has_response',
+        'is_new',
+        'is_old',
+        'progress',
+        'route',
+        'state',
+    )
 
     def __init__(self, state, entry, route):
         self.state = state
@@ -101,6 +126,10 @@
         self.is_old = state.is_old(entry.version)
         state.old_in_flight += self.is_old
         state.sent += self.is_new
+        self.progress = None
+        if self.is_new and state.rollout.phase is RolloutPhase.PROMOTING:
+            self.progress = state.promoted.setdefault(route, [0, 0])
+            self.progress[0] += 1
 
     def __enter__(self):
         return self
@@ -120,6 +149,8 @@
         """
         self.has_response = True
         self.state.total += 1
+        if self.progress is not None:
+            self.progress[1] += 1
         if not (self.is_new or self.is_old):
             return
         key = (self.route, self.is_new)
@@ -229,6 +260,10 @@
                     RouteCounts(route, is_new, counts[0], tuple(counts[1:]))
                     for (route, is_new), counts in state.counts.items()
                 ),
+                tuple(
+                    RouteProgress(route, sent, answered)
+                    for route, (sent, answered) in state.promoted.items()
+                ),
             )
             for service, state in self._states.items()
             if not state.rollout.phase.is_final
@@ -274,8 +309,7 @@
         previous, new = self._split(state, usable, listed, now)
         if not new or not previous:
             return previous or new
-        pace = min(1.0, SENDING_PACE * state.share)
-        return new if random.random() < pace else previous
+        return new if random.random() < state.sending_pace else previous
 
     def _split(self, state, usable, listed, now):
         """Return the usable targets of previous versions and of the new one.
--- a/snipelead/rollouts/tests/fleet.py
+++ b/snipelead/rollouts/tests/fleet.py
@@ -1,5 +1,6 @@
 """Replay of the load of a service during a rollout, without a network."""
 
+from collections import Counter
 from heapq import heappop
 from heapq import heappush
 from random import Random
@@ -16,7 +17,10 @@
 GUARANTEES = Guarantees(
     exposure_share=0.1, exposure_extra=50, rollback_ms=5_000
 )
+# Name, requests a second and mean response time of each route.
 ROUTES = (('order', 222, 0.29), ('fit', 388, 0.057))
+SMALL_ROUTES = (('order', 60, 0.25),)
+SMALL_TARGETS, SMALL_NODES = 3, 3
 SPEEDS = (0.7, 0.7, 1.65)
 SPREAD = 0.8
 TARGETS = 27
@@ -38,7 +42,14 @@
         Seed of the requests.
     respond : callable
         Takes the time, the route, the random numbers, whether the version is
-        new and the response time; returns response time and failure.
+        new, the response time and the number of requests that the target
+        runs; returns response time, failure and whether the response is bad.
+    targets : int
+        Number of targets of each version.
+    nodes : int
+        Number of nodes that send requests.
+    routes : tuple
+        Routes of the service.
 
     Attributes
     ----------
@@ -48,13 +59,17 @@
         Times of its bad responses.
     """
 
-    def __init__(self, seed, respond):
+    def __init__(
+        self, seed, respond, targets=TARGETS, nodes=NODES, routes=ROUTES
+    ):
+        self.routes = routes
+        self.running = Counter()
         self.random = Random(seed)
         self.respond = respond
         self.now = 0.0
         self.state = Rollouts()
         self.state.start(StartRollout('s', 'v2', DURATION_MS, ('v1',)), 1, 0)
-        self.selectors = [VersionSelector() for _ in range(NODES)]
+        self.selectors = [VersionSelector() for _ in range(nodes)]
         self.listed = tuple(
             TargetEntry(
                 f'{version}-{i}',
@@ -66,7 +81,7 @@
                 1,
                 version=version,
             )
-            for i in range(TARGETS)
+            for i in range(targets)
             for version in ('v1', 'v2')
         )
         self.usable = [SimpleNamespace(entry=e) for e in self.listed]
@@ -86,6 +101,7 @@
 
     def take_over(self):
         self.controller = RolloutController(self.rollout, GUARANTEES, self.now)
+        self.controller.target_count = len(self.listed) // 2
 
     def at(self, delay_s, action, *args):
         self.event_count += 1
@@ -110,7 +126,7 @@
             if not led:
                 self.controller = None
             self.arrive()
-            for index in range(NODES):
+            for index in range(len(self.selectors)):
                 if (step + index) % REPORT_STEPS == 0:
                     self.report(index)
             if led and step % ADVANCE_STEPS == 0:
@@ -151,7 +167,7 @@
             self.at(DELAY_S, selector.apply_grants, (grant,), asked_at)
 
     def arrive(self):
-        for route, rate, mean_s in ROUTES:
+        for route, rate, mean_s in self.routes:
             expected = rate * STEP_S
             count = int(expected) + (self.random.random() < expected % 1)
             for _ in range(count):
@@ -159,7 +175,7 @@
 
     def send(self, route, mean_s):
         self.total += 1
-        selector = self.selectors[self.random.randrange(NODES)]
+        selector = self.random.choice(self.selectors)
         permitted = selector.select(
             's', self.usable, self.listed, self.now, self.random
         )
@@ -174,12 +190,20 @@
         time_s = mean_s / speed * self.random.lognormvariate(-0.25, 0.7)
         if self.random.random() < 0.01:
             time_s *= 5
+        self.running[entry.target_id] += 1
         time_s, failed, is_bad = self.respond(
-            self.now, route, self.random, is_new, time_s
+            self.now,
+            route,
+            self.random,
+            is_new,
+            time_s,
+            self.running[entry.target_id],
         )
-        self.at(time_s, self.answer, attempt, time_s, failed, is_bad)
+        answer = (entry.target_id, attempt, time_s, failed, is_bad)
+        self.at(time_s, self.answer, *answer)
 
-    def answer(self, attempt, time_s, failed, is_bad):
+    def answer(self, target_id, attempt, time_s, failed, is_bad):
+        self.running[target_id] -= 1
         if is_bad:
             self.bad_at.append(self.now)
         if attempt is not None:
@@ -187,28 +211,41 @@
             attempt.end()
 
 
-def make_fleet(seed, respond, knows=True):
+def make_fleet(seed, respond, knows=True, **options):
     """Return a fleet whose nodes know of the order."""
-    fleet = Fleet(seed, respond)
+    fleet = Fleet(seed, respond, **options)
     if knows:
         for selector in fleet.selectors:
             selector.apply(fleet.state.update_since(0))
     return fleet
 
 
-def good(now, route, random, is_new, time_s):
+def make_small_fleet(seed, respond):
+    """Return a fleet with few targets and one route."""
+    return make_fleet(
+        seed,
+        respond,
+        targets=SMALL_TARGETS,
+        nodes=SMALL_NODES,
+        routes=SMALL_ROUTES,
+    )
+
+
+def good(now, route, random, is_new, time_s, load):
     return time_s, False, False
 
 
-def make_bad(share=0.3, slowdown=None, route=None, since_s=0.0):
+def make_bad(share=0.3, slowdown=None, route=None, since_s=0.0, min_load=0):
     """Return the responses of a bad version.
 
-    Part of its responses are failures, or slower if ``slowdown`` is set.
+    Part of its responses are failures, or slower if ``slowdown`` is set, on
+    one route, from a time on, or of targets that run ``min_load`` requests.
     """
 
-    def respond(now, request_route, random, is_new, time_s):
+    def respond(now, request_route, random, is_new, time_s, load):
         is_bad = (
             is_new
+            and load >= min_load
             and now >= since_s
             and route in (None, request_route)
             and random.random() < share
--- a/snipelead/rollouts/tests/test_decisions.py
+++ b/snipelead/rollouts/tests/test_decisions.py
@@ -1,16 +1,21 @@
 """Replays of a rollout of Lagos' ``orderdesk`` at its load, per seed."""
 
+from statistics import mean
+
 from testtools import TestCase
 
 from snipelead.messages import RolloutPhase
 from snipelead.rollouts.evidence import Comparison
 from snipelead.rollouts.evidence import TIME_COUNT
 from snipelead.rollouts.evidence import time_index
+from snipelead.rollouts.plan import choose_load_share
+from snipelead.rollouts.plan import required_responses
 from snipelead.rollouts.tests.fleet import DURATION_MS
 from snipelead.rollouts.tests.fleet import good
 from snipelead.rollouts.tests.fleet import GUARANTEES
 from snipelead.rollouts.tests.fleet import make_bad
 from snipelead.rollouts.tests.fleet import make_fleet
+from snipelead.rollouts.tests.fleet import make_small_fleet
 
 ROLLBACK_S = GUARANTEES.rollback_ms / 1_000
 
@@ -29,8 +34,8 @@
         if len(bad_at) >= 50:
             self.assertLess(max(fleet.sent_at), bad_at[49] + ROLLBACK_S)
 
-    def assert_rolled_back(self, respond, seed, **options):
-        fleet = make_fleet(seed, respond)
+    def assert_rolled_back(self, respond, seed, make=make_fleet, **options):
+        fleet = make(seed, respond)
         fleet.run(**options)
         self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
         self.assert_bounded(fleet)
@@ -48,7 +53,7 @@
     def test_burst_that_slows_down_both_versions_is_no_fault(self):
         # The last step has most requests to the new version, so that a burst
         # in it must not count against that version.
-        def respond(now, route, random, is_new, time_s):
+        def respond(now, route, random, is_new, time_s, load):
             in_burst = 6 <= now < 8
             failed = in_burst and random.random() < 0.3
             return time_s * (3 if in_burst else 1), failed, False
@@ -76,6 +81,90 @@
     def test_version_that_turns_bad_late_is_rolled_back(self):
         self.assert_rolled_back(make_bad(0.3, since_s=6), 0)
 
+    def test_version_that_fails_under_load_is_rolled_back(self):
+        """Guards against evidence from targets that are nearly idle."""
+        respond = make_bad(1 / 3, min_load=5)
+        for seed in range(6):
+            self.assert_rolled_back(respond, seed, make=make_small_fleet)
+        for seed in range(2):
+            self.assert_rolled_back(respond, seed)
+
+    def test_targets_are_loaded_before_the_promotion_as_after_it(self):
+        loads = {phase: [] for phase in RolloutPhase}
+
+        def respond(now, route, random, is_new, time_s, load):
+            if is_new:
+                loads[fleet.rollout.phase].append(load)
+            return time_s, False, False
+
+        for seed in range(3):
+            fleet = make_small_fleet(seed, respond)
+            fleet.run()
+        before = loads[RolloutPhase.RUNNING]
+        after = loads[RolloutPhase.PROMOTING]
+        # The steps before the one under load are included.
+        self.assertGreater(mean(before), mean(after) / 2)
+        self.assertGreater(max(before), mean(after))
+
+    def test_good_version_with_few_targets_completes_in_time(self):
+        for seed in range(6):
+            fleet = make_small_fleet(seed, good)
+            fleet.run()
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+            self.assertLess(fleet.ended_at, DURATION_MS / 1_000 - 0.5)
+
+    def test_good_version_with_little_traffic_completes(self):
+        for rate in (0, 0.5, 3, 10):
+            fleet = make_fleet(
+                1, good, targets=3, nodes=3, routes=(('order', rate, 0.25),)
+            )
+            fleet.run()
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+
+    def test_completion_needs_responses_after_the_promotion(self):
+        """Guards against completion because time has passed."""
+        fleet = make_small_fleet(0, good)
+
+        def respond(now, route, random, is_new, time_s, load):
+            is_promoted = fleet.rollout.phase is RolloutPhase.PROMOTING
+            # No response comes before the end of the rollout.
+            return (60 if is_promoted and is_new else time_s), False, False
+
+        fleet.respond = respond
+        fleet.run()
+        self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+        reason = 'too few responses after the promotion'
+        self.assertEqual(reason, fleet.controller.reason)
+
+    def test_completion_needs_responses_on_each_route(self):
+        fleet = make_fleet(0, good)
+
+        def respond(now, route, random, is_new, time_s, load):
+            is_promoted = fleet.rollout.phase is RolloutPhase.PROMOTING
+            hangs = is_promoted and is_new and route == 'order'
+            return (60 if hangs else time_s), False, False
+
+        fleet.respond = respond
+        fleet.run()
+        self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+
+    def test_new_leader_after_the_promotion_asks_for_responses_again(self):
+        for seed in range(3):
+            fleet = make_small_fleet(seed, good)
+            fleet.run(leaderless=(8.8, 10))
+            self.assertIs(RolloutPhase.COMPLETED, fleet.rollout.phase)
+            self.assertLess(fleet.ended_at, DURATION_MS / 1_000)
+            fleet = make_small_fleet(seed, make_bad(1, since_s=8.7))
+            fleet.run(leaderless=(8.8, 10))
+            self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+
+    def test_version_that_turns_bad_after_the_promotion(self):
+        """It exceeds the exposure, but the old version is not stopped."""
+        for seed in range(3):
+            fleet = make_fleet(seed, make_bad(0.3, since_s=8.8))
+            fleet.run()
+            self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+
     def test_leader_dies_during_a_step(self):
         for seed in range(2):
             fleet = self.assert_rolled_back(
@@ -134,6 +223,17 @@
         self.assert_bounded(fleet)
 
 
+class PlanTest(TestCase):
+    def test_share_under_load_is_that_of_whole_targets(self):
+        shares = [choose_load_share(count) for count in (0, 1, 2, 3, 4, 27)]
+        self.assertEqual([1, 1, 1 / 2, 1 / 3, 1 / 4, 7 / 27], shares)
+
+    def test_promotion_needs_less_evidence_with_little_traffic(self):
+        self.assertEqual(30, required_responses(27, 610))
+        self.assertEqual(10, required_responses(3, 60))
+        self.assertEqual(0, required_responses(3, 0))
+
+
 class ComparisonTest(TestCase):
     def make_window(self, new, new_failures, old, old_failures, route='r'):
         def counts(count, failures):
@@ -156,6 +256,25 @@
         comparison.add_window(self.make_window(300, 90, 400, 20))
         self.assertEqual('more failures', comparison.find_fault())
 
+    def test_failures_are_compared_with_earlier_responses(self):
+        # One target in three has the new version, so that each window alone
+        # says little.
+        comparison = Comparison()
+        comparison.add_window(self.make_window(0, 0, 400, 0))
+        for _ in range(3):
+            self.assertIsNone(comparison.find_fault())
+            comparison.add_window(self.make_window(10, 2, 20, 0))
+        self.assertEqual('more failures', comparison.find_fault())
+
+    def test_failures_of_both_versions_are_not_compared_with_earlier_ones(
+        self,
+    ):
+        comparison = Comparison()
+        comparison.add_window(self.make_window(0, 0, 400, 0))
+        for _ in range(6):
+            comparison.add_window(self.make_window(10, 4, 20, 6))
+            self.assertIsNone(comparison.find_fault())
+
     def test_routes_are_not_mixed(self):
         # The new version gets other shares of the routes by chance.
         comparison = Comparison()
