Keep a withdrawal that overtakes the heartbeats of its target

Cause: a withdrawal of a target that the node did not know yet was answered with 200 and forgotten, since it names no incarnation to compare with. The late heartbeats then looked like those of a new target, and after a restart three of them were enough for its use, although each health check that they started was answered with 503.

Fix: the node keeps what was withdrawn by target, 64 at most; more are kept as one time that applies to all. A target that was withdrawn, or whose node was restarted, is used once its health check succeeds, which a target that has withdrawn itself does not answer with 200, or once a heartbeat arrives that cannot have been sent before (10 s). A new incarnation therefore serves at its first heartbeat. The same holds if an earlier incarnation is known.

Found by asking what else is acknowledged and ignored: an announcement to leave that a newer heartbeat overtook. It is kept now. Health checks of one node no longer overlap, however many heartbeats arrive.

Two tests asked for less and are replaced: use after two further heartbeats, and use of a later incarnation after a withdrawal without a check.

--- a/snipelead/platform/frontend.py
+++ b/snipelead/platform/frontend.py
@@ -90,12 +90,18 @@
     ----------
     settings : PlatformNodeSettings
         Settings of the node.
+
+    Attributes
+    ----------
+    is_checking : bool
+        Whether the health of a target is being checked; one check at a time.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.daemon = None
         self.nursery = None
+        self.is_checking = False
         self.protocols = Protocols(
             PlatformCallerProtocol(self.get_local_service),
             PlatformTargetProtocol(),
@@ -180,10 +186,22 @@
             log_event(REPORT_UNREADABLE, target=target_id, error=str(error))
             return _error_response(400, error)
         outcome = self.daemon.heartbeat_tracker.process(heartbeat)
-        if self.daemon.heartbeat_tracker.heartbeats_until_verified:
-            self.nursery.start_soon(self.verify_target, heartbeat)
+        if self.daemon.heartbeat_tracker.needs_check and not self.is_checking:
+            self.is_checking = True
+            self.nursery.start_soon(self._verify_targets)
         return HttpResponse(_STATUS_BY_OUTCOME[outcome], b'{}')
 
+    async def _verify_targets(self):
+        """Check the target's health once for all heartbeats that wait."""
+        tracker = self.daemon.heartbeat_tracker
+        checked = None
+        try:
+            while tracker.needs_check and tracker.newest is not checked:
+                checked = tracker.newest
+                await self.verify_target(checked)
+        finally:
+            self.is_checking = False
+
     async def verify_target(self, heartbeat):
         """Check the health of a target that must be verified to serve.
 
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -3,11 +3,17 @@
 Targets send heartbeats periodically. An incarnation of a target is identified
 by its id and start time. Heartbeats may be delayed, including those of a
 previous incarnation at the same address, so only newer heartbeats take effect.
+
+A withdrawal names a target but no incarnation, and may overtake heartbeats. A
+target that was withdrawn, or may have been before the node was restarted, is
+therefore used only once it is verified to serve.
 """
 
 from enum import Enum
+from math import inf
 
 from msgspec import Struct
+import trio
 
 from snipelead.logs import log_event
 from snipelead.targets.events import REPORT_DROPPED
@@ -26,10 +32,13 @@
 
 # Assumed connection limit, since heartbeats do not contain one.
 DEFAULT_CONNECTIONS = 130
-# A target that cannot be checked, or whose health check is wrongly negative,
-# is considered serving after this number of further heartbeats. They are
-# delayed by seconds, which is less than the time between three of them.
-HEARTBEATS_UNTIL_VERIFIED = 2
+# Heartbeats are delayed by less than this. One that arrives later was sent
+# after the withdrawal or the restart, so that the target serves even if its
+# health check is wrongly negative.
+MAX_HEARTBEAT_DELAY_S = 10.0
+# Withdrawals of more targets than this are kept as a time, which applies to
+# all targets.
+MAX_WITHDRAWALS = 64
 
 
 class TargetHeartbeat(Struct, frozen=True):
@@ -93,10 +102,10 @@
     is_known_service : callable
         Tells whether a service, given by name, is known.
     history_complete : bool
-        Whether all earlier heartbeats of the target were sent to this process.
-        If the node was restarted, the target may have announced before that it
-        is leaving, and an older heartbeat may arrive late. Therefore the
-        target must first be verified to serve.
+        Whether all earlier heartbeats and withdrawals were sent to this
+        process. If the node was restarted, the target may have announced
+        before that it is leaving, and an older heartbeat may arrive late.
+        Therefore the target must first be verified to serve.
 
     Attributes
     ----------
@@ -109,9 +118,14 @@
         Whether the target withdrew itself in this incarnation.
     node_stopping : bool
         Whether the node is stopping, so that no target receives new requests.
-    heartbeats_until_verified : int
-        Number of further heartbeats after which the target is considered
-        serving without a successful health check; 0 once it is verified.
+    withdrawals : dict of TargetId to float
+        Targets that withdrew themselves, and when, in seconds of trio's clock.
+    gap_end : float
+        Until when heartbeats may arrive that were sent before a withdrawal
+        that is not known.
+    unverified_until : float
+        Until when heartbeats of the current incarnation do not show that the
+        target serves; minus infinity once it is verified.
     """
 
     def __init__(
@@ -124,8 +138,11 @@
         self.local_targets = local_targets
         self.statuses = statuses or TargetStatuses()
         self.is_known_service = is_known_service
-        self.history_complete = history_complete
-        self.heartbeats_until_verified = 0
+        self.withdrawals = {}
+        self.gap_end = -inf
+        if not history_complete:
+            self.gap_end = trio.current_time() + MAX_HEARTBEAT_DELAY_S
+        self.unverified_until = -inf
         self.newest = None
         self.leaving = False
         self.withdrawn = False
@@ -152,12 +169,12 @@
                 sequence=heartbeat.sequence,
                 started_ms=heartbeat.started_ms,
             )
+            if outcome is HeartbeatOutcome.STALE:
+                self._keep_leaving(heartbeat)
             return outcome
         if not self._is_same_incarnation(heartbeat):
             self._start_incarnation(heartbeat)
-        elif self.heartbeats_until_verified > 1:
-            self.heartbeats_until_verified -= 1
-        else:
+        elif trio.current_time() >= self.unverified_until:
             self._mark_verified()
         self.newest = heartbeat
         self._apply(heartbeat)
@@ -172,17 +189,28 @@
             Heartbeat that was received before the health check; ignored if the
             target has been replaced since.
         """
-        if self.heartbeats_until_verified and self._is_same_incarnation(
-            heartbeat
+        if (
+            self.is_unverified
+            and not self.withdrawn
+            and self._is_same_incarnation(heartbeat)
         ):
             self._mark_verified()
-            if not self.withdrawn:
-                self._apply(self.newest)
+            self._apply(self.newest)
+
+    @property
+    def is_unverified(self):
+        """Whether the target must be verified to serve before it is used."""
+        return self.unverified_until != -inf
+
+    @property
+    def needs_check(self):
+        """Whether a health check may verify the target."""
+        return self.is_unverified and not (self.withdrawn or self.leaving)
 
     def _mark_verified(self):
-        # All heartbeats of later incarnations are sent to this process.
-        self.history_complete = True
-        self.heartbeats_until_verified = 0
+        # Heartbeats and withdrawals of later incarnations are sent to this
+        # process.
+        self.gap_end = self.unverified_until = -inf
 
     def mark_leaving(self):
         """Mark the target as leaving, since its node is stopping."""
@@ -192,13 +220,15 @@
             self.local_targets.change_state(target_id, TargetState.LEAVING)
 
     def withdraw(self, target_id):
-        """Remove a target; later heartbeats of its incarnation have no effect.
+        """Remove a target; heartbeats of its incarnation have no effect.
 
         Parameters
         ----------
         target_id : TargetId
-            Target to remove; ignored if it is not the current one.
+            Target to remove. Its heartbeats may not have arrived yet, whether
+            or not those of an earlier incarnation have.
         """
+        self._record_withdrawal(target_id)
         if self.newest is None or self.newest.target_id != target_id:
             return
         if not self.withdrawn:
@@ -206,6 +236,22 @@
         self.withdrawn = True
         self.local_targets.change_state(target_id, TargetState.GONE)
 
+    def _record_withdrawal(self, target_id):
+        now = trio.current_time()
+        # The time of the newest one counts, so it moves to the end.
+        self.withdrawals.pop(target_id, None)
+        self.withdrawals[target_id] = now
+        if len(self.withdrawals) > MAX_WITHDRAWALS:
+            oldest = next(iter(self.withdrawals))
+            end = self.withdrawals.pop(oldest) + MAX_HEARTBEAT_DELAY_S
+            self.gap_end = max(self.gap_end, end)
+
+    def _find_verification_end(self, target_id):
+        """Return until when heartbeats do not show that a target serves."""
+        withdrawn_at = self.withdrawals.get(target_id, -inf)
+        end = max(self.gap_end, withdrawn_at + MAX_HEARTBEAT_DELAY_S)
+        return end if end > trio.current_time() else -inf
+
     def _is_same_incarnation(self, heartbeat):
         newest = self.newest
         return newest is not None and (
@@ -229,8 +275,8 @@
         return HeartbeatOutcome.ACCEPTED
 
     def _start_incarnation(self, heartbeat):
-        self.heartbeats_until_verified = (
-            0 if self.history_complete else HEARTBEATS_UNTIL_VERIFIED
+        self.unverified_until = self._find_verification_end(
+            heartbeat.target_id
         )
         # A node has only one local target, so the previous one has ended.
         if self.newest is not None:
@@ -240,6 +286,15 @@
         self.leaving = self.node_stopping
         self.withdrawn = False
 
+    def _keep_leaving(self, heartbeat):
+        """Apply an announcement to leave that a newer heartbeat overtook."""
+        if heartbeat.state is TargetState.LEAVING and not (
+            self.leaving or self.withdrawn
+        ):
+            self.leaving = True
+            log_event(TARGET_LEAVING, target=heartbeat.target_id)
+            self._apply(self.newest)
+
     def _apply(self, heartbeat):
         is_leaving = (
             heartbeat.state is TargetState.LEAVING
@@ -250,7 +305,7 @@
         if is_leaving and not self.leaving:
             self.leaving = True
             log_event(TARGET_LEAVING, target=heartbeat.target_id)
-        if self.heartbeats_until_verified and not self.leaving:
+        if self.is_unverified and not self.leaving:
             log_event(TARGET_UNPROVED, target=heartbeat.target_id)
             return
         state = TargetState.LEAVING if self.leaving else TargetState.SERVING
--- a/snipelead/targets/tests/test_heartbeats.py
+++ b/snipelead/targets/tests/test_heartbeats.py
@@ -1,9 +1,12 @@
 from msgspec.structs import replace
 from testtools import TestCase
 import trio
+from trio.testing import MockClock
 
 from snipelead.targets.heartbeats import HeartbeatOutcome
 from snipelead.targets.heartbeats import HeartbeatTracker
+from snipelead.targets.heartbeats import MAX_HEARTBEAT_DELAY_S
+from snipelead.targets.heartbeats import MAX_WITHDRAWALS
 from snipelead.targets.heartbeats import TargetHeartbeat
 from snipelead.targets.local import LocalTargets
 from snipelead.targets.status import TargetStatus
@@ -31,7 +34,7 @@
             )
             test(tracker, local_targets)
 
-        trio.run(main)
+        trio.run(main, clock=MockClock())
 
     def state_of(self, local_targets, target_id='i-1'):
         target = local_targets.targets.get(target_id)
@@ -139,11 +142,84 @@
             outcome = tracker.process(make_heartbeat(sequence=2))
             self.assertIs(HeartbeatOutcome.WITHDRAWN, outcome)
             self.assertIsNone(self.state_of(local_targets))
-            tracker.process(make_heartbeat(started_ms=2_000))
+            later = make_heartbeat(started_ms=2_000)
+            tracker.process(later)
+            # It may be the incarnation that withdrew itself.
+            self.assertIsNone(self.state_of(local_targets))
+            tracker.confirm_serving(later)
             self.assertIs(SERVING, self.state_of(local_targets))
 
         self.run_tracker(test)
 
+    def test_withdrawal_before_the_first_heartbeat_is_kept(self):
+        """Guards against late heartbeats of a target that has gone."""
+
+        def test(tracker, local_targets):
+            tracker.withdraw('i-1')
+            for sequence in range(1, 9):
+                tracker.process(make_heartbeat(sequence=sequence))
+                self.assertIsNone(self.state_of(local_targets))
+            self.assertTrue(tracker.needs_check)
+
+        self.run_tracker(test)
+
+    def test_withdrawal_that_overtakes_a_new_incarnation_is_kept(self):
+        def test(tracker, local_targets):
+            tracker.process(FIRST)
+            tracker.withdraw('i-1')
+            for sequence in range(1, 9):
+                later = make_heartbeat(started_ms=2_000, sequence=sequence)
+                tracker.process(later)
+                self.assertIsNone(self.state_of(local_targets))
+
+        self.run_tracker(test)
+
+    def test_withdrawal_during_a_health_check_is_kept(self):
+        def test(tracker, local_targets):
+            tracker.withdraw('i-1')
+            tracker.process(FIRST)
+            tracker.withdraw('i-1')
+            self.assertFalse(tracker.needs_check)
+            tracker.confirm_serving(FIRST)
+            self.assertIsNone(self.state_of(local_targets))
+
+        self.run_tracker(test)
+
+    def test_other_targets_need_no_check_after_a_withdrawal(self):
+        def test(tracker, local_targets):
+            tracker.withdraw('i-9')
+            tracker.process(FIRST)
+            self.assertIs(SERVING, self.state_of(local_targets))
+
+        self.run_tracker(test)
+
+    def test_withdrawals_are_bounded_and_none_is_forgotten(self):
+        def test(tracker, local_targets):
+            tracker.withdraw('i-1')
+            for index in range(5 * MAX_WITHDRAWALS):
+                tracker.withdraw(f'i-other-{index}')
+            self.assertEqual(MAX_WITHDRAWALS, len(tracker.withdrawals))
+            tracker.process(FIRST)
+            tracker.process(make_heartbeat(sequence=2))
+            self.assertIsNone(self.state_of(local_targets))
+
+        self.run_tracker(test)
+
+    def test_leaving_that_a_newer_heartbeat_overtook_is_kept(self):
+        """Guards against an announcement that is acknowledged and ignored."""
+
+        def test(tracker, local_targets):
+            tracker.process(make_heartbeat(sequence=3))
+            outcome = tracker.process(
+                make_heartbeat(sequence=2, state=LEAVING)
+            )
+            self.assertIs(HeartbeatOutcome.STALE, outcome)
+            self.assertIs(LEAVING, self.state_of(local_targets))
+            tracker.process(make_heartbeat(sequence=4))
+            self.assertIs(LEAVING, self.state_of(local_targets))
+
+        self.run_tracker(test)
+
     def test_withdrawal_of_another_target_is_ignored(self):
         def test(tracker, local_targets):
             tracker.process(FIRST)
@@ -208,16 +284,35 @@
 
         self.run_tracker(test, history_complete=False)
 
-    def test_unverified_target_serves_after_further_heartbeats(self):
+    def test_heartbeats_verify_a_target_once_none_can_be_late(self):
+        """Guards against use on the word of late heartbeats after a restart.
+
+        Neither is a target out for ever if its health check is wrongly
+        negative.
+        """
+
         def test(tracker, local_targets):
-            for sequence in (1, 2):
+            clock = trio.lowlevel.current_clock()
+            for sequence in range(1, 6):
                 tracker.process(make_heartbeat(sequence=sequence))
                 self.assertIsNone(self.state_of(local_targets))
-            tracker.process(make_heartbeat(sequence=3))
+                clock.jump(MAX_HEARTBEAT_DELAY_S / 5)
+            tracker.process(make_heartbeat(sequence=6))
             self.assertIs(SERVING, self.state_of(local_targets))
 
         self.run_tracker(test, history_complete=False)
 
+    def test_withdrawn_target_is_verified_once_no_heartbeat_can_be_late(self):
+        def test(tracker, local_targets):
+            tracker.withdraw('i-1')
+            tracker.process(FIRST)
+            clock = trio.lowlevel.current_clock()
+            clock.jump(MAX_HEARTBEAT_DELAY_S)
+            tracker.process(make_heartbeat(sequence=2))
+            self.assertIs(SERVING, self.state_of(local_targets))
+
+        self.run_tracker(test)
+
     def test_verification_applies_to_one_incarnation(self):
         def test(tracker, local_targets):
             later = make_heartbeat(started_ms=2_000)
