Pass the bounds of an installation as a group

The templates pass the whole group; settings read the bounds that they know and ignore others. The test of templates renders groups as the platform does and checks that unknown and missing bounds keep no process from starting.

--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -59,8 +59,11 @@
 CROSSING_MS_PER_KB = 140.0
 
 
-class PlatformBounds(Struct, frozen=True):
-    """Bounds of the platform that are optional; absent ones are null.
+class PlatformBounds(Struct, frozen=True, rename='kebab'):
+    """Bounds of the platform that are optional.
+
+    The template passes the whole group, so that a bound that an installation
+    does not state, or that is not known here, keeps no process from starting.
 
     Parameters
     ----------
--- a/snipelead/platform/tests/test_settings.py
+++ b/snipelead/platform/tests/test_settings.py
@@ -33,34 +33,28 @@
     'data-dir': '"/data/my-core"',
     'bootstrap': 'true',
 }
-OPTIONAL_FIELDS = frozenset(
-    f'bounds.{name}'
-    for name in (
-        'strict-revoke',
-        'revoke',
-        'quota-window',
-        'quota-overage',
-        'quota-extra',
-        'exposure-share',
-        'exposure-extra',
-        'rollback',
+BOUNDS_PREFIX = 'bounds.'
+
+
+def render(name, values):
+    """Render a template as the platform does."""
+    bounds = ','.join(
+        f'"{field.removeprefix(BOUNDS_PREFIX)}":{value}'
+        for field, value in values.items()
+        if field.startswith(BOUNDS_PREFIX)
+    )
+    values = values | {'bounds': f'{{{bounds}}}'}
+    return re.sub(
+        r'\{\{(.+?)\|json\}\}',
+        lambda match: values[match.group(1)],
+        (DEPLOY / name).read_text(),
     )
-)
 
 
 class PlatformSettingsTest(TestCase):
     def load(self, name, **changes):
         values = TEMPLATE_VALUES | changes
-        text = re.sub(
-            r'\{\{(.+?)\|json\}\}',
-            # The platform fills in null for a bound that it does not state.
-            lambda match: (
-                values.get(match.group(1), 'null')
-                if match.group(1) in OPTIONAL_FIELDS
-                else values[match.group(1)]
-            ),
-            (DEPLOY / name).read_text(),
-        )
+        text = render(name, values)
         with tempfile.NamedTemporaryFile('w', suffix='.yaml') as file:
             file.write(text)
             file.flush()
@@ -100,6 +94,13 @@
             check_settings(settings)
             self.assertEqual(expected, settings.guarantees)
 
+    def test_bounds_that_are_not_known_are_ignored(self):
+        """Guards against processes that a later bound keeps from starting."""
+        for name in ('node.yaml', 'control.yaml'):
+            later = {'bounds.seed-lag': '"3s"', 'bounds.later-one': '7'}
+            settings = self.load(name, **later).to_settings()
+            self.assertEqual(Guarantees(), settings.guarantees)
+
     def test_load_is_shed_by_priority_only_where_customers_compete(self):
         # Other deployments must keep the queues that they had.
         self.assertFalse(
