--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -101,6 +101,10 @@
         )
 
 
+def _to_guarantees(bounds):
+    return (bounds or PlatformBounds()).to_guarantees()
+
+
 def _decode_optional_ms(text):
     return 0 if text is None else decode_duration_ms(text)
 
@@ -138,8 +142,8 @@
     advertised_address : Address or None
         Address at which other nodes reach this one, if it differs from
         ``peer_address``.
-    bounds : PlatformBounds
-        Optional bounds.
+    bounds : PlatformBounds or None
+        Optional bounds; None if the deployment states none.
     """
 
     node_id: NodeId
@@ -158,13 +162,13 @@
     retry_extra: float
     metrics_port: int | None = None
     advertised_address: Address | None = None
-    bounds: PlatformBounds = PlatformBounds()
+    bounds: PlatformBounds | None = None
 
     def to_settings(self):
         """Convert to the product's node settings."""
         grace_ms = decode_duration_ms(self.grace)
         heartbeat_ms = decode_duration_ms(self.heartbeat)
-        guarantees = self.bounds.to_guarantees()
+        guarantees = _to_guarantees(self.bounds)
         return NodeSettings(
             node_id=self.node_id,
             zone=self.zone,
@@ -223,8 +227,8 @@
     listen_address : Address or None
         Listening address for other processes, if it differs from ``ip`` with
         the first of ``internal_ports``.
-    bounds : PlatformBounds
-        Optional bounds.
+    bounds : PlatformBounds or None
+        Optional bounds; None if the deployment states none.
     """
 
     ip: str
@@ -237,7 +241,7 @@
     may_found: bool
     metrics_port: int | None = None
     listen_address: Address | None = None
-    bounds: PlatformBounds = PlatformBounds()
+    bounds: PlatformBounds | None = None
 
     def to_settings(self):
         """Convert to the product's control settings."""
@@ -257,7 +261,7 @@
                 exchange_hold_ms=POLL_HOLD_MS, exchange_miss_ms=POLL_MARGIN_MS
             ),
             log=LogSettings(),
-            guarantees=self.bounds.to_guarantees(),
+            guarantees=_to_guarantees(self.bounds),
         )
 
 
