--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -24,6 +24,7 @@
 from specs.replace_race import ReplaceRace
 from specs.revocation import Revocation
 from specs.rollout import RolloutGrants
+from specs.rollout_completion import RolloutCompletion
 from specs.stated_limit import StatedLimit
 
 MODELS = (
@@ -45,6 +46,7 @@
     EarlyResponse(),
     TargetEjection(),
     RolloutGrants(),
+    RolloutCompletion(),
     Revocation(),
     NewestRelease(),
     Quota(),
--- a/specs/node_restart.py
+++ b/specs/node_restart.py
@@ -3,7 +3,8 @@
 The node acknowledges that its target is leaving, but loses that knowledge
 when it restarts. Heartbeats of the target stay in a sequence that only grows:
 each may arrive late or never. A restarted node therefore probes the target;
-the reply may be late as well.
+the reply may be late as well. A withdrawal names no incarnation and may arrive
+before any heartbeat.
 """
 
 from dataclasses import dataclass
@@ -11,6 +12,9 @@
 
 __all__ = ['NodeRestart']
 
+# Heartbeats that confirm a target in the variant that counts them.
+ENOUGH_HEARTBEATS = 3
+
 
 class Heartbeat(NamedTuple):
     """Heartbeat of the target.
@@ -40,12 +44,18 @@
         Whether it is confirmed that the target serves.
     probe_reply : bool or None
         Reply in transit to a probe: whether the target serves.
+    withdrawn : bool
+        Whether the target withdrew itself before its first heartbeat arrived.
+    received : int
+        Heartbeats received, as far as they are counted.
     """
 
     sequence: int = 0
     leaving: bool = False
     confirmed: bool = False
     probe_reply: bool | None = None
+    withdrawn: bool = False
+    received: int = 0
 
 
 class State(NamedTuple):
@@ -61,7 +71,9 @@
         Restarts of the node so far.
     acknowledged : bool
         Whether some process of the node acknowledged that the target is
-        leaving.
+        leaving or gone.
+    withdrawn : bool
+        Whether the target withdrew itself.
     started_late : bool
         Whether a request was started after the acknowledgement.
     """
@@ -70,11 +82,14 @@
     target_view: TargetView = TargetView()
     restarts: int = 0
     acknowledged: bool = False
+    withdrawn: bool = False
     started_late: bool = False
 
     @property
     def leaving(self):
-        """Whether the target is leaving."""
+        """Whether the target is leaving or gone."""
+        if self.withdrawn:
+            return True
         return bool(self.heartbeats) and self.heartbeats[-1].leaving
 
 
@@ -94,6 +109,10 @@
         is ignored.
     drops_older_heartbeats : bool
         Heartbeats that are older than the newest one received are ignored.
+    keeps_early_withdrawal : bool
+        A withdrawal counts although no heartbeat has arrived yet.
+    counts_no_heartbeats : bool
+        Any number of heartbeats does not confirm that the target serves.
     """
 
     max_heartbeats: int = 5
@@ -101,6 +120,8 @@
     confirms_after_restart: bool = True
     leaving_is_final: bool = True
     drops_older_heartbeats: bool = True
+    keeps_early_withdrawal: bool = True
+    counts_no_heartbeats: bool = True
 
     def initial(self):
         """Return the state before the first heartbeat."""
@@ -116,7 +137,9 @@
 
     def transitions(self, state):
         """Yield all transitions of target and node."""
-        if len(state.heartbeats) < self.max_heartbeats:
+        if not state.withdrawn:
+            yield 'the target withdraws itself', self._withdraw(state)
+        if len(state.heartbeats) < self.max_heartbeats and not state.withdrawn:
             yield from self._send_heartbeats(state)
         for heartbeat in state.heartbeats:
             if heartbeat.sequence > state.target_view.sequence or (
@@ -140,6 +163,16 @@
             sent = state._replace(heartbeats=(*state.heartbeats, heartbeat))
             yield f'the target sends a heartbeat, leaving: {leaving}', sent
 
+    def _withdraw(self, state):
+        view = state.target_view
+        if view.sequence:
+            view = view._replace(leaving=True)
+        elif self.keeps_early_withdrawal:
+            view = view._replace(withdrawn=True)
+        return state._replace(
+            target_view=view, withdrawn=True, acknowledged=True
+        )
+
     def _receive_heartbeat(self, state, heartbeat):
         target_view = state.target_view
         leaving = heartbeat.leaving or (
@@ -147,9 +180,18 @@
         )
         # The first process of the node has received all heartbeats since the
         # start of the target and needs no probe.
-        confirmed = target_view.confirmed or not state.restarts
+        confirmed = target_view.confirmed or not (
+            state.restarts or target_view.withdrawn
+        )
+        received = 0
+        if not self.counts_no_heartbeats:
+            received = min(ENOUGH_HEARTBEATS, target_view.received + 1)
+            confirmed = confirmed or received == ENOUGH_HEARTBEATS
         updated = target_view._replace(
-            sequence=heartbeat.sequence, leaving=leaving, confirmed=confirmed
+            sequence=heartbeat.sequence,
+            leaving=leaving,
+            confirmed=confirmed,
+            received=received,
         )
         return (
             f'heartbeat {heartbeat.sequence} is received',
@@ -185,7 +227,9 @@
 
     def _may_start(self, state):
         target_view = state.target_view
-        confirmed = target_view.confirmed or not self.confirms_after_restart
+        confirmed = target_view.confirmed or not (
+            self.confirms_after_restart or target_view.withdrawn
+        )
         return (
             target_view.sequence > 0 and confirmed and not target_view.leaving
         )
--- a/specs/tests/test_node_restart.py
+++ b/specs/tests/test_node_restart.py
@@ -6,7 +6,7 @@
 
 class NodeRestartTest(ModelTestCase):
     def test_holds(self):
-        self.assert_holds(NodeRestart(), 1_024)
+        self.assert_holds(NodeRestart(), 2_761)
 
     def test_violated_by_late_heartbeat_after_restart(self):
         labels = self.assert_violates(
@@ -19,6 +19,17 @@
             NodeRestart(leaving_is_final=False), NO_LATE_START
         )
 
+    def test_violated_by_forgotten_withdrawal(self):
+        labels = self.assert_violates(
+            NodeRestart(keeps_early_withdrawal=False), NO_LATE_START
+        )
+        self.assertNotIn('the node restarts', labels)
+
+    def test_violated_by_counting_heartbeats(self):
+        self.assert_violates(
+            NodeRestart(counts_no_heartbeats=False), NO_LATE_START
+        )
+
     def test_violated_by_older_heartbeats(self):
         self.assert_violates(
             NodeRestart(drops_older_heartbeats=False), NO_LATE_START
