Do not take silence of nodes for little traffic

Some node in touch has to tell that it moves to the new version. Also, a node may be constructed outside of trio again: the time in which late heartbeats may arrive after a restart begins with the first one.

--- a/snipelead/rollouts/controller.py
+++ b/snipelead/rollouts/controller.py
@@ -231,11 +231,13 @@
 
     def _make_progress(self, now, total, elapsed_ms):
         rate = 1_000 * total / max(1.0, elapsed_ms)
+        reports = self._list_reports_in_touch(now)
         return Progress(
             self.comparison.find_fault(),
             self.comparison.new_count,
             required_responses(self.target_count, rate),
-            self._have_all_moved(now),
+            all(report.has_moved for report in reports),
+            any(report.has_moved or report.promoted for report in reports),
             self._count_promoted(),
         )
 
@@ -261,12 +263,12 @@
         cap = cap_exposure(self.guarantees, total)
         return max(self.rollout.reserved, min(cap, self.granted + ahead))
 
-    def _have_all_moved(self, now):
-        return all(
-            self._reports[node].has_moved
+    def _list_reports_in_touch(self, now):
+        return [
+            self._reports[node]
             for node, seen_at in self._seen_at.items()
             if seen_at > now - IN_TOUCH_S
-        )
+        ]
 
     def _compare(self, now):
         """Add the responses since the last window to the comparison."""
--- a/snipelead/rollouts/plan.py
+++ b/snipelead/rollouts/plan.py
@@ -73,6 +73,8 @@
         Responses of the new version that promotion needs.
     has_moved : bool
         Whether all nodes in touch have moved to the new version.
+    is_heard : bool
+        Whether any node in touch has told that it moves to the new version.
     promoted : dict of RouteName to tuple of int
         Required responses after the promotion, requests sent since then and
         responses to them, by route.
@@ -82,6 +84,7 @@
     new_count: int
     required_count: int
     has_moved: bool
+    is_heard: bool
     promoted: dict
 
     def has_evidence(self, is_last):
@@ -92,9 +95,10 @@
         is_last : bool
             Whether there is no time left to wait for more requests.
         """
+        accepts_less = is_last and self.is_heard
         return all(
             answered >= required
-            or (is_last and answered >= MIN_ANSWERED_SHARE * sent)
+            or (accepts_less and answered >= MIN_ANSWERED_SHARE * sent)
             for required, sent, answered in self.promoted.values()
         )
 
--- a/snipelead/rollouts/tests/test_decisions.py
+++ b/snipelead/rollouts/tests/test_decisions.py
@@ -136,6 +136,15 @@
         reason = 'too few responses after the promotion'
         self.assertEqual(reason, fleet.controller.reason)
 
+    def test_completion_needs_reports_after_the_promotion(self):
+        """Guards against silence that is taken for little traffic."""
+        for seed in range(3):
+            fleet = make_small_fleet(seed, good)
+            fleet.run(8.4)
+            fleet.silent.update(range(len(fleet.selectors)))
+            fleet.run()
+            self.assertIs(RolloutPhase.ROLLED_BACK, fleet.rollout.phase)
+
     def test_completion_needs_responses_on_each_route(self):
         fleet = make_fleet(0, good)
 
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -122,7 +122,7 @@
         Targets that withdrew themselves, and when, in seconds of trio's clock.
     gap_end : float
         Until when heartbeats may arrive that were sent before a withdrawal
-        that is not known.
+        that is not known; infinite until the first heartbeat after a restart.
     unverified_until : float
         Until when heartbeats of the current incarnation do not show that the
         target serves; minus infinity once it is verified.
@@ -139,9 +139,7 @@
         self.statuses = statuses or TargetStatuses()
         self.is_known_service = is_known_service
         self.withdrawals = {}
-        self.gap_end = -inf
-        if not history_complete:
-            self.gap_end = trio.current_time() + MAX_HEARTBEAT_DELAY_S
+        self.gap_end = -inf if history_complete else inf
         self.unverified_until = -inf
         self.newest = None
         self.leaving = False
@@ -160,6 +158,8 @@
         -------
         HeartbeatOutcome
         """
+        if self.gap_end == inf:
+            self.gap_end = trio.current_time() + MAX_HEARTBEAT_DELAY_S
         outcome = self._classify(heartbeat)
         if outcome is not HeartbeatOutcome.ACCEPTED:
             log_event(
