--- a/snipelead/platform/tests/crash_case.py
+++ b/snipelead/platform/tests/crash_case.py
@@ -202,17 +202,20 @@
         sequence = 0
         while True:
             sequence += 1
-            self.daemon.heartbeat_tracker.process(
-                TargetHeartbeat(
-                    target.target_id,
-                    'stock',
-                    target.address,
-                    SLOTS,
-                    TargetState.SERVING,
-                    started_ms,
-                    sequence,
-                )
+            heartbeat = TargetHeartbeat(
+                target.target_id,
+                'stock',
+                target.address,
+                SLOTS,
+                TargetState.SERVING,
+                started_ms,
+                sequence,
             )
+            tracker = self.daemon.heartbeat_tracker
+            tracker.process(heartbeat)
+            if tracker.needs_check:
+                # The health check of a target that serves succeeds.
+                tracker.confirm_serving(heartbeat)
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
 
