Keep the platform's names of bounds inside the adapter

The soak named the bounds as the platform does, since the settings took the group under those names only. The adapter translates them when it loads the settings now, so that settings have names of their own again and the soak is as it was before.

--- a/snipelead/platform/settings.py
+++ b/snipelead/platform/settings.py
@@ -59,7 +59,7 @@
 CROSSING_MS_PER_KB = 140.0
 
 
-class PlatformBounds(Struct, frozen=True, rename='kebab'):
+class PlatformBounds(Struct, frozen=True):
     """Bounds of the platform that are optional.
 
     The template passes the whole group, so that a bound that an installation
@@ -297,6 +297,21 @@
     )
 
 
+def _rename_bounds(document):
+    """Return a settings file with the settings' own names of bounds.
+
+    The template passes the group under the platform's names.
+    """
+    match document:
+        case {'bounds': dict() as bounds}:
+            renamed = {
+                str(name).replace('-', '_'): value
+                for name, value in bounds.items()
+            }
+            return document | {'bounds': renamed}
+    return document
+
+
 def load_platform_settings(path):
     """Load and check a settings file.
 
@@ -315,7 +330,7 @@
         If the file cannot be read or a value is not allowed.
     """
     try:
-        document = parse_yaml(Path(path).read_bytes())
+        document = _rename_bounds(parse_yaml(Path(path).read_bytes()))
         settings = msgspec.convert(
             document, PlatformNodeSettings | PlatformControlSettings
         )
--- a/snipelead/soak/customers.py
+++ b/snipelead/soak/customers.py
@@ -22,11 +22,11 @@
 QUOTA_EXTRA = 20
 # Bounds in the settings of all processes.
 BOUNDS = {
-    'strict-revoke': True,
+    'strict_revoke': True,
     'revoke': f'{REVOCATION_S:.0f}s',
-    'quota-window': f'{QUOTA_WINDOW_S:.0f}s',
-    'quota-overage': QUOTA_OVERAGE,
-    'quota-extra': QUOTA_EXTRA,
+    'quota_window': f'{QUOTA_WINDOW_S:.0f}s',
+    'quota_overage': QUOTA_OVERAGE,
+    'quota_extra': QUOTA_EXTRA,
 }
 # Keys that no release holds; one is a prefix of a valid key.
 UNKNOWN_KEYS = ('unknown-key', 'steady-key-')
