Count the time of a proof towards the deadline of its request

Found by reading the wait for a proof by its ways out; no caller has reported them:

- The deadline began after the proof, so that a target was given up to 0.5 s more than was left.
It begins when the request is read; the proof ends at the deadline that the caller states; the latency objective counts it as well.
- A caller that left during the proof had its request run.
It is dropped.
- A control that names a release number that is too high kept all later proofs from succeeding, since the highest one was kept.
Each reply stands for itself.
- A heartbeat of a target in use cleared what stands for withdrawals beyond 64.

Measured: tests of the deadline, of a deadline that passes, of a caller that leaves and of withdrawals beyond the bound; answers, refusals, a stop and the other ways out hold.

--- a/snipelead/callers/call.py
+++ b/snipelead/callers/call.py
@@ -116,7 +116,9 @@
     at_most_once : bool
         Whether at most one attempt may reach a target.
     deadline_ms : int
-        Time until the deadline, in milliseconds.
+        Time from ``started_at`` until the deadline, in milliseconds.
+    started_at : float or None
+        Time at which the request was read; None for now.
 
     Attributes
     ----------
@@ -199,11 +201,20 @@
         'tenant',
     )
 
-    def __init__(self, request_class, tenant, at_most_once, deadline_ms):
+    def __init__(
+        self,
+        request_class,
+        tenant,
+        at_most_once,
+        deadline_ms,
+        started_at=None,
+    ):
         self.request_class = request_class
         self.tenant = tenant
         self.at_most_once = at_most_once
-        self.started_at = trio.current_time()
+        if started_at is None:
+            started_at = trio.current_time()
+        self.started_at = started_at
         self.deadline = self.started_at + deadline_ms / 1_000
         self.scope = None
         self.ran = Ran.NO
--- a/snipelead/callers/dispatcher.py
+++ b/snipelead/callers/dispatcher.py
@@ -41,6 +41,7 @@
 # A node that can reach the controls holds the newest release by then.
 STALE_RELEASE_RETRY_AFTER_MS = 500
 DEFAULT_TENANT = TenantName('default')
+MS_PER_S = 1_000
 # Errors that say what a release does not contain. They are true only of the
 # newest release.
 _ABSENCE_ERRORS = (
@@ -112,10 +113,14 @@
 
     async def handle(self, connection, request):
         """Handle one request of a caller and send the response."""
-        self.last_request_at = trio.current_time()
+        self.last_request_at = read_at = trio.current_time()
         try:
             route, options, customer = await self._identify(request)
-            call = self.make_call(route, options, customer)
+            if trio.current_time() > read_at and connection.is_hung_up():
+                # The caller has left while the release was proved.
+                connection.abort()
+                return
+            call = self.make_call(route, options, customer, read_at)
             self._check_stop(call)
             request.check_body_size()
         except CallError as error:
@@ -163,7 +168,7 @@
             try:
                 return self._apply_release(request, options, key_count, False)
             except _ABSENCE_ERRORS as error:
-                if not await self.proof.obtain():
+                if not await self.proof.obtain(_read_limit_s(options)):
                     raise StaleReleaseError(
                         'the release of the node may not be the newest one:'
                         f' {error.message}',
@@ -206,7 +211,7 @@
             raise NoRouteError(f'no route matches path {path}')
         return route
 
-    def make_call(self, route, options, customer=None):
+    def make_call(self, route, options, customer=None, read_at=None):
         """Return the call for a request.
 
         Parameters
@@ -217,6 +222,9 @@
             Options from the header fields of the request.
         customer : Customer or None
             Customer of the request; None if none was identified.
+        read_at : float or None
+            When the request was read, in seconds of trio's clock; None for
+            now.
 
         Returns
         -------
@@ -230,6 +238,7 @@
             self._choose_tenant(route, options, customer),
             not route.repeatable,
             min(deadline_ms, MAX_DEADLINE_MS),
+            read_at,
         )
         call.route = route.name
         call.request_id = options.request_id
@@ -243,6 +252,7 @@
             call.set_latency_deadline(
                 route.target_latency_ms
                 - self.elapsed_times.estimate_ms(route.name, deadline_ms)
+                - call.age_ms()
             )
         return call
 
@@ -318,5 +328,12 @@
         return ''
 
 
+def _read_limit_s(options):
+    """Return the time that the caller leaves for its request, in seconds."""
+    if options.deadline_ms is None:
+        return inf
+    return options.deadline_ms / MS_PER_S
+
+
 def _exceeds_buffer(request):
     return (request.content_length or 0) > MAX_BUFFERED_BODY_BYTES
--- a/snipelead/callers/tests/test_absence.py
+++ b/snipelead/callers/tests/test_absence.py
@@ -11,9 +11,11 @@
 from snipelead.callers.tests.fakes import FakeNode
 from snipelead.callers.tests.fakes import parse_error_response
 from snipelead.callers.tests.fakes import RELEASE
+from snipelead.callers.tests.fakes import wait_until
 from snipelead.releases.document import EMPTY_RELEASE
 from snipelead.releases.document import Route
 
+PROOF_S = 0.05
 STALE = (503, 'SL3034', 'no')
 
 
@@ -30,16 +32,25 @@
         Release that the node holds after a proof; None if there is no proof.
     count : int
         Number of proofs that were asked for.
+    hold : trio.Event or None
+        Proofs take until it is set.
+    limits_s : list of float
+        Time that was left for each proof.
     """
 
     def __init__(self, holder):
         self.holder = holder
         self.newest = None
         self.count = 0
+        self.hold = None
+        self.limits_s = []
 
-    async def obtain(self):
+    async def obtain(self, limit_s):
         self.count += 1
-        await trio.lowlevel.checkpoint()
+        self.limits_s.append(limit_s)
+        await trio.sleep(PROOF_S)
+        if self.hold is not None:
+            await self.hold.wait()
         if self.newest is None:
             return False
         self.holder.replace(self.newest)
@@ -158,6 +169,66 @@
 
         self.run_node(test)
 
+    def test_time_of_the_proof_counts_towards_the_deadline(self):
+        """Guards against targets that are given more time than is left."""
+        deadlines_ms = []
+
+        async def respond(connection, request, body):
+            deadlines_ms.append(int(request.fields[b'x-deadline-ms']))
+            await self.node.target.echo(connection, request, body)
+
+        async def test():
+            self.node.target.respond = respond
+            self.proof.newest = make_customers(2, KEY)
+            expected = await self.call(X_Api_Key=KEY, X_Deadline_Ms=5_000)
+            self.assertEqual(200, expected)
+            self.assertEqual([5.0], self.proof.limits_s)
+            self.assertLessEqual(deadlines_ms[0], 5_000 - PROOF_S * 1_000)
+
+        self.run_node(test)
+
+    def test_request_whose_deadline_passes_during_the_proof_is_not_run(self):
+        async def test():
+            self.proof.newest = make_customers(2, KEY)
+            status, *_ = await self.call(X_Api_Key=KEY, X_Deadline_Ms=10)
+            self.assertEqual(504, status)
+            self.assertEqual([], self.runs)
+
+        self.run_node(test)
+
+    def test_request_of_a_caller_that_left_during_the_proof_is_not_run(self):
+        async def test():
+            self.proof.newest = make_customers(2, KEY)
+            self.proof.hold = trio.Event()
+            caller = await Caller.open(self.node.path.caller_address)
+            await caller.send('/reads/1', X_Api_Key=KEY)
+            await wait_until(lambda: self.proof.count)
+            caller.connection.close()
+            await trio.sleep(0.05)
+            self.proof.hold.set()
+            await wait_until(lambda: not self.node.path.in_flight)
+            self.assertEqual([], self.runs)
+
+        self.run_node(test)
+
+    def test_request_that_waits_when_the_node_stops_is_answered(self):
+        """Guards against a request that is read and never answered."""
+
+        async def test():
+            self.proof.newest = make_customers(2, KEY)
+            self.proof.hold = trio.Event()
+            caller = await Caller.open(self.node.path.caller_address)
+            await caller.send('/reads/1', X_Api_Key=KEY)
+            await wait_until(lambda: self.proof.count)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.node.path.drain)
+                await trio.sleep(0.05)
+                self.proof.hold.set()
+                reply = await caller.receive()
+            self.assertEqual(200, reply[0].status)
+
+        self.run_node(test)
+
     def test_node_without_a_release_is_not_ready(self):
         async def test():
             expected = (503, 'SL3004', 'no')
--- a/snipelead/controls/newest_release.py
+++ b/snipelead/controls/newest_release.py
@@ -35,7 +35,7 @@
     rounds : SharedCertification
         Shares each question to the controls among the requests that wait.
     newest : ReleaseNumber
-        Newest release that a control has certified.
+        Newest release in the latest reply of a control.
     """
 
     def __init__(self, links, holder):
@@ -48,16 +48,21 @@
         """Ask the controls whenever a proof is needed, until cancelled."""
         await self.rounds.run()
 
-    async def obtain(self):
+    async def obtain(self, limit_s=PROOF_TIMEOUT_S):
         """Wait until the held release is proved to be the newest one.
 
+        Parameters
+        ----------
+        limit_s : float
+            Time that the request has left, in seconds.
+
         Returns
         -------
         bool
             Whether the held release is at least as new as each one that was
             accepted before the call.
         """
-        with trio.move_on_after(PROOF_TIMEOUT_S):
+        with trio.move_on_after(min(limit_s, PROOF_TIMEOUT_S)):
             if not await self.rounds.certify():
                 return False
             newest = self.newest
@@ -82,6 +87,6 @@
             except SnipeleadError:
                 continue
             if reply.release is not None:
-                self.newest = max(self.newest, reply.release)
+                self.newest = reply.release
                 return True
         return False
--- a/snipelead/targets/heartbeats.py
+++ b/snipelead/targets/heartbeats.py
@@ -174,7 +174,9 @@
             return outcome
         if not self._is_same_incarnation(heartbeat):
             self._start_incarnation(heartbeat)
-        elif trio.current_time() >= self.unverified_until:
+        elif (
+            self.is_unverified and trio.current_time() >= self.unverified_until
+        ):
             self._mark_verified()
         self.newest = heartbeat
         self._apply(heartbeat)
--- a/snipelead/targets/tests/test_heartbeats.py
+++ b/snipelead/targets/tests/test_heartbeats.py
@@ -205,6 +205,18 @@
 
         self.run_tracker(test)
 
+    def test_heartbeats_of_a_target_in_use_clear_no_withdrawal(self):
+        def test(tracker, local_targets):
+            tracker.process(FIRST)
+            for index in range(2 * MAX_WITHDRAWALS):
+                tracker.withdraw(f'i-other-{index}')
+            tracker.process(make_heartbeat(sequence=2))
+            late = make_heartbeat(target_id='i-other-0', started_ms=2_000)
+            tracker.process(late)
+            self.assertIsNone(self.state_of(local_targets, 'i-other-0'))
+
+        self.run_tracker(test)
+
     def test_leaving_that_a_newer_heartbeat_overtook_is_kept(self):
         """Guards against an announcement that is acknowledged and ignored."""
 
