--- a/snipelead/platform/tests/crash_case.py
+++ b/snipelead/platform/tests/crash_case.py
@@ -292,8 +292,6 @@
         with trio.fail_after(30):
             while not all(node.daemon.is_ready for node in self.nodes):
                 await trio.sleep(0.1)
-            # Health checks are not emulated, so that targets are verified by
-            # their heartbeats.
             await trio.sleep(3 * HEARTBEAT_INTERVAL_S)
 
     async def send_steadily(self, paths, per_s, for_s):
