--- a/snipelead/callers/tests/test_absence.py
+++ b/snipelead/callers/tests/test_absence.py
@@ -187,6 +187,27 @@
 
         self.run_node(test)
 
+    def test_time_of_the_proof_counts_towards_the_latency_objective(self):
+        remaining_s = []
+
+        async def test():
+            run = self.node.path.attempts.run
+
+            async def record(connection, request, call, route):
+                remaining_s.append(call.latency_remaining_s())
+                await run(connection, request, call, route)
+
+            self.node.path.attempts.run = record
+            routes = {
+                name: replace(route, target_latency_ms=800)
+                for name, route in RELEASE.routes.items()
+            }
+            self.proof.newest = replace(make_customers(2, KEY), routes=routes)
+            self.assertEqual(200, await self.call(X_Api_Key=KEY))
+            self.assertLessEqual(remaining_s[0], 0.8 - PROOF_S)
+
+        self.run_node(test)
+
     def test_request_whose_deadline_passes_during_the_proof_is_not_run(self):
         async def test():
             self.proof.newest = make_customers(2, KEY)
--- a/snipelead/controls/tests/test_newest_release.py
+++ b/snipelead/controls/tests/test_newest_release.py
@@ -18,6 +18,7 @@
 from snipelead.controls.tests.mesh import run_mesh
 from snipelead.controls.tests.mesh import STABLE_WINDOW_S
 from snipelead.controls.tests.mesh import wait_until
+from snipelead.messages import LeaseReply
 
 SEEDS = range(30)
 
@@ -85,6 +86,21 @@
 
         self.run_with_node(test)
 
+    def test_wrong_number_of_a_control_spoils_no_later_proof(self):
+        async def test(mesh, source, node, proof):
+            calls = proof.links.choose().calls
+            call = calls.call
+
+            async def name_later_release(request, timeout_s):
+                calls.call = call
+                return LeaseReply(2**40)
+
+            calls.call = name_later_release
+            self.assertFalse(await proof.obtain())
+            self.assertTrue(await proof.obtain())
+
+        self.run_with_node(test)
+
     def test_requests_share_rounds(self):
         """Guards against a call to a control for each unknown path."""
 
