--- a/snipelead/soak/faults.py
+++ b/snipelead/soak/faults.py
@@ -4,9 +4,23 @@
 
 import trio
 
-from snipelead.soak.crashing_requests import CRASHING_PREFIXES
 from snipelead.soak.deployment import MachineState
 from snipelead.soak.disturbances import ANY_CONTROL
+from snipelead.soak.machine_faults import allow_descriptors
+from snipelead.soak.machine_faults import allow_writes
+from snipelead.soak.machine_faults import block_descriptors
+from snipelead.soak.machine_faults import block_writes
+from snipelead.soak.machine_faults import delay_traffic
+from snipelead.soak.machine_faults import erase_disk
+from snipelead.soak.machine_faults import freeze
+from snipelead.soak.machine_faults import heal
+from snipelead.soak.machine_faults import kill
+from snipelead.soak.machine_faults import partition
+from snipelead.soak.machine_faults import reset_connections
+from snipelead.soak.machine_faults import stall_connections
+from snipelead.soak.machine_faults import start
+from snipelead.soak.machine_faults import thaw
+from snipelead.soak.target_faults import TargetFaults
 from snipelead.testing.relay import Direction
 
 __all__ = ['FaultInjector']
@@ -23,24 +37,14 @@
 # Longer than the time in which nodes must leave a control that is silent.
 SILENCE_DURATION_RANGE_S = (6.0, 10.0)
 DELAY_RANGE_S = (0.005, 0.15)
-SLOWDOWN_RANGE = (3.0, 15.0)
-FAULTY_RESPONSE_PROBABILITY = 0.3
 STOP_GRACE_S = 6.0
-LEAVE_DURATION_RANGE_S = (2.5, 4.0)
 # Time in which a control with an empty disk copies the state of the others,
 # in seconds.
 CATCH_UP_S = 4.0
 SERIES_COUNT = 3
-# Rate limits that targets state, in requests per second, and how long each of
-# them lasts, in seconds. The checks begin 3 s after a target has begun.
-STATED_LIMITS = (0.0, 0.5, 1.5, 5.0, 20.0)
-LIMIT_DURATION_RANGE_S = (5.0, 9.0)
-MAX_LIMITS_IN_SERIES = 3
-# How long copies of a crashing request are sent, in seconds.
-CRASHING_DURATION_RANGE_S = (3.0, 9.0)
 
 
-class FaultInjector:
+class FaultInjector(TargetFaults):
     """Injects faults from outside the processes.
 
     Parameters
@@ -67,8 +71,8 @@
     """
 
     def __init__(self, deployment, target_hosts, checker, rng):
+        super().__init__(target_hosts)
         self.deployment = deployment
-        self.target_hosts = target_hosts
         self.checker = checker
         self.rng = rng
         self.injected = []
@@ -198,24 +202,24 @@
 
     async def kill(self):
         """Kill a process and start it again later."""
-        await self._disturb([self._choose_idle()], _kill, _start)
+        await self._disturb([self._choose_idle()], kill, start)
 
     async def kill_controls(self):
         """Kill all idle controls at once; start them within a second."""
         controls = self._idle_machines(self.deployment.controls)
-        await self._disturb(controls, _kill, _start, (0.3, 0.9))
+        await self._disturb(controls, kill, start, (0.3, 0.9))
 
     async def kill_many(self):
         """Kill several processes at the same time."""
         machines = self._idle_machines(self.deployment.machines)
         count = self.rng.randint(1, max(1, len(machines)))
         chosen = self.rng.sample(machines, min(count, len(machines)))
-        await self._disturb(chosen, _kill, _start, (0.3, 2.0))
+        await self._disturb(chosen, kill, start, (0.3, 2.0))
 
     async def freeze(self):
         """Suspend a process for a while."""
         await self._disturb(
-            [self._choose_idle()], _freeze, _thaw, FREEZE_DURATION_RANGE_S
+            [self._choose_idle()], freeze, thaw, FREEZE_DURATION_RANGE_S
         )
 
     async def restart_gracefully(self):
@@ -283,7 +287,7 @@
         if others is None:
             return
         disturbances = self.checker.disturbances
-        apply, undo = self.rng.choice(((_freeze, _thaw), (_partition, _heal)))
+        apply, undo = self.rng.choice(((freeze, thaw), (partition, heal)))
         self.busy_machines.add(machine.name)
         now = self.checker.clock()
         spans = disturbances.begin_fault((machine.name,), now)
@@ -307,7 +311,7 @@
         others = self._reserve_other_controls(machine)
         if others is None:
             return
-        await self._disturb([machine], _erase_disk, _start, (0.3, 2.0))
+        await self._disturb([machine], erase_disk, start, (0.3, 2.0))
         disturbances = self.checker.disturbances
         spans = disturbances.begin_fault((ANY_CONTROL,), self.checker.clock())
         await trio.sleep(CATCH_UP_S)
@@ -319,7 +323,7 @@
     async def block_writes(self):
         """Make all file writes of a control fail for a while."""
         machine = self._choose_idle(self.deployment.controls)
-        await self._disturb([machine], _block_writes, _allow_writes)
+        await self._disturb([machine], block_writes, allow_writes)
 
     # Network connections
 
@@ -328,24 +332,24 @@
         # A process that cannot load its modules exits, which is no violation.
         loaded = [m for m in self.deployment.nodes if m.has_started()]
         machine = self._choose_idle(loaded) if loaded else None
-        await self._disturb([machine], _block_descriptors, _allow_descriptors)
+        await self._disturb([machine], block_descriptors, allow_descriptors)
 
     async def partition(self):
         """Block the traffic to and from a machine."""
-        await self._disturb([self._choose_idle()], _partition, _heal)
+        await self._disturb([self._choose_idle()], partition, heal)
 
     async def partition_one_way(self):
         """Block the requests to, or the responses from, a machine."""
         direction = self.rng.choice(tuple(Direction))
         await self._disturb(
-            [self._choose_idle()], lambda m: _partition(m, direction), _heal
+            [self._choose_idle()], lambda m: partition(m, direction), heal
         )
 
     async def reset_connections(self):
         """Reset the open connections to a machine."""
         await self._disturb(
             [self._choose_idle()],
-            _reset_connections,
+            reset_connections,
             duration_range_s=(0.0, 0.2),
         )
 
@@ -356,7 +360,7 @@
         """
         await self._disturb(
             [self._choose_idle()],
-            _stall_connections,
+            stall_connections,
             duration_range_s=(0.5, 2.0),
         )
 
@@ -364,197 +368,5 @@
         """Delay the traffic to and from a machine."""
         delay_s = self.rng.uniform(*DELAY_RANGE_S)
         await self._disturb(
-            [self._choose_idle()], lambda m: _delay_traffic(m, delay_s), _heal
+            [self._choose_idle()], lambda m: delay_traffic(m, delay_s), heal
         )
-
-    # Targets
-
-    async def _disturb_target(self, apply, undo=None):
-        host = self.rng.choice(self.target_hosts)
-        if host.target is None:
-            return
-        await self._disturb(
-            [host.machine]
-            if host.machine.name not in self.busy_machines
-            else [],
-            lambda _: apply(host),
-            None if undo is None else lambda _: undo(host),
-        )
-
-    async def crash_target(self):
-        """End a target at once; a new one replaces it."""
-        await self._disturb_target(lambda host: host.crash())
-
-    async def slow_target(self):
-        """Multiply the service times of a target for a while."""
-        slowdown = self.rng.uniform(*SLOWDOWN_RANGE)
-        await self._disturb_target(
-            lambda host: setattr(host, 'slowdown', slowdown),
-            lambda host: setattr(host, 'slowdown', 1.0),
-        )
-
-    async def send_faulty_responses(self):
-        """Make a target send faulty responses for a while."""
-        await self._disturb_target(
-            lambda host: setattr(
-                host,
-                'faulty_response_probability',
-                FAULTY_RESPONSE_PROBABILITY,
-            ),
-            lambda host: setattr(host, 'faulty_response_probability', 0.0),
-        )
-
-    async def stall_target_connections(self):
-        """Stall the open connections to a target for good."""
-        await self._disturb_target(lambda host: host.relay.stall_connections())
-
-    async def leave_target(self):
-        """Make a target leave as planned."""
-        host = self.rng.choice(self.target_hosts)
-        if (
-            host.target is not None
-            and host.machine.name not in self.busy_machines
-        ):
-            self.busy_machines.add(host.machine.name)
-            await self._leave(host)
-
-    async def leave_target_without_heartbeat(self):
-        """Make a target leave that says so in its responses only."""
-        host = self.rng.choice(self.target_hosts)
-        if (
-            host.target is not None
-            and host.machine.name not in self.busy_machines
-        ):
-            self.busy_machines.add(host.machine.name)
-            await self._leave(host, announced=False)
-
-    async def limit_target(self):
-        """Make a target state one rate limit after another.
-
-        Other faults may overlap, also those of its node.
-        """
-        await self._limit(self.rng.choice(self.target_hosts))
-
-    async def restart_node_of_limited_target(self):
-        """Restart the node beside a target again and again under a limit."""
-        host = self.rng.choice(self.target_hosts)
-        if host.target is None or host.machine.name in self.busy_machines:
-            return
-        self.busy_machines.add(host.machine.name)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._limit, host)
-            for _ in range(self.rng.randint(1, 3)):
-                await trio.sleep(self.rng.uniform(1.0, 3.0))
-                await self._restart(host.machine)
-        self.busy_machines.discard(host.machine.name)
-
-    async def send_crashing_request(self):
-        """Let clients of all nodes send a request that crashes targets.
-
-        Its copies come in several series, amid other faults.
-        """
-        crashing_requests = self.checker.crashing_requests
-        path = self.rng.choice(sorted(CRASHING_PREFIXES))
-        crashing_requests.active.append(path)
-        await trio.sleep(self.rng.uniform(*CRASHING_DURATION_RANGE_S))
-        crashing_requests.active.remove(path)
-
-    async def _limit(self, host):
-        target = host.target
-        if target is None or target.rate_limits:
-            return
-        for _ in range(self.rng.randint(1, MAX_LIMITS_IN_SERIES)):
-            host.state_limit(target, self.rng.choice(STATED_LIMITS))
-            await trio.sleep(self.rng.uniform(*LIMIT_DURATION_RANGE_S))
-        host.state_limit(target, None)
-
-    async def _restart(self, machine):
-        disturbances = self.checker.disturbances
-        names = self._affected_names(machine)
-        spans = disturbances.begin_fault(names, self.checker.clock())
-        await self.deployment.restart(machine)
-        disturbances.end_fault(spans, self.checker.clock())
-
-    async def restart_node_of_leaving_target(self):
-        """Restart the node beside a target while the target leaves."""
-        host = self.rng.choice(self.target_hosts)
-        if host.target is None or host.machine.name in self.busy_machines:
-            return
-        self.busy_machines.add(host.machine.name)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._leave, host)
-            await trio.sleep(self.rng.uniform(0.0, 1.0))
-            await self._restart(host.machine)
-
-    async def _leave(self, host, announced=True):
-        name = host.machine.name
-        await host.leave(self.rng.uniform(*LEAVE_DURATION_RANGE_S), announced)
-        # The end of the target cuts off the requests that it still runs.
-        disturbances = self.checker.disturbances
-        now = self.checker.clock()
-        disturbances.end_fault(disturbances.begin_fault((name,), now), now)
-        self.busy_machines.discard(name)
-
-
-def _kill(machine):
-    machine.kill()
-
-
-def _start(machine):
-    machine.start()
-
-
-def _freeze(machine):
-    if machine.process.is_running():
-        machine.freeze()
-
-
-def _thaw(machine):
-    if machine.state is MachineState.FROZEN:
-        machine.thaw()
-
-
-def _erase_disk(machine):
-    machine.kill()
-    machine.erase_data()
-
-
-def _block_writes(machine):
-    machine.block_writes()
-
-
-def _allow_writes(machine):
-    machine.allow_writes()
-
-
-def _block_descriptors(machine):
-    machine.block_descriptors()
-
-
-def _allow_descriptors(machine):
-    machine.allow_descriptors()
-
-
-def _partition(machine, *directions):
-    for relay in machine.relays:
-        relay.cut(*directions)
-
-
-def _heal(machine):
-    for relay in machine.relays:
-        relay.heal()
-
-
-def _reset_connections(machine):
-    for relay in machine.relays:
-        relay.reset()
-
-
-def _stall_connections(machine):
-    for relay in machine.relays:
-        relay.stall_connections()
-
-
-def _delay_traffic(machine, delay_s):
-    for relay in machine.relays:
-        relay.delay_s = delay_s
